--- a/cmake/Compiler.cmake
+++ b/cmake/Compiler.cmake
@@ -14,7 +14,9 @@
 
 add_library(medlarcroft_warnings INTERFACE)
 target_compile_options(medlarcroft_warnings INTERFACE -Wall -Wextra -Wpedantic -Werror
-  -Wno-missing-field-initializers)
+  -Wno-missing-field-initializers
+  # GCC 12 reports overlaps in its own std::string at -O3 (GCC bug 105651), which only the deploy build has.
+  $<$<BOOL:${MEDLARCROFT_DEPLOY}>:-Wno-restrict>)
 
 # Links with lld where there is one: the tests link many times over.
 find_program(LLD_PROGRAM ld.lld)
--- /dev/null
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
@@ -0,0 +1,59 @@
+#ifndef MEDLARCROFT_REQUEST_PATH_PLACEMENT_POLICY_H_
+#define MEDLARCROFT_REQUEST_PATH_PLACEMENT_POLICY_H_
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+#include "medlarcroft/core/identifiers.h"
+#include "medlarcroft/core/time.h"
+#include "medlarcroft/request_path/service_times.h"
+#include "medlarcroft/request_path/target_state.h"
+
+namespace medlarcroft::request_path {
+
+/// @brief What placing one request depends on beside the targets.
+struct PlacementQuestion {
+  std::string_view object;  ///< Empty: none.
+  bool is_sticky = false;
+  const ServiceTimes& times;
+  const RegionDistances& distances;
+  Duration latency_objective{0};
+  /// Requests a second that this host may send one cold target; below 1 none.
+  std::uint32_t cold_allowance = 0;
+  /// Targets that had the request already.
+  std::span<const TargetName> excluded;
+  std::span<const RegionName> allowed_regions;
+};
+
+/// @brief The target chosen and what decided it, for the log.
+struct Placement {
+  TargetState* target = nullptr;
+  Duration expected{0};       ///< Until the whole answer is here.
+  Duration expected_wait{0};  ///< Part of it, in the target's queue.
+  double estimated_load = 0;
+  std::uint32_t rank = 0;  ///< In the object's order within its region.
+  bool is_warm = false;    ///< It had the object from this host lately.
+};
+
+/// @brief Chooses the target that is expected to answer first.
+///
+/// Load: objects of which each target remembers some tens, targets of 3 to 9
+/// slots that all hosts use at once, regions whose demand passes their own
+/// targets in turn. Harm prevented: with no regard for objects most work is
+/// done cold, three times as long, and all targets are full; with a fixed home
+/// for each object the popular ones overload theirs. So each candidate is
+/// priced in time: the way there, the wait behind what is estimated to be
+/// there, and the work, shorter where the object is believed warm. Each region
+/// has its own order of targets for an object (rendezvous hashing), by which
+/// hosts that know nothing of each other meet at the same targets.
+/// @return nullopt when no target may be used.
+[[nodiscard]] std::optional<Placement> ChooseTarget(
+    std::span<TargetState* const> targets,
+    const PlacementQuestion& question,
+    MonotonicTime now);
+
+}  // namespace medlarcroft::request_path
+
+#endif  // MEDLARCROFT_REQUEST_PATH_PLACEMENT_POLICY_H_
--- /dev/null
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -0,0 +1,109 @@
+#ifndef MEDLARCROFT_REQUEST_PATH_TARGET_STATE_H_
+#define MEDLARCROFT_REQUEST_PATH_TARGET_STATE_H_
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "medlarcroft/core/time.h"
+#include "medlarcroft/request_path/target_record.h"
+
+namespace medlarcroft::request_path {
+
+/// @brief A target's own count of its work, as an answer told it.
+struct LoadReport {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+/// @brief How one attempt ended, as the transport saw it.
+enum class AttemptEnd {
+  kAnswered,      ///< A whole answer, not a failure of the target.
+  kTargetFailed,  ///< A whole answer that reports a failure; it ran.
+  kNotRun,        ///< The target says that it did not run it.
+  kOtherTarget,   ///< Another target has the address; it did not run it.
+  kNeverSent,     ///< No connection came about.
+  kLost,          ///< The connection or its answer broke; it may have run.
+  kTimedOut,      ///< No answer in time; it may have run.
+};
+
+/// @brief What this host knows of one target.
+///
+/// The load on a target is the sum over all hosts, of which this one sees its
+/// own part at once and the rest only through the reports in answers.
+class TargetState {
+ public:
+  TargetState(TargetRecord record, RegionName region)
+      : record_(std::move(record)), region_(std::move(region)) {}
+
+  [[nodiscard]] const TargetRecord& Record() const { return record_; }
+  [[nodiscard]] const RegionName& Region() const { return region_; }
+  void Update(TargetRecord record) { record_ = std::move(record); }
+
+  void OnSent(std::string_view object, MonotonicTime now);
+  /// @param relative_time the time at the target divided by what was expected;
+  /// absent when it says nothing of the target's speed.
+  void OnEnded(AttemptEnd end,
+               std::optional<double> relative_time,
+               MonotonicTime now);
+  /// The owner gave the attempt up: it says nothing of the target.
+  void OnAbandoned();
+  void OnReport(const LoadReport& report, MonotonicTime now);
+
+  /// @return requests running and waiting there, from all hosts, as estimated.
+  [[nodiscard]] double EstimatedLoad(MonotonicTime now) const;
+  [[nodiscard]] std::uint32_t OwnOutstanding() const { return outstanding_; }
+  [[nodiscard]] std::optional<Duration> ReportAge(MonotonicTime now) const;
+
+  /// @return whether this host sent it that object lately.
+  [[nodiscard]] bool HasHandled(std::string_view object) const;
+
+  /// @return its time for a request over what is usual in its service.
+  [[nodiscard]] double RelativeTime() const { return relative_time_; }
+  [[nodiscard]] double FailureRatio() const { return failure_ratio_; }
+
+  /// @return whether it gets nothing now after failures in a row. Afterwards
+  /// one request at a time tries it.
+  [[nodiscard]] bool IsResting(MonotonicTime now) const;
+
+  void MarkCold(MonotonicTime until) {
+    cold_until_ = std::max(cold_until_, until);
+  }
+  [[nodiscard]] bool IsCold(MonotonicTime now) const {
+    return now < cold_until_;
+  }
+  /// @return requests that this host sent it in the last second and a bit.
+  [[nodiscard]] std::uint32_t RecentSends(MonotonicTime now) const;
+
+  /// From now on it gets nothing: it is not the target that was meant.
+  void MarkReplaced() { is_replaced_ = true; }
+  [[nodiscard]] bool IsReplaced() const { return is_replaced_; }
+
+ private:
+  void NoteFailure(MonotonicTime now);
+
+  TargetRecord record_;
+  RegionName region_;
+  std::uint32_t outstanding_ = 0;
+  double others_load_ = 0;  ///< At the last report.
+  double others_mean_ = 0;  ///< Over the reports.
+  std::optional<MonotonicTime> reported_at_;
+  std::list<std::string> objects_;  ///< Latest first.
+  double relative_time_ = 1.0;
+  double failure_ratio_ = 0.0;
+  std::uint32_t failures_in_a_row_ = 0;
+  Duration rest_{0};
+  MonotonicTime resting_until_{};
+  MonotonicTime cold_until_{};
+  std::deque<MonotonicTime> sends_;
+  bool is_replaced_ = false;
+};
+
+}  // namespace medlarcroft::request_path
+
+#endif  // MEDLARCROFT_REQUEST_PATH_TARGET_STATE_H_
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/event/http_caller.cc
@@ -0,0 +1,120 @@
+#include "adapters/event/http_caller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "adapters/event/http_client_connection.h"
+
+namespace medlarcroft::adapters {
+
+HttpCaller::HttpCaller(EventLoop& loop, const Options& options)
+    : loop_(loop), options_(options) {}
+
+HttpCaller::~HttpCaller() {
+  const auto busy = std::exchange(busy_, {});
+  for (const auto& [exchange, connection] : busy) {
+    connection->Close();
+  }
+}
+
+ExchangeId HttpCaller::Send(OutboundRequest request,
+                            ExchangeCallback callback) {
+  const ExchangeId exchange = ++last_exchange_;
+  std::shared_ptr<HttpClientConnection> connection =
+      TakeIdle(request.address, request.max_idle);
+  if (!connection) {
+    const auto address = ParseSocketAddress(request.address);
+    if (!address) {
+      loop_.After(Duration(0), [callback = std::move(callback)] {
+        callback(ExchangeError{.failure = ExchangeFailure::kCannotConnect,
+                               .is_proved_unsent = true});
+      });
+      return exchange;
+    }
+    connection = std::make_shared<HttpClientConnection>(*this, request.address,
+                                                        *address);
+  }
+  busy_.emplace(exchange, connection);
+  connection->Start(exchange, std::move(request), std::move(callback));
+  return exchange;
+}
+
+void HttpCaller::Cancel(ExchangeId exchange) {
+  const auto found = busy_.find(exchange);
+  if (found == busy_.end()) {
+    return;
+  }
+  const auto connection = found->second;
+  busy_.erase(found);
+  connection->Close();
+}
+
+void HttpCaller::RetireIdle(const std::string& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) {
+    return;
+  }
+  const auto connections = std::move(found->second);
+  idle_.erase(found);
+  for (const auto& connection : connections) {
+    connection->Close();
+  }
+}
+
+std::size_t HttpCaller::IdleConnections() const {
+  std::size_t count = 0;
+  for (const auto& [address, connections] : idle_) {
+    count += connections.size();
+  }
+  return count;
+}
+
+std::shared_ptr<HttpClientConnection> HttpCaller::TakeIdle(
+    const std::string& address,
+    Duration max_idle) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  const MonotonicTime now = loop_.Now();
+  // The latest one first, so that those not needed run into their end.
+  auto connection = found->second.back();
+  if (now - connection->IdleSince() >= max_idle) {
+    return nullptr;
+  }
+  found->second.pop_back();
+  if (found->second.empty()) {
+    idle_.erase(found);
+  }
+  if (now >= connection->IdleUntil()) {
+    connection->Close();
+    RetireIdle(address);
+    return nullptr;
+  }
+  return connection;
+}
+
+void HttpCaller::KeepIdle(
+    const std::shared_ptr<HttpClientConnection>& connection) {
+  auto& connections = idle_[connection->Address()];
+  if (connections.size() >= options_.max_idle_per_address) {
+    const auto oldest = connections.front();
+    connections.erase(connections.begin());
+    oldest->Close();
+  }
+  connections.push_back(connection);
+}
+
+void HttpCaller::Forget(HttpClientConnection& connection) {
+  const auto found = idle_.find(connection.Address());
+  if (found != idle_.end()) {
+    std::erase_if(found->second,
+                  [&](const auto& kept) { return kept.get() == &connection; });
+    if (found->second.empty()) {
+      idle_.erase(found);
+    }
+  }
+  connection.Close();
+}
+
+}  // namespace medlarcroft::adapters
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
@@ -0,0 +1,75 @@
+#ifndef MEDLARCROFT_ADAPTERS_EVENT_HTTP_CLIENT_CONNECTION_H_
+#define MEDLARCROFT_ADAPTERS_EVENT_HTTP_CLIENT_CONNECTION_H_
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "adapters/event/http_caller.h"
+#include "adapters/event/tcp_stream.h"
+
+namespace medlarcroft::adapters {
+
+/// @brief One connection to a server; carries one exchange at a time.
+class HttpClientConnection final
+    : public StreamHandler,
+      public std::enable_shared_from_this<HttpClientConnection> {
+ public:
+  HttpClientConnection(HttpCaller& caller,
+                       std::string address,
+                       const SocketAddress& socket_address);
+  ~HttpClientConnection() override;
+
+  void Start(ExchangeId exchange,
+             OutboundRequest request,
+             ExchangeCallback callback);
+  /// @brief Closes at once, without a callback.
+  void Close();
+
+  [[nodiscard]] const std::string& Address() const { return address_; }
+  [[nodiscard]] ExchangeId Exchange() const { return exchange_; }
+  [[nodiscard]] MonotonicTime IdleSince() const { return idle_since_; }
+  [[nodiscard]] MonotonicTime IdleUntil() const { return idle_until_; }
+
+  void OnConnected() override;
+  void OnBytes(std::string_view bytes) override;
+  void OnEnd(StreamEnd end) override;
+
+ private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void ResetParser();
+  void Parse();
+  /// @return whether another answer may follow the one just parsed.
+  bool TakeAnswer();
+  void NoteKeepAlive(const HttpHeaders& headers);
+  void Succeed(HttpResponse response);
+  void Fail(ExchangeFailure failure);
+  void StopTimer();
+
+  HttpCaller& caller_;
+  const std::string address_;
+  ExchangeId exchange_ = 0;
+  OutboundRequest request_;
+  ExchangeCallback callback_;
+  std::optional<Parser> parser_;
+  std::string input_;
+  bool is_reused_ = false;
+  bool may_be_kept_ = true;
+  bool has_answer_bytes_ = false;
+  bool has_started_sending_ = false;
+  MonotonicTime started_at_;
+  MonotonicTime idle_since_;
+  MonotonicTime idle_until_;
+  Duration idle_limit_ = std::chrono::seconds(8);
+  TimerId timer_ = 0;
+  TcpStream stream_;
+};
+
+}  // namespace medlarcroft::adapters
+
+#endif  // MEDLARCROFT_ADAPTERS_EVENT_HTTP_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.cc
@@ -0,0 +1,90 @@
+#include "adapters/event/http_listener.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "adapters/event/http_server_connection.h"
+#include "adapters/process/socket_address.h"
+
+namespace medlarcroft::adapters {
+
+namespace {
+
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+Result<std::unique_ptr<HttpListener>, HttpListener::Failure> HttpListener::Open(
+    EventLoop& loop,
+    const std::string& address,
+    HttpCallHandler& handler) {
+  const auto parsed = ParseSocketAddress(address);
+  if (!parsed) {
+    return Failure::kBadAddress;
+  }
+  const int descriptor = ::socket(
+      parsed->storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int yes = 1;
+  if (descriptor < 0 ||
+      ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes)) !=
+          0 ||
+      ::bind(descriptor, parsed->Get(), parsed->length) != 0 ||
+      ::listen(descriptor, kBacklog) != 0) {
+    if (descriptor >= 0) {
+      ::close(descriptor);
+    }
+    return Failure::kCannotBind;
+  }
+  return std::unique_ptr<HttpListener>(
+      new HttpListener(loop, descriptor, handler));
+}
+
+HttpListener::HttpListener(EventLoop& loop,
+                           int descriptor,
+                           HttpCallHandler& handler)
+    : loop_(loop), handler_(handler), descriptor_(descriptor) {
+  sockaddr_storage bound{};
+  socklen_t length = sizeof(bound);
+  if (::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&bound),
+                    &length) == 0) {
+    port_ = PortOf(*reinterpret_cast<const sockaddr*>(&bound));
+  }
+  loop_.Watch(descriptor_, *this);
+}
+
+HttpListener::~HttpListener() {
+  StopAccepting();
+  const auto open = connections_;
+  for (const auto& connection : open) {
+    connection->OnEnd(StreamEnd::kReset);
+  }
+}
+
+void HttpListener::StopAccepting() {
+  if (descriptor_ < 0) {
+    return;
+  }
+  // Connections that the kernel has taken already would be reset.
+  OnReadable();
+  loop_.Unwatch(descriptor_);
+  ::close(descriptor_);
+  descriptor_ = -1;
+}
+
+void HttpListener::OnReadable() {
+  while (true) {
+    const int accepted =
+        ::accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) {
+      return;
+    }
+    ++counters_.connections;
+    const auto connection =
+        std::make_shared<HttpServerConnection>(*this, accepted);
+    connections_.insert(connection);
+    connection->Begin();
+  }
+}
+
+}  // namespace medlarcroft::adapters
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
@@ -0,0 +1,67 @@
+#ifndef MEDLARCROFT_ADAPTERS_EVENT_HTTP_SERVER_CONNECTION_H_
+#define MEDLARCROFT_ADAPTERS_EVENT_HTTP_SERVER_CONNECTION_H_
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "adapters/event/http_listener.h"
+#include "adapters/event/tcp_stream.h"
+
+namespace medlarcroft::adapters {
+
+/// @brief One caller's connection: reads a request, waits for its answer,
+/// writes it, and only then looks at what came behind it.
+class HttpServerConnection final
+    : public HttpExchange,
+      public StreamHandler,
+      public std::enable_shared_from_this<HttpServerConnection> {
+ public:
+  HttpServerConnection(HttpListener& listener, int descriptor);
+  ~HttpServerConnection() override;
+
+  void Begin();
+
+  void Answer(HttpResponse response) override;
+  void OnCallerGone(std::function<void()> task) override {
+    on_caller_gone_ = std::move(task);
+  }
+
+  void OnBytes(std::string_view bytes) override;
+  void OnEnd(StreamEnd end) override;
+
+ private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  enum class Phase { kIdle, kReading, kServing, kClosing };
+
+  void Parse();
+  void HandOver();
+  void Refuse(int status);
+  void WaitForRequest();
+  void SetDeadline(Duration delay, std::function<void()> task);
+  void LingerAndClose();
+  void Release();
+
+  // Null once the listener has let go of this connection.
+  HttpListener* listener_;
+  TcpStream stream_;
+  Phase phase_ = Phase::kIdle;
+  std::string input_;
+  std::optional<Parser> parser_;
+  bool is_head_request_ = false;
+  bool keeps_alive_ = true;
+  bool has_asked_for_body_ = false;
+  TimerId deadline_ = 0;
+  std::function<void()> on_caller_gone_;
+};
+
+}  // namespace medlarcroft::adapters
+
+#endif  // MEDLARCROFT_ADAPTERS_EVENT_HTTP_SERVER_CONNECTION_H_
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/event/http_text.cc
@@ -0,0 +1,132 @@
+#include "adapters/event/http_text.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+#include <vector>
+
+namespace medlarcroft::adapters {
+
+namespace {
+
+constexpr std::array<std::string_view, 10> kConnectionFields = {
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Transfer-Encoding",
+    "TE",
+    "Trailer",
+    "Upgrade",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Content-Length"};
+
+std::vector<std::string> NamedByConnection(const HttpHeaders& headers) {
+  std::vector<std::string> names;
+  for (const HttpHeader& field : headers.Fields()) {
+    if (!IsSameHeaderName(field.name, "Connection")) {
+      continue;
+    }
+    for (const auto& token :
+         boost::beast::http::token_list(boost::beast::string_view(
+             field.value.data(), field.value.size()))) {
+      names.emplace_back(token.data(), token.size());
+    }
+  }
+  return names;
+}
+
+template <typename Names>
+bool Contains(const Names& names, std::string_view name) {
+  return std::any_of(names.begin(), names.end(), [&](const auto& other) {
+    return IsSameHeaderName(other, name);
+  });
+}
+
+void AppendFields(std::string& text, const HttpHeaders& headers) {
+  for (const HttpHeader& field : headers.Fields()) {
+    AppendField(text, field.name, field.value);
+  }
+}
+
+bool HasBodyByMethod(std::string_view method) {
+  return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+}  // namespace
+
+HttpHeaders CopyFields(
+    const boost::beast::http::basic_fields<std::allocator<char>>& fields) {
+  HttpHeaders headers;
+  for (const auto& field : fields) {
+    headers.Add({field.name_string().data(), field.name_string().size()},
+                {field.value().data(), field.value().size()});
+  }
+  return headers;
+}
+
+HttpHeaders WithoutConnectionFields(const HttpHeaders& headers) {
+  const std::vector<std::string> named = NamedByConnection(headers);
+  HttpHeaders kept;
+  for (const HttpHeader& field : headers.Fields()) {
+    if (!Contains(kConnectionFields, field.name) &&
+        !Contains(named, field.name)) {
+      kept.Add(field.name, field.value);
+    }
+  }
+  return kept;
+}
+
+bool IsBodyless(int status) {
+  return status / 100 == 1 || status == 204 || status == 304;
+}
+
+void AppendField(std::string& text,
+                 std::string_view name,
+                 std::string_view value) {
+  text.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string FormatRequest(std::string_view method,
+                          std::string_view target,
+                          const HttpHeaders& headers,
+                          std::string_view body) {
+  std::string text;
+  text.reserve(512 + body.size());
+  text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+  AppendFields(text, headers);
+  if (!body.empty() || HasBodyByMethod(method)) {
+    AppendField(text, "Content-Length", std::to_string(body.size()));
+  }
+  text.append("\r\n").append(body);
+  return text;
+}
+
+std::string FormatResponse(const HttpResponse& response,
+                           AnswerFraming framing) {
+  const auto reason =
+      boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(
+          static_cast<unsigned>(response.status)));
+  std::string text;
+  text.reserve(256 + response.body.size());
+  text.append("HTTP/1.1 ")
+      .append(std::to_string(response.status))
+      .append(" ")
+      .append(reason.data(), reason.size())
+      .append("\r\n");
+  AppendFields(text, response.headers);
+  if (!IsBodyless(response.status) && !framing.is_head_request) {
+    AppendField(text, "Content-Length", std::to_string(response.body.size()));
+  }
+  if (!framing.keeps_alive) {
+    AppendField(text, "Connection", "close");
+  }
+  text.append("\r\n");
+  if (!IsBodyless(response.status) && !framing.is_head_request) {
+    text.append(response.body);
+  }
+  return text;
+}
+
+}  // namespace medlarcroft::adapters
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
@@ -0,0 +1,193 @@
+#include "adapters/event/tcp_stream.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+
+namespace medlarcroft::adapters {
+
+namespace {
+
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+
+void SetOption(int descriptor, int level, int name, int value) {
+  // A kernel that does not know the option serves without it.
+  (void)::setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+/// Failure: something between the two ends loses track of a connection, or the
+/// other end loses power. Symptom: it stays open, and whoever waits on it waits
+/// for good. The kernel's own probes end it, also while nothing is sent.
+void WatchForSilence(int descriptor, Duration limit) {
+  constexpr int kProbeSeconds = 1;
+  constexpr int kProbes = 2;
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(ToMilliseconds(limit)));
+  SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+bool WouldBlock() {
+  return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+}
+
+}  // namespace
+
+TcpStream::TcpStream(EventLoop& loop, int descriptor, StreamHandler& handler)
+    : loop_(loop),
+      handler_(handler),
+      descriptor_(descriptor),
+      is_connected_(true) {
+  SetOption(descriptor_, IPPROTO_TCP, TCP_NODELAY, 1);
+  loop_.Watch(descriptor_, *this);
+}
+
+TcpStream::TcpStream(EventLoop& loop,
+                     const SocketAddress& address,
+                     Duration silence_limit,
+                     StreamHandler& handler)
+    : loop_(loop), handler_(handler) {
+  descriptor_ = ::socket(address.storage.ss_family,
+                         SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  bool has_failed = descriptor_ < 0;
+  if (!has_failed) {
+    SetOption(descriptor_, IPPROTO_TCP, TCP_NODELAY, 1);
+    WatchForSilence(descriptor_, silence_limit);
+    has_failed = ::connect(descriptor_, address.Get(), address.length) != 0 &&
+                 errno != EINPROGRESS;
+  }
+  if (has_failed) {
+    failure_timer_ = loop_.After(Duration(0), [this] {
+      failure_timer_ = 0;
+      End(StreamEnd::kCannotConnect);
+    });
+    return;
+  }
+  loop_.Watch(descriptor_, *this);
+  UpdateInterest();
+}
+
+TcpStream::~TcpStream() {
+  Close();
+}
+
+void TcpStream::Write(std::string_view bytes) {
+  unsent_.append(bytes);
+  if (is_connected_) {
+    Flush();
+  }
+}
+
+void TcpStream::FinishWriting() {
+  is_finishing_ = true;
+  if (is_connected_) {
+    Flush();
+  }
+}
+
+void TcpStream::Close() {
+  if (failure_timer_ != 0) {
+    loop_.Cancel(failure_timer_);
+    failure_timer_ = 0;
+  }
+  if (descriptor_ < 0) {
+    return;
+  }
+  loop_.Unwatch(descriptor_);
+  ::close(descriptor_);
+  descriptor_ = -1;
+}
+
+void TcpStream::OnReadable() {
+  if (!is_connected_) {
+    FinishConnecting();
+    return;
+  }
+  std::array<char, kReadBytes> buffer;
+  const ssize_t count = ::recv(descriptor_, buffer.data(), buffer.size(), 0);
+  if (count > 0) {
+    handler_.OnBytes({buffer.data(), static_cast<std::size_t>(count)});
+    return;
+  }
+  if (count < 0 && WouldBlock()) {
+    return;
+  }
+  End(count == 0 ? StreamEnd::kClosed : StreamEnd::kReset);
+}
+
+void TcpStream::OnWritable() {
+  if (!is_connected_) {
+    FinishConnecting();
+    return;
+  }
+  Flush();
+}
+
+void TcpStream::FinishConnecting() {
+  int failure = 0;
+  socklen_t length = sizeof(failure);
+  if (::getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &failure, &length) != 0 ||
+      failure != 0) {
+    End(StreamEnd::kCannotConnect);
+    return;
+  }
+  is_connected_ = true;
+  const std::weak_ptr<bool> alive = is_alive_;
+  handler_.OnConnected();
+  if (alive.expired() || !IsOpen()) {
+    return;
+  }
+  Flush();
+}
+
+void TcpStream::Flush() {
+  if (descriptor_ < 0) {
+    return;
+  }
+  const bool had_unsent = !unsent_.empty();
+  while (!unsent_.empty()) {
+    const ssize_t count =
+        ::send(descriptor_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
+    if (count < 0) {
+      // A broken connection is reported by the next read, after what the other
+      // end sent before it broke.
+      if (!WouldBlock()) {
+        unsent_.clear();
+      }
+      break;
+    }
+    has_sent_ = true;
+    unsent_.erase(0, static_cast<std::size_t>(count));
+  }
+  UpdateInterest();
+  if (!unsent_.empty()) {
+    return;
+  }
+  std::string().swap(unsent_);
+  if (is_finishing_) {
+    ::shutdown(descriptor_, SHUT_WR);
+  }
+  if (had_unsent) {
+    handler_.OnDrained();
+  }
+}
+
+void TcpStream::End(StreamEnd end) {
+  Close();
+  handler_.OnEnd(end);
+}
+
+void TcpStream::UpdateInterest() {
+  const bool wants_write = !is_connected_ || !unsent_.empty();
+  if (wants_write != wants_write_ && descriptor_ >= 0) {
+    wants_write_ = wants_write;
+    loop_.SetInterest(descriptor_, true, wants_write);
+  }
+}
+
+}  // namespace medlarcroft::adapters
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.h
@@ -0,0 +1,80 @@
+#ifndef MEDLARCROFT_ADAPTERS_FORWARD_REQUEST_RUNNER_H_
+#define MEDLARCROFT_ADAPTERS_FORWARD_REQUEST_RUNNER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "adapters/event/http_caller.h"
+#include "adapters/event/http_listener.h"
+#include "adapters/forward/request_codec.h"
+#include "adapters/forward/request_telemetry.h"
+#include "medlarcroft/request_path/request_path.h"
+
+namespace medlarcroft::adapters {
+
+/// @brief Carries out what RequestPath decides: takes callers' requests, sends
+/// them to targets, and gives each its answer.
+class RequestRunner final : public HttpCallHandler {
+ public:
+  struct Parts {
+    EventLoop& loop;
+    HttpCaller& caller;
+    request_path::RequestPath& path;
+    const RequestCodec& codec;
+    RequestTelemetry& telemetry;
+  };
+
+  explicit RequestRunner(const Parts& parts) : parts_(parts) {}
+  ~RequestRunner() override;
+
+  void OnCall(HttpRequest call,
+              const std::shared_ptr<HttpExchange>& exchange) override;
+
+  /// @brief From now on every new request is refused: this host leaves.
+  void StopTaking() { is_taking_ = false; }
+
+  [[nodiscard]] std::size_t InFlight() const { return running_.size(); }
+
+ private:
+  struct Running {
+    DecodedCall decoded;
+    HttpRequest call;
+    std::shared_ptr<HttpExchange> exchange;
+    request_path::Begun begun;
+    MonotonicTime started_at;
+    TimerId timeout = 0;
+    TimerId slow = 0;
+    std::map<request_path::AttemptNumber, ExchangeId> exchanges;
+    /// Whole answers that were not passed on yet, by attempt.
+    std::map<request_path::AttemptNumber, HttpResponse> answers;
+  };
+  using RunningRequests =
+      std::unordered_map<request_path::RequestTicket, std::unique_ptr<Running>>;
+
+  void Carry(request_path::RequestTicket ticket,
+             const request_path::Step& step);
+  void Send(request_path::RequestTicket ticket,
+            Running& running,
+            const request_path::SendAttempt& attempt);
+  void OnResult(request_path::RequestTicket ticket,
+                const request_path::SendAttempt& attempt,
+                ExchangeResult result);
+  void OnSlow(request_path::RequestTicket ticket);
+  void OnTimeout(request_path::RequestTicket ticket);
+  void OnCallerGone(request_path::RequestTicket ticket);
+  void PassOn(Running& running, const request_path::PassOn& pass_on);
+  void End(Running& running, const request_path::Ending& ending);
+  /// @brief Forgets a request and ends what is still under way for it.
+  void Forget(request_path::RequestTicket ticket);
+
+  Parts parts_;
+  bool is_taking_ = true;
+  RunningRequests running_;
+};
+
+}  // namespace medlarcroft::adapters
+
+#endif  // MEDLARCROFT_ADAPTERS_FORWARD_REQUEST_RUNNER_H_
--- a/lib/libmedlarcroft/source/adapters/process/daemon_loop.h
+++ b/lib/libmedlarcroft/source/adapters/process/daemon_loop.h
@@ -4,15 +4,11 @@
 #include <functional>
 #include <memory>
 
+#include "adapters/process/daemon_signals.h"
 #include "medlarcroft/core/time.h"
 
 namespace medlarcroft::adapters {
 
-/// @brief Blocks the signals that `DaemonLoop` handles in the calling thread
-/// and those it starts later. Call it first in main: a signal taken by a worker
-/// thread would not wake the loop.
-void BlockDaemonSignals();
-
 /// @brief A daemon's main loop: timers and signals on an ACE reactor. All
 /// callbacks run on the thread that calls `Run`.
 class DaemonLoop {
--- a/lib/libmedlarcroft/source/adapters/process/log.cc
+++ b/lib/libmedlarcroft/source/adapters/process/log.cc
@@ -12,12 +12,15 @@
 #include <nlohmann/json.hpp>
 
 #include "adapters/process/event_rate_limit.h"
+#include "adapters/process/pipe_appender.h"
 #include "adapters/process/system_clock.h"
 
 namespace medlarcroft::adapters {
 
 namespace {
 
+constexpr int kStandardOutput = 1;
+
 constexpr std::array<log4cplus::LogLevel, 4> kLibraryLevels = {
     log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL,
     log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL};
@@ -93,7 +96,11 @@
   auto logging = std::make_unique<Logging>(options);
   logging->logger =
       log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("medlarcroft"));
-  if (options.log4cplus_config.empty()) {
+  if (options.log4cplus_config.empty() &&
+      options.output == LogOutput::kStandardOutput) {
+    logging->logger.addAppender(
+        log4cplus::SharedAppenderPtr(new PipeAppender(kStandardOutput)));
+  } else if (options.log4cplus_config.empty()) {
     LogToStandardError(logging->logger);
   } else {
     log4cplus::PropertyConfigurator::doConfigure(options.log4cplus_config);
--- a/lib/libmedlarcroft/source/adapters/process/log.h
+++ b/lib/libmedlarcroft/source/adapters/process/log.h
@@ -44,6 +44,13 @@
   LogValue value;
 };
 
+/// @brief Where lines go when no properties file says otherwise.
+enum class LogOutput {
+  kStandardError,
+  /// Never waits: what a full pipe does not take is dropped and counted.
+  kStandardOutput,
+};
+
 /// @brief Who logs, and how much.
 struct LogOptions {
   std::string program;
@@ -52,6 +59,7 @@
   LogLevel level = LogLevel::kInfo;
   /// A log4cplus properties file; empty: one JSON object a line on stderr.
   std::string log4cplus_config;
+  LogOutput output = LogOutput::kStandardError;
   /// Events of one name in a second; more are counted and said with the next.
   std::uint32_t events_per_second = 20;
 };
--- a/lib/libmedlarcroft/source/adapters/process/settings_field.cc
+++ b/lib/libmedlarcroft/source/adapters/process/settings_field.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <set>
 
+#include "medlarcroft/core/duration_text.h"
+
 namespace medlarcroft::adapters {
 
 namespace {
@@ -142,6 +144,27 @@
   value = number;
 }
 
+void ReadDuration(const SettingPlace& place,
+                  SettingRange range,
+                  Duration& value) {
+  const std::string text = place.node.IsScalar() ? place.node.Scalar() : "";
+  const std::optional<Duration> duration = ParseDuration(text);
+  const std::string allowed =
+      DescribeRange("duration with unit, milliseconds", range);
+  if (!duration) {
+    place.sink.Add(SettingsFaultCode::kWrongType, place.node, place.path,
+                   allowed);
+    return;
+  }
+  const std::int64_t milliseconds = ToMilliseconds(*duration);
+  if (milliseconds < range.minimum || milliseconds > range.maximum) {
+    place.sink.Add(SettingsFaultCode::kOutOfRange, place.node, place.path,
+                   allowed);
+    return;
+  }
+  value = *duration;
+}
+
 void ReadReal(const SettingPlace& place, RealRange range, double& value) {
   double number = 0;
   if (!place.node.IsScalar() ||
--- a/lib/libmedlarcroft/source/adapters/process/settings_field.h
+++ b/lib/libmedlarcroft/source/adapters/process/settings_field.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "adapters/process/settings_fault.h"
+#include "medlarcroft/core/time.h"
 
 namespace medlarcroft::adapters {
 
@@ -100,6 +101,10 @@
 void ReadInteger(const SettingPlace& place,
                  SettingRange range,
                  std::int64_t& value);
+/// @param range in milliseconds.
+void ReadDuration(const SettingPlace& place,
+                  SettingRange range,
+                  Duration& value);
 void ReadReal(const SettingPlace& place, RealRange range, double& value);
 void ReadFlag(const SettingPlace& place, bool& value);
 /// @return the index of the choice, or the number of choices for a fault.
--- a/lib/libmedlarcroft/source/adapters/process/settings_schema.h
+++ b/lib/libmedlarcroft/source/adapters/process/settings_schema.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "adapters/process/settings_field.h"
+#include "medlarcroft/core/duration_text.h"
 #include "medlarcroft/core/time.h"
 
 namespace medlarcroft::adapters {
@@ -63,6 +64,22 @@
         });
   }
 
+  /// A duration that the file writes with its unit, "1500ms" or "2.5s".
+  SettingsSchema& DurationText(std::string_view name,
+                               Duration Settings::*member,
+                               SettingRange range,
+                               SettingOptions options) {
+    return Add(
+        name, DescribeRange("duration with unit, milliseconds", range),
+        std::move(options),
+        [=](Settings& settings, const SettingPlace& place) {
+          ReadDuration(place, range, settings.*member);
+        },
+        [=](const Settings& settings) {
+          return MakeNode(FormatDuration(settings.*member));
+        });
+  }
+
   SettingsSchema& Real(std::string_view name,
                        double Settings::*member,
                        RealRange range,
--- /dev/null
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -0,0 +1,411 @@
+#include "medlarcroft/request_path/request_path.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace medlarcroft::request_path {
+
+namespace {
+
+// The longest wait in a target's queue that is still accepted, of the latency
+// objective: beyond it the answer comes late and holds up what follows.
+constexpr double kLongestWait = 0.6;
+// Another target is tried beside a slow one after this many times the expected
+// time, and no sooner than the least.
+constexpr double kSlowOverExpected = 2.5;
+constexpr Duration kLeastSlow = std::chrono::milliseconds(150);
+// What a target is told ends before the caller's own time: its answer needs a
+// moment to come back.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(5);
+// Callers that come back are spread over this much beyond the wait.
+constexpr double kReturnSpreadSeconds = 0.4;
+constexpr double kLeastReturnSeconds = 0.2;
+// Longest Retry-After that is said: room changes sooner.
+constexpr double kLongestReturnSeconds = 2.0;
+
+// Seconds; shorter work is not told apart.
+constexpr double kLeastWork = 1e-4;
+
+bool IsRun(AttemptEnd end) {
+  return end == AttemptEnd::kLost || end == AttemptEnd::kTimedOut;
+}
+
+bool HasArrived(AttemptEnd end) {
+  return end != AttemptEnd::kNeverSent;
+}
+
+}  // namespace
+
+RequestPath::RequestPath(const Options& options,
+                         routing::RouteTable& routes,
+                         TargetBook& targets,
+                         ports::RandomSource& random)
+    : options_(options),
+      routes_(routes),
+      targets_(targets),
+      random_(random),
+      distances_(options.own_region) {}
+
+Begun RequestPath::Begin(const CallerRequest& request, MonotonicTime now) {
+  Begun begun;
+  if (!routes_.IsConfigured()) {
+    begun.step = Ending{.reason = EndReason::kNotConfigured,
+                        .retry_after = ReturnTime(Duration(0), now)};
+    return begun;
+  }
+  begun.route = routes_.Find(request.host, request.target);
+  if (!begun.route) {
+    Ending ending{.reason = EndReason::kNoRoute};
+    if (is_news_doubtful_) {
+      ending = {.reason = EndReason::kNoRouteYet,
+                .retry_after = ReturnTime(Duration(0), now)};
+    }
+    begun.step = ending;
+    return begun;
+  }
+  begun.service = routes_.ChoosePart(*begun.route);
+  begun.time_left = std::min(request.time_left.value_or(begun.route->timeout),
+                             begun.route->timeout);
+  AllowanceOf(begun.service).OnRequest(now);
+
+  Request state{.route = begun.route,
+                .service = begun.service,
+                .object = request.object,
+                .deadline = now + begun.time_left};
+  begun.step = SendFirst(state, now);
+  if (std::holds_alternative<SendAttempt>(begun.step)) {
+    begun.ticket = ++last_ticket_;
+    requests_.emplace(begun.ticket, std::move(state));
+  }
+  return begun;
+}
+
+std::optional<Placement> RequestPath::Place(const Request& request,
+                                            std::span<const RegionName> regions,
+                                            MonotonicTime now) {
+  const std::vector<TargetState*> usable = targets_.Usable(request.service);
+  std::vector<TargetName> excluded;
+  for (const Attempt& attempt : request.attempts) {
+    excluded.push_back(attempt.target);
+  }
+  return ChooseTarget(
+      usable,
+      {.object = request.object,
+       .is_sticky = request.route->is_sticky,
+       .times = TimesOf(request.service, request.route->latency_objective),
+       .distances = distances_,
+       .latency_objective = request.route->latency_objective,
+       .cold_allowance = ColdAllowance(request.service),
+       .excluded = excluded,
+       .allowed_regions = regions},
+      now);
+}
+
+RegionSlots RequestPath::SlotsOf(const ServiceName& service) {
+  RegionSlots slots;
+  for (const TargetState* const target : targets_.Usable(service)) {
+    slots[target->Region()] += target->Record().slots;
+  }
+  return slots;
+}
+
+std::optional<Placement> RequestPath::PlaceByPlan(const Request& request,
+                                                  MonotonicTime now) {
+  const auto& allowed = request.route->allowed_regions;
+  const std::optional<Placement> best = Place(request, allowed, now);
+  if (!best || !allowed.empty()) {
+    return best;
+  }
+  RegionPlan& plan = plans_
+                         .try_emplace(request.service, options_.own_region,
+                                      options_.region_plan)
+                         .first->second;
+  plan.Observe(best->target->Region(), SlotsOf(request.service), now);
+  const std::uint64_t key =
+      request.object.empty()
+          ? random_.Next()
+          : XXH3_64bits(request.object.data(), request.object.size());
+  const RegionName region = plan.Choose(key);
+  if (region == best->target->Region()) {
+    return best;
+  }
+  const std::optional<Placement> planned =
+      Place(request, std::span(&region, 1), now);
+  return planned ? planned : best;
+}
+
+Step RequestPath::SendFirst(Request& request, MonotonicTime now) {
+  const std::optional<Placement> placement = PlaceByPlan(request, now);
+  if (!placement) {
+    return Ending{.reason = EndReason::kNoTarget,
+                  .retry_after = ReturnTime(Duration(0), now)};
+  }
+  if (placement->expected > request.deadline - now) {
+    return Ending{.reason = EndReason::kTooLate,
+                  .retry_after = ReturnTime(placement->expected_wait, now)};
+  }
+  const Duration longest_wait =
+      FromSeconds(kLongestWait * ToSeconds(request.route->latency_objective));
+  if (placement->expected_wait > longest_wait) {
+    return Ending{.reason = EndReason::kNoRoom,
+                  .retry_after =
+                      ReturnTime(placement->expected_wait - longest_wait, now)};
+  }
+  return Send(request, *placement, now);
+}
+
+Step RequestPath::Send(Request& request,
+                       const Placement& placement,
+                       MonotonicTime now) {
+  TargetState& target = *placement.target;
+  const TargetRecord& record = target.Record();
+  const auto number = static_cast<AttemptNumber>(request.attempts.size() + 1);
+  const bool may_repeat =
+      request.route->kind == routing::RequestKind::kIdempotent;
+  SendAttempt send{
+      .attempt = number,
+      .target = record.id,
+      .address = record.address,
+      .region = target.Region(),
+      .round_trip = distances_.RoundTrip(target.Region()),
+      .time_left = std::max(request.deadline - now - kAnswerMargin,
+                            Duration(std::chrono::milliseconds(1))),
+      .may_repeat = may_repeat,
+      .placement = placement,
+      .report_age = target.ReportAge(now)};
+  if (may_repeat) {
+    send.slow_after =
+        std::max(FromSeconds(kSlowOverExpected * ToSeconds(placement.expected)),
+                 kLeastSlow);
+  }
+  request.attempts.push_back(
+      {.number = number,
+       .target = record.id,
+       .sent_at = now,
+       .round_trip = distances_.RoundTrip(target.Region()),
+       .expected_wait = placement.expected_wait,
+       .load_ahead = placement.estimated_load,
+       .is_warm = placement.is_warm});
+  target.OnSent(request.object, now);
+  return send;
+}
+
+Step RequestPath::SendAgain(Request& request, MonotonicTime now) {
+  const Ending spent{.reason = EndReason::kRetriesSpent,
+                     .is_not_run = !request.may_have_run,
+                     .retry_after = ReturnTime(Duration(0), now)};
+  if (request.arrivals >= request.route->max_attempts) {
+    return spent;
+  }
+  const std::optional<Placement> placement =
+      Place(request, request.route->allowed_regions, now);
+  if (!placement || placement->expected > request.deadline - now) {
+    return spent;
+  }
+  // A send that never arrived drew nothing from what all hosts share.
+  if (request.arrivals > 0 &&
+      !AllowanceOf(request.service).TryTake(host_count_, now)) {
+    return spent;
+  }
+  return Send(request, *placement, now);
+}
+
+Step RequestPath::OnAttemptEnd(RequestTicket ticket,
+                               AttemptNumber attempt_number,
+                               AttemptEnd end,
+                               MonotonicTime now) {
+  const auto found = requests_.find(ticket);
+  if (found == requests_.end()) {
+    return AwaitAttempt{};
+  }
+  Request& request = found->second;
+  Attempt& attempt = request.attempts.at(attempt_number - 1);
+  if (!attempt.is_open) {
+    return AwaitAttempt{};
+  }
+  attempt.is_open = false;
+  Learn(request, attempt, end, now);
+  if (HasArrived(end)) {
+    ++request.arrivals;
+  }
+  request.may_have_run = request.may_have_run || IsRun(end);
+  if (end == AttemptEnd::kAnswered) {
+    const PassOn pass_on{.attempt = attempt_number,
+                         .abandoned = Abandon(request)};
+    requests_.erase(found);
+    return pass_on;
+  }
+  if (end == AttemptEnd::kTargetFailed) {
+    request.failed_answer = attempt_number;
+  }
+
+  const bool may_repeat =
+      request.route->kind == routing::RequestKind::kIdempotent;
+  const bool has_run =
+      request.may_have_run || request.failed_answer.has_value();
+  if (has_run && !may_repeat) {
+    return Conclude(ticket, request,
+                    {.reason = EndReason::kMayHaveRun, .is_not_run = false},
+                    now);
+  }
+  const bool has_open =
+      std::any_of(request.attempts.begin(), request.attempts.end(),
+                  [](const Attempt& other) { return other.is_open; });
+  if (has_open) {
+    return AwaitAttempt{};
+  }
+  Step step = SendAgain(request, now);
+  if (const auto* const ending = std::get_if<Ending>(&step)) {
+    return Conclude(ticket, request, *ending, now);
+  }
+  return step;
+}
+
+Step RequestPath::Conclude(RequestTicket ticket,
+                           Request& request,
+                           const Ending& ending,
+                           MonotonicTime /*now*/) {
+  // A target's own answer, though it reports a failure, says more than ours.
+  Step step = ending;
+  if (request.failed_answer) {
+    step = PassOn{.attempt = *request.failed_answer,
+                  .abandoned = Abandon(request)};
+  }
+  Abandon(request);
+  requests_.erase(ticket);
+  return step;
+}
+
+Step RequestPath::OnSlow(RequestTicket ticket, MonotonicTime now) {
+  const auto found = requests_.find(ticket);
+  if (found == requests_.end()) {
+    return AwaitAttempt{};
+  }
+  Request& request = found->second;
+  const auto sends = static_cast<std::uint32_t>(request.attempts.size());
+  if (sends >= request.route->max_attempts || sends >= 2) {
+    return AwaitAttempt{};
+  }
+  const std::optional<Placement> placement =
+      Place(request, request.route->allowed_regions, now);
+  const Duration longest_wait =
+      FromSeconds(kLongestWait * ToSeconds(request.route->latency_objective));
+  if (!placement || placement->expected > request.deadline - now ||
+      placement->expected_wait > longest_wait ||
+      !AllowanceOf(request.service).TryTake(host_count_, now)) {
+    return AwaitAttempt{};
+  }
+  return Send(request, *placement, now);
+}
+
+Ending RequestPath::OnTimeout(RequestTicket ticket, MonotonicTime now) {
+  const auto found = requests_.find(ticket);
+  if (found == requests_.end()) {
+    return {.reason = EndReason::kTimedOut, .is_not_run = false};
+  }
+  Request& request = found->second;
+  for (Attempt& attempt : request.attempts) {
+    if (attempt.is_open) {
+      attempt.is_open = false;
+      Learn(request, attempt, AttemptEnd::kTimedOut, now);
+    }
+  }
+  requests_.erase(found);
+  return {.reason = EndReason::kTimedOut, .is_not_run = false};
+}
+
+void RequestPath::OnCallerGone(RequestTicket ticket, MonotonicTime /*now*/) {
+  const auto found = requests_.find(ticket);
+  if (found == requests_.end()) {
+    return;
+  }
+  Abandon(found->second);
+  requests_.erase(found);
+}
+
+std::vector<AttemptNumber> RequestPath::Abandon(Request& request) {
+  std::vector<AttemptNumber> abandoned;
+  for (Attempt& attempt : request.attempts) {
+    if (!attempt.is_open) {
+      continue;
+    }
+    attempt.is_open = false;
+    abandoned.push_back(attempt.number);
+    if (TargetState* const target = targets_.Find(attempt.target)) {
+      target->OnAbandoned();
+    }
+  }
+  return abandoned;
+}
+
+void RequestPath::Learn(const Request& request,
+                        const Attempt& attempt,
+                        AttemptEnd end,
+                        MonotonicTime now) {
+  ServiceTimes& times =
+      TimesOf(request.service, request.route->latency_objective);
+  TargetState* const target = targets_.Find(attempt.target);
+  if (target == nullptr) {
+    return;
+  }
+  std::optional<double> relative;
+  if (end == AttemptEnd::kAnswered || end == AttemptEnd::kTimedOut) {
+    const double seconds = ToSeconds(
+        now - attempt.sent_at - attempt.round_trip - attempt.expected_wait);
+    const double work = std::max(seconds, 0.0);
+    const bool was_warm = attempt.is_warm || times.LooksWarm(FromSeconds(work));
+    relative = work / std::max(ToSeconds(times.Work(was_warm)), kLeastWork);
+    const bool had_free_slot =
+        attempt.load_ahead < std::max(target->Record().slots, 1U);
+    if (end == AttemptEnd::kAnswered && had_free_slot) {
+      times.OnWork(was_warm, FromSeconds(work / target->RelativeTime()));
+    }
+  }
+  target->OnEnded(end, relative, now);
+  if (end == AttemptEnd::kOtherTarget) {
+    target->MarkReplaced();
+  }
+}
+
+void RequestPath::OnReport(const TargetName& target,
+                           const LoadReport& report,
+                           MonotonicTime now) {
+  if (TargetState* const state = targets_.Find(target)) {
+    state->OnReport(report, now);
+  }
+}
+
+AttemptAllowance& RequestPath::AllowanceOf(const ServiceName& service) {
+  return allowances_.try_emplace(service, options_.attempt_bound).first->second;
+}
+
+double RequestPath::AttemptsLeft(const ServiceName& service,
+                                 MonotonicTime now) {
+  return AllowanceOf(service).Left(host_count_, now);
+}
+
+ServiceTimes& RequestPath::TimesOf(const ServiceName& service,
+                                   Duration latency_objective) {
+  return times_.try_emplace(service, latency_objective).first->second;
+}
+
+std::uint32_t RequestPath::ColdAllowance(const ServiceName& service) const {
+  const routing::ServiceRules* const rules = routes_.FindService(service);
+  if (rules == nullptr) {
+    return 1;
+  }
+  const double of_all = rules->cold_requests_per_second * options_.cold_over +
+                        options_.cold_extra;
+  return static_cast<std::uint32_t>(of_all / host_count_);
+}
+
+Duration RequestPath::ReturnTime(Duration wait, MonotonicTime /*now*/) {
+  const double seconds = kLeastReturnSeconds + ToSeconds(wait) +
+                         kReturnSpreadSeconds * random_.NextUnit();
+  return FromSeconds(std::min(seconds, kLongestReturnSeconds));
+}
+
+}  // namespace medlarcroft::request_path
--- /dev/null
+++ b/lib/libmedlarcroft/source/request_path/service_times.cc
@@ -0,0 +1,64 @@
+#include "medlarcroft/request_path/service_times.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace medlarcroft::request_path {
+
+namespace {
+
+// Of the difference to each new measurement: the last thirty or so count.
+constexpr double kGain = 0.03;
+// Before any measurement: objectives are commonly set below the time that cold
+// work takes and above that of warm work.
+constexpr double kColdOverObjective = 1.3;
+constexpr double kWarmOverCold = 0.4;
+constexpr Duration kUnmeasuredOwnRegion = std::chrono::milliseconds(2);
+constexpr Duration kUnmeasuredOtherRegion = std::chrono::milliseconds(80);
+constexpr int kDistanceGainDivisor = 8;
+
+}  // namespace
+
+void RegionDistances::OnConnected(const RegionName& region,
+                                  Duration round_trip) {
+  const auto [entry, is_new] = measured_.emplace(region, round_trip);
+  if (!is_new) {
+    entry->second += (round_trip - entry->second) / kDistanceGainDivisor;
+  }
+}
+
+Duration RegionDistances::RoundTrip(const RegionName& region) const {
+  const auto found = measured_.find(region);
+  if (found != measured_.end()) {
+    return found->second;
+  }
+  return region == own_region_ ? kUnmeasuredOwnRegion : kUnmeasuredOtherRegion;
+}
+
+ServiceTimes::ServiceTimes(Duration latency_objective)
+    : cold_seconds_(kColdOverObjective * ToSeconds(latency_objective)),
+      warm_seconds_(kWarmOverCold * cold_seconds_),
+      mean_seconds_(warm_seconds_) {}
+
+void ServiceTimes::OnWork(bool was_warm, Duration work) {
+  double& seconds = was_warm ? warm_seconds_ : cold_seconds_;
+  seconds += kGain * (ToSeconds(work) - seconds);
+  mean_seconds_ += kGain * (ToSeconds(work) - mean_seconds_);
+  // What is believed warm and is not would turn the order round.
+  warm_seconds_ = std::min(warm_seconds_, cold_seconds_);
+}
+
+Duration ServiceTimes::Work(bool is_warm) const {
+  return FromSeconds(is_warm ? warm_seconds_ : cold_seconds_);
+}
+
+bool ServiceTimes::LooksWarm(Duration work) const {
+  // Nearer in ratio, as the spread of work grows with it.
+  return ToSeconds(work) < std::sqrt(warm_seconds_ * cold_seconds_);
+}
+
+Duration ServiceTimes::MeanWork() const {
+  return FromSeconds(mean_seconds_);
+}
+
+}  // namespace medlarcroft::request_path
--- /dev/null
+++ b/lib/libmedlarcroft/source/request_path/target_state.cc
@@ -0,0 +1,127 @@
+#include "medlarcroft/request_path/target_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace medlarcroft::request_path {
+
+namespace {
+
+// Targets remember some tens of objects; beyond those sent lately by one host
+// the memory is likely taken by what other hosts send.
+constexpr std::size_t kRememberedObjects = 24;
+// Other hosts' work changes within about one request's time; older reports
+// fade into the mean.
+constexpr double kReportFadeSeconds = 0.5;
+constexpr double kMeanGain = 0.2;
+constexpr double kSpeedGain = 0.15;
+constexpr double kFailureGain = 0.15;
+constexpr double kSlowest = 12.0;
+constexpr double kFastest = 0.4;
+// One failure to connect is a restart or a lost packet; a crash shows twice.
+constexpr std::uint32_t kFailuresToRest = 2;
+constexpr Duration kFirstRest = std::chrono::milliseconds(800);
+constexpr Duration kLongestRest = std::chrono::seconds(6);
+// A bound over one second at the target: sends may arrive closer together than
+// they left.
+constexpr Duration kColdWindow = std::chrono::milliseconds(1200);
+
+bool IsFailure(AttemptEnd end) {
+  return end == AttemptEnd::kNeverSent || end == AttemptEnd::kLost ||
+         end == AttemptEnd::kTimedOut;
+}
+
+}  // namespace
+
+void TargetState::OnSent(std::string_view object, MonotonicTime now) {
+  ++outstanding_;
+  while (!sends_.empty() && now - sends_.front() > kColdWindow) {
+    sends_.pop_front();
+  }
+  sends_.push_back(now);
+  if (object.empty()) {
+    return;
+  }
+  const auto known = std::find(objects_.begin(), objects_.end(), object);
+  if (known != objects_.end()) {
+    objects_.splice(objects_.begin(), objects_, known);
+    return;
+  }
+  objects_.emplace_front(object);
+  if (objects_.size() > kRememberedObjects) {
+    objects_.pop_back();
+  }
+}
+
+void TargetState::OnEnded(AttemptEnd end,
+                          std::optional<double> relative_time,
+                          MonotonicTime now) {
+  outstanding_ -= std::min(outstanding_, 1U);
+  const bool has_failed = IsFailure(end) || end == AttemptEnd::kTargetFailed ||
+                          end == AttemptEnd::kNotRun;
+  failure_ratio_ += kFailureGain * ((has_failed ? 1.0 : 0.0) - failure_ratio_);
+  if (relative_time) {
+    const double bounded = std::clamp(*relative_time, kFastest, kSlowest);
+    relative_time_ += kSpeedGain * (bounded - relative_time_);
+  }
+  if (IsFailure(end)) {
+    NoteFailure(now);
+    return;
+  }
+  failures_in_a_row_ = 0;
+  rest_ = Duration(0);
+}
+
+void TargetState::NoteFailure(MonotonicTime now) {
+  ++failures_in_a_row_;
+  if (failures_in_a_row_ < kFailuresToRest) {
+    return;
+  }
+  rest_ = rest_ == Duration(0) ? kFirstRest : std::min(rest_ * 2, kLongestRest);
+  resting_until_ = now + rest_;
+}
+
+void TargetState::OnAbandoned() {
+  outstanding_ -= std::min(outstanding_, 1U);
+}
+
+void TargetState::OnReport(const LoadReport& report, MonotonicTime now) {
+  // The report was made while the answered request still counted.
+  const double total = report.running + report.waiting;
+  others_load_ = std::max(0.0, total - outstanding_);
+  others_mean_ += kMeanGain * (others_load_ - others_mean_);
+  reported_at_ = now;
+}
+
+double TargetState::EstimatedLoad(MonotonicTime now) const {
+  if (!reported_at_) {
+    return outstanding_;
+  }
+  const double faded =
+      std::exp(-ToSeconds(now - *reported_at_) / kReportFadeSeconds);
+  return outstanding_ + others_load_ * faded + others_mean_ * (1.0 - faded);
+}
+
+std::optional<Duration> TargetState::ReportAge(MonotonicTime now) const {
+  return reported_at_ ? std::optional(now - *reported_at_) : std::nullopt;
+}
+
+bool TargetState::HasHandled(std::string_view object) const {
+  return std::find(objects_.begin(), objects_.end(), object) != objects_.end();
+}
+
+bool TargetState::IsResting(MonotonicTime now) const {
+  if (rest_ == Duration(0)) {
+    return false;
+  }
+  return now < resting_until_ || outstanding_ > 0;
+}
+
+std::uint32_t TargetState::RecentSends(MonotonicTime now) const {
+  const auto first = std::find_if(
+      sends_.begin(), sends_.end(),
+      [&](MonotonicTime sent) { return now - sent <= kColdWindow; });
+  return static_cast<std::uint32_t>(sends_.end() - first);
+}
+
+}  // namespace medlarcroft::request_path
--- /dev/null
+++ b/lib/libmedlarcroft/source/routing/route_table.cc
@@ -0,0 +1,92 @@
+#include "medlarcroft/routing/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <numeric>
+
+namespace medlarcroft::routing {
+
+namespace {
+
+std::string NormalisedHost(std::string_view host) {
+  const std::size_t port = host.rfind(':');
+  if (port != std::string_view::npos &&
+      host.find(']', port) == std::string_view::npos) {
+    host = host.substr(0, port);
+  }
+  std::string lower(host);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+}  // namespace
+
+bool RouteTable::Apply(RoutingConfiguration configuration) {
+  if (configuration.version <= version_) {
+    return false;
+  }
+  version_ = configuration.version;
+  limits_ = configuration.limits;
+  services_.clear();
+  for (ServiceRules& service : configuration.services) {
+    services_.emplace(service.name, service);
+  }
+  routes_.clear();
+  for (Route& route : configuration.routes) {
+    auto& of_host = routes_[NormalisedHost(route.host)];
+    of_host.push_back(std::make_shared<const Route>(std::move(route)));
+  }
+  for (auto& [host, of_host] : routes_) {
+    std::stable_sort(of_host.begin(), of_host.end(),
+                     [](const auto& left, const auto& right) {
+                       return left->path_prefix.size() >
+                              right->path_prefix.size();
+                     });
+  }
+  owed_.clear();
+  return true;
+}
+
+std::shared_ptr<const Route> RouteTable::Find(std::string_view host,
+                                              std::string_view target) const {
+  const auto of_host = routes_.find(NormalisedHost(host));
+  if (of_host == routes_.end()) {
+    return nullptr;
+  }
+  const std::string_view path = PathOf(target);
+  for (const auto& route : of_host->second) {
+    if (path.starts_with(route->path_prefix)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+ServiceName RouteTable::ChoosePart(const Route& route) {
+  if (route.parts.size() == 1) {
+    return route.parts.front().service;
+  }
+  const double total = std::accumulate(
+      route.parts.begin(), route.parts.end(), 0.0,
+      [](double sum, const ServicePart& part) { return sum + part.weight; });
+  std::vector<double>& owed = owed_[route.name];
+  owed.resize(route.parts.size());
+  for (std::size_t i = 0; i < owed.size(); ++i) {
+    owed[i] += total > 0 ? route.parts[i].weight / total : 0;
+  }
+  const auto most = std::max_element(owed.begin(), owed.end());
+  *most -= 1.0;
+  return route.parts[static_cast<std::size_t>(most - owed.begin())].service;
+}
+
+const ServiceRules* RouteTable::FindService(const ServiceName& name) const {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+}  // namespace medlarcroft::routing
--- /dev/null
+++ b/programs/node/node.cc
@@ -0,0 +1,253 @@
+#include "node.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "adapters/process/log.h"
+#include "platform/operator_keys.h"
+
+namespace medlarcroft::node {
+
+namespace {
+
+using adapters::Log;
+using adapters::LogLevel;
+using membership::HostPhase;
+using process::StopPhase;
+using request_path::BookChange;
+using telemetry::MetricDescription;
+
+constexpr Duration kTickPeriod = std::chrono::milliseconds(250);
+// Callers ask again after this, so a host that leaves or dies is named no
+// longer than that; shorter costs more look-ups, of 0.1 ms each.
+constexpr Duration kLookupTimeToLive = std::chrono::milliseconds(1000);
+// Some callers keep an answer three times as long as they are told.
+constexpr Duration kAnnounceTime = std::chrono::milliseconds(2800);
+// Before the end of the stop's time limit, to leave in order.
+constexpr Duration kStopReserve = std::chrono::milliseconds(350);
+// Failure: news of the operator stops coming. Symptom: a route that was added
+// meanwhile would be denied for good. After this a missing route may be news
+// that has not come.
+constexpr Duration kNewsDoubtfulAfter = std::chrono::seconds(6);
+// Part of the memory that callers' bodies may take.
+constexpr std::size_t kBodyMemoryPart = 16;
+constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
+
+// The bound on shifts holds for windows of this length. What few requests in a
+// window differ by chance takes the part of it that is not planned.
+constexpr Duration kShiftWindow = std::chrono::seconds(2);
+constexpr double kPlannedShift = 0.4;
+
+constexpr std::array<std::string_view, 5> kFailureNames = {
+    "caller-listener", "readiness-listener", "lookup-listener",
+    "metrics-listener", "peer-socket"};
+constexpr std::array<std::string_view, 6> kChangeNames = {
+    "added", "updated", "leaving", "doubted", "removed", "returned"};
+
+request_path::DomainRegions RegionsOf(const adapters::NodeSettings& settings) {
+  request_path::DomainRegions regions;
+  for (const adapters::DomainPlace& place : settings.domains) {
+    regions[FailureDomainName(place.domain)] = RegionName(place.region);
+  }
+  regions[FailureDomainName(settings.failure_domain)] =
+      RegionName(settings.region);
+  return regions;
+}
+
+request_path::RequestPath::Options PathOptions(
+    const adapters::NodeSettings& settings) {
+  const adapters::NodeBounds& bounds = settings.bounds;
+  return {.own_region = RegionName(settings.region),
+          .attempt_bound = {.ratio = bounds.attempt_ratio,
+                            .fixed = static_cast<double>(bounds.attempt_extra),
+                            .window = bounds.attempt_window},
+          .cold_over = bounds.cold_over,
+          .cold_extra = static_cast<double>(bounds.cold_extra),
+          .region_plan = {.most_moved_per_second = kPlannedShift *
+                                                   bounds.shift_most /
+                                                   ToSeconds(kShiftWindow)}};
+}
+
+process::StopSequence::Options StopOptions(
+    const adapters::NodeSettings& settings) {
+  const Duration limit = settings.bounds.stop_limit - kStopReserve;
+  const Duration announce = std::min(kAnnounceTime, limit / 2);
+  return {.announce_time = announce, .finish_limit = limit - announce};
+}
+
+}  // namespace
+
+std::string_view NameOf(StartFailure failure) {
+  return kFailureNames.at(static_cast<std::size_t>(failure));
+}
+
+Node::Node(const adapters::NodeSettings& settings, adapters::EventLoop& loop)
+    : settings_(settings),
+      loop_(loop),
+      regions_(RegionsOf(settings)),
+      targets_(regions_, *this),
+      path_(PathOptions(settings), routes_, targets_, random_),
+      caller_(loop, {}),
+      telemetry_(metrics_),
+      runner_({.loop = loop,
+               .caller = caller_,
+               .path = path_,
+               .codec = codec_,
+               .telemetry = telemetry_}),
+      store_(loop, {.address = settings.store_address}, metrics_),
+      peers_(settings_,
+             {.loop = loop,
+              .store = store_,
+              .random = random_,
+              .regions = regions_}),
+      operator_news_(loop, routes_, targets_, [this] { ApplyCallerLimits(); }),
+      target_news_(loop, targets_),
+      operator_watch_(loop,
+                      store_,
+                      random_,
+                      {.table = platform::kOperatorTableName},
+                      operator_news_),
+      target_watch_(loop,
+                    store_,
+                    random_,
+                    {.table = platform::kTargetTableName},
+                    target_news_),
+      readiness_page_([this] { return IsReady(); }),
+      lookup_page_(
+          [this](const RegionName&) { return peers_.CallableAddresses(); },
+          std::min(kLookupTimeToLive, settings.bounds.lookup_time_to_live)),
+      metrics_page_(metrics_),
+      stop_(StopOptions(settings)) {}
+
+std::optional<StartFailure> Node::Start() {
+  std::vector<ListenerPlan> plans = {
+      {settings_.caller_listen, runner_, caller_listener_,
+       StartFailure::kCallerListener},
+      {settings_.readiness_listen, readiness_page_, readiness_listener_,
+       StartFailure::kReadinessListener},
+      {settings_.lookup_listen, lookup_page_, lookup_listener_,
+       StartFailure::kLookupListener}};
+  if (!settings_.metrics_listen.empty()) {
+    plans.push_back({settings_.metrics_listen, metrics_page_, metrics_listener_,
+                     StartFailure::kMetricsListener});
+  }
+  for (const ListenerPlan& plan : plans) {
+    auto listener =
+        adapters::HttpListener::Open(loop_, plan.address, plan.handler);
+    if (!IsOk(listener)) {
+      return plan.failure;
+    }
+    plan.listener = TakeValue(std::move(listener));
+  }
+  if (!peers_.Start()) {
+    return StartFailure::kPeerSocket;
+  }
+  operator_watch_.Start();
+  target_watch_.Start();
+  RegisterGauges();
+  loop_.Every(kTickPeriod, [this] { Tick(); });
+  return std::nullopt;
+}
+
+void Node::Reload(const adapters::NodeSettings& settings) {
+  settings_.telemetry = settings.telemetry;
+  adapters::SetLogLevel(settings.telemetry.log_level);
+}
+
+void Node::RequestStop(int signals) {
+  stop_.OnSignal(signals, loop_.Now());
+  peers_.SetPhase(HostPhase::kLeaving);
+  caller_listener_->StartDraining();
+  AdvanceStop();
+}
+
+bool Node::IsReady() const {
+  return stop_.Phase() == StopPhase::kServing && routes_.IsConfigured() &&
+         target_watch_.HasTable();
+}
+
+void Node::Tick() {
+  targets_.Advance(loop_.Now());
+  path_.SetHostCount(peers_.KnownHosts());
+  path_.SetNewsDoubtful(operator_watch_.Age().value_or(kNewsDoubtfulAfter) >=
+                        kNewsDoubtfulAfter);
+  UpdatePhase();
+  AdvanceStop();
+}
+
+void Node::UpdatePhase() {
+  if (stop_.Phase() == StopPhase::kServing && IsReady()) {
+    peers_.SetPhase(HostPhase::kReady);
+  }
+}
+
+void Node::AdvanceStop() {
+  const StopPhase before = stop_.Phase();
+  if (before == StopPhase::kServing) {
+    return;
+  }
+  stop_.Advance(runner_.InFlight(), loop_.Now());
+  if (before == StopPhase::kAnnouncing && stop_.Phase() != before) {
+    caller_listener_->StopAccepting();
+    runner_.StopTaking();
+  }
+  if (stop_.Phase() == StopPhase::kStopped) {
+    Log(LogLevel::kInfo, "stopped", {{"requests_cut", stop_.Cut()}});
+    loop_.Finish(0);
+  }
+}
+
+void Node::ApplyCallerLimits() {
+  const routing::CallerLimits& limits = routes_.Limits();
+  const std::size_t memory_limit =
+      settings_.memory_mb * kMegabyte / kBodyMemoryPart;
+  caller_listener_->SetLimits(
+      {.max_header_bytes = limits.max_header_bytes,
+       .max_body_bytes = std::min(limits.max_body_bytes, memory_limit),
+       .header_timeout = limits.header_timeout,
+       .idle_timeout = limits.idle_timeout});
+}
+
+void Node::OnTargetChange(BookChange change,
+                          const request_path::TargetRecord& target) {
+  Log(LogLevel::kInfo, "target-changed",
+      {{"change", kChangeNames.at(static_cast<std::size_t>(change))},
+       {"target", target.id.Value()},
+       {"service", target.service.Value()},
+       {"address", target.address},
+       {"domain", target.domain.Value()},
+       {"cold_remaining_ms", ToMilliseconds(target.cold_remaining)}});
+}
+
+void Node::RegisterGauges() {
+  const auto add = [this](const MetricDescription& metric,
+                          std::function<double()> read) {
+    metrics_.AddGaugeSource(metric, {}, std::move(read));
+  };
+  add({"medlar_configuration_version", "Version of the routes in force."},
+      [this] { return static_cast<double>(routes_.Version()); });
+  add({"medlar_requests_in_flight", "Requests that wait for their answer."},
+      [this] { return static_cast<double>(runner_.InFlight()); });
+  add({"medlar_known_hosts", "Hosts that share the bounds for all."},
+      [this] { return static_cast<double>(peers_.KnownHosts()); });
+  add({"medlar_targets", "Targets that are registered."},
+      [this] { return static_cast<double>(targets_.Size()); });
+  add({"medlar_operator_news_age_seconds",
+       "Since the store last answered about the operator's rows."},
+      [this] {
+        return ToSeconds(operator_watch_.Age().value_or(Duration(0)));
+      });
+  add({"medlar_target_news_age_seconds",
+       "Since the store last answered about targets."},
+      [this] { return ToSeconds(target_watch_.Age().value_or(Duration(0))); });
+  add({"medlar_caller_connections", "Open connections of callers."}, [this] {
+    return static_cast<double>(caller_listener_->OpenConnections());
+  });
+  add({"medlar_target_connections_opened", "Connections opened to targets."},
+      [this] {
+        return static_cast<double>(caller_.Counters().connections_opened);
+      });
+}
+
+}  // namespace medlarcroft::node
--- /dev/null
+++ b/programs/node/node.h
@@ -0,0 +1,94 @@
+#ifndef MEDLARCROFT_PROGRAMS_NODE_NODE_H_
+#define MEDLARCROFT_PROGRAMS_NODE_NODE_H_
+
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "adapters/event/http_caller.h"
+#include "adapters/event/http_listener.h"
+#include "adapters/forward/request_runner.h"
+#include "adapters/process/node_settings.h"
+#include "adapters/process/system_random.h"
+#include "medlarcroft/process/stop_sequence.h"
+#include "medlarcroft/request_path/request_path.h"
+#include "medlarcroft/telemetry/metrics.h"
+#include "metrics_page.h"
+#include "peer_group.h"
+#include "platform/platform_codec.h"
+#include "platform/platform_pages.h"
+#include "routing_news.h"
+
+namespace medlarcroft::node {
+
+/// @brief Why a node could not start.
+enum class StartFailure {
+  kCallerListener,
+  kReadinessListener,
+  kLookupListener,
+  kMetricsListener,
+  kPeerSocket,
+};
+
+[[nodiscard]] std::string_view NameOf(StartFailure failure);
+
+/// @brief One host on the platform: look-ups, readiness, and callers' requests
+/// from arrival to answer, in one process and on one thread.
+class Node final : public request_path::BookObserver {
+ public:
+  Node(const adapters::NodeSettings& settings, adapters::EventLoop& loop);
+
+  [[nodiscard]] std::optional<StartFailure> Start();
+  void Reload(const adapters::NodeSettings& settings);
+  /// @param signals that asked for it so far.
+  void RequestStop(int signals);
+
+  void OnTargetChange(request_path::BookChange change,
+                      const request_path::TargetRecord& target) override;
+
+ private:
+  struct ListenerPlan {
+    const std::string& address;
+    adapters::HttpCallHandler& handler;
+    std::unique_ptr<adapters::HttpListener>& listener;
+    StartFailure failure;
+  };
+
+  [[nodiscard]] bool IsReady() const;
+  void Tick();
+  void ApplyCallerLimits();
+  void UpdatePhase();
+  void AdvanceStop();
+  void RegisterGauges();
+
+  adapters::NodeSettings settings_;
+  adapters::EventLoop& loop_;
+  adapters::SystemRandom random_;
+  telemetry::MetricsRegistry metrics_;
+  request_path::DomainRegions regions_;
+  routing::RouteTable routes_;
+  request_path::TargetBook targets_;
+  request_path::RequestPath path_;
+  platform::PlatformCodec codec_;
+  adapters::HttpCaller caller_;
+  adapters::RequestTelemetry telemetry_;
+  adapters::RequestRunner runner_;
+  platform::StoreClient store_;
+  PeerGroup peers_;
+  OperatorNews operator_news_;
+  TargetNews target_news_;
+  platform::StoreWatch operator_watch_;
+  platform::StoreWatch target_watch_;
+  platform::ReadinessPage readiness_page_;
+  platform::LookupPage lookup_page_;
+  MetricsPage metrics_page_;
+  process::StopSequence stop_;
+  std::unique_ptr<adapters::HttpListener> caller_listener_;
+  std::unique_ptr<adapters::HttpListener> readiness_listener_;
+  std::unique_ptr<adapters::HttpListener> lookup_listener_;
+  std::unique_ptr<adapters::HttpListener> metrics_listener_;
+};
+
+}  // namespace medlarcroft::node
+
+#endif  // MEDLARCROFT_PROGRAMS_NODE_NODE_H_
--- /dev/null
+++ b/programs/node/peer_group.cc
@@ -0,0 +1,212 @@
+#include "peer_group.h"
+
+#include <utility>
+
+#include "adapters/process/log.h"
+#include "platform/host_entry.h"
+
+namespace medlarcroft::node {
+
+namespace {
+
+using adapters::Log;
+using adapters::LogLevel;
+using membership::HostPhase;
+using membership::Liveness;
+
+constexpr Duration kBeatPeriod = std::chrono::milliseconds(800);
+// Three beats: one lost datagram must not take a host out of look-ups, and a
+// dead one must be out well before callers have tried it often.
+constexpr Duration kUnheardLimit = std::chrono::milliseconds(2600);
+constexpr Duration kRowWait = std::chrono::seconds(20);
+constexpr Duration kWriteAgain = std::chrono::milliseconds(700);
+// A row without a living host is taken away after this; until then the host
+// counts among those that share what is bounded for all.
+constexpr Duration kLostAfter = std::chrono::seconds(40);
+
+membership::HostState MakeSelf(const adapters::NodeSettings& settings,
+                               const ports::Clock& clock) {
+  membership::HostState self;
+  self.host = HostName(settings.host);
+  self.failure_domain = FailureDomainName(settings.failure_domain);
+  self.number.incarnation = membership::FirstIncarnation(clock.WallNow());
+  self.entry_address = settings.caller_listen;
+  self.peer_address = settings.peer_listen;
+  return self;
+}
+
+}  // namespace
+
+PeerGroup::PeerGroup(const adapters::NodeSettings& settings, const Parts& parts)
+    : settings_(settings),
+      parts_(parts),
+      table_({.suspect_after = kUnheardLimit,
+              .dead_after = kUnheardLimit,
+              .unknown_after = kUnheardLimit,
+              .forget_after = kLostAfter},
+             MakeSelf(settings, parts.loop.Clock()),
+             parts.loop.Clock()),
+      watch_(parts.loop,
+             parts.store,
+             parts.random,
+             {.table = std::string(platform::kHostTable), .wait = kRowWait},
+             *this) {}
+
+bool PeerGroup::Start() {
+  auto channel = adapters::BeatChannel::Open(
+      parts_.loop, settings_.peer_listen,
+      [this](const membership::HostState& state) { table_.Receive(state); });
+  if (!IsOk(channel)) {
+    return false;
+  }
+  channel_ = TakeValue(std::move(channel));
+  watch_.Start();
+  WriteOwnRow();
+  parts_.loop.Every(kBeatPeriod, [this] { SendBeats(); });
+  parts_.loop.Every(kLostAfter, [this] { RemoveLostHosts(); });
+  return true;
+}
+
+void PeerGroup::SetPhase(HostPhase phase) {
+  if (table_.Self().phase == phase) {
+    return;
+  }
+  table_.UpdateSelf([&](membership::HostState& self) { self.phase = phase; });
+  SendBeats();
+}
+
+std::vector<std::string> PeerGroup::CallableAddresses() const {
+  std::vector<std::string> addresses;
+  if (table_.Self().phase == HostPhase::kReady) {
+    addresses.push_back(settings_.caller_listen);
+  }
+  for (const membership::Member& member : table_.Members()) {
+    const bool is_callable = member.state.phase == HostPhase::kReady &&
+                             member.state.age < kUnheardLimit &&
+                             member.liveness != Liveness::kLeaving &&
+                             IsInOwnRegion(member.state.failure_domain);
+    if (is_callable) {
+      addresses.push_back(member.state.entry_address);
+    }
+  }
+  return addresses;
+}
+
+std::uint32_t PeerGroup::KnownHosts() const {
+  const bool is_listed = entries_.contains(HostName(settings_.host));
+  return static_cast<std::uint32_t>(entries_.size()) + (is_listed ? 0 : 1);
+}
+
+void PeerGroup::OnTable(std::span<const platform::StoreRow> rows) {
+  entries_.clear();
+  for (const platform::StoreRow& row : rows) {
+    Apply(row);
+  }
+  PublishList();
+}
+
+void PeerGroup::OnRows(std::span<const platform::StoreRow> rows) {
+  for (const platform::StoreRow& row : rows) {
+    Apply(row);
+  }
+  PublishList();
+}
+
+void PeerGroup::Apply(const platform::StoreRow& row) {
+  const HostName name(row.key);
+  if (row.is_removed) {
+    entries_.erase(name);
+    return;
+  }
+  auto host = platform::DecodeHostEntry(row.key, row.value);
+  if (!IsOk(host)) {
+    Log(LogLevel::kWarning, "host-entry-unreadable",
+        {{"peer", row.key},
+         {"field", ErrorOf(host).field},
+         {"problem", platform::NameOf(ErrorOf(host).problem)}});
+    return;
+  }
+  entries_[name] = {.host = TakeValue(std::move(host)),
+                    .row_version = row.version,
+                    .seen_at = parts_.loop.Now()};
+}
+
+void PeerGroup::PublishList() {
+  std::vector<ports::ListedHost> hosts;
+  for (const auto& [name, entry] : entries_) {
+    hosts.push_back(entry.host);
+  }
+  table_.ApplyHostList(hosts);
+}
+
+void PeerGroup::OnStoreLost(platform::StoreFailure failure) {
+  Log(LogLevel::kWarning, "store-lost",
+      {{"table", "hosts"}, {"reason", platform::NameOf(failure)}});
+}
+
+void PeerGroup::OnStoreBack(Duration away) {
+  Log(LogLevel::kInfo, "store-back",
+      {{"table", "hosts"}, {"away_ms", ToMilliseconds(away)}});
+}
+
+void PeerGroup::WriteOwnRow() {
+  const ports::ListedHost self{
+      .name = settings_.host,
+      .failure_domain = FailureDomainName(settings_.failure_domain),
+      .address = settings_.peer_listen};
+  parts_.store.Write(
+      {.table = std::string(platform::kHostTable),
+       .key = settings_.host,
+       .value = platform::EncodeHostEntry(self)},
+      [this](const Result<Success, platform::StoreFailure>& result) {
+        // Writing it twice does no harm.
+        if (!IsOk(result)) {
+          parts_.loop.After(kWriteAgain, [this] { WriteOwnRow(); });
+        }
+      });
+}
+
+void PeerGroup::SendBeats() {
+  table_.Tick();
+  table_.UpdateSelf([](membership::HostState&) {});
+  for (const auto& [name, entry] : entries_) {
+    if (name.Value() != settings_.host &&
+        IsInOwnRegion(entry.host.failure_domain)) {
+      // A lost datagram is made up for by the next one.
+      (void)channel_->Send(entry.host.address, table_.Self());
+    }
+  }
+}
+
+void PeerGroup::RemoveLostHosts() {
+  if (watch_.IsAway()) {
+    return;
+  }
+  const MonotonicTime now = parts_.loop.Now();
+  for (const auto& [name, entry] : entries_) {
+    const bool may_judge = name.Value() != settings_.host &&
+                           IsInOwnRegion(entry.host.failure_domain) &&
+                           now - entry.seen_at > kLostAfter;
+    if (!may_judge) {
+      continue;
+    }
+    const auto member = table_.Find(name);
+    if (member && member->state.age < kLostAfter &&
+        member->state.number.incarnation > 0) {
+      continue;
+    }
+    Log(LogLevel::kInfo, "host-row-removed", {{"peer", name.Value()}});
+    parts_.store.Write({.table = std::string(platform::kHostTable),
+                        .key = name.Value(),
+                        .expected_version = entry.row_version},
+                       [](const Result<Success, platform::StoreFailure>&) {});
+  }
+}
+
+bool PeerGroup::IsInOwnRegion(const FailureDomainName& domain) const {
+  const auto found = parts_.regions.find(domain);
+  return found != parts_.regions.end() &&
+         found->second.Value() == settings_.region;
+}
+
+}  // namespace medlarcroft::node
--- /dev/null
+++ b/programs/node/peer_group.h
@@ -0,0 +1,73 @@
+#ifndef MEDLARCROFT_PROGRAMS_NODE_PEER_GROUP_H_
+#define MEDLARCROFT_PROGRAMS_NODE_PEER_GROUP_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "adapters/event/event_loop.h"
+#include "adapters/peer/beat_channel.h"
+#include "adapters/process/node_settings.h"
+#include "medlarcroft/membership/membership_table.h"
+#include "medlarcroft/ports/host_list.h"
+#include "medlarcroft/ports/random_source.h"
+#include "medlarcroft/request_path/target_book.h"
+#include "platform/store_client.h"
+#include "platform/store_watch.h"
+
+namespace medlarcroft::node {
+
+/// @brief The other hosts: found through rows of the system's own table, heard
+/// through datagrams within the region.
+class PeerGroup final : public platform::TableListener {
+ public:
+  struct Parts {
+    adapters::EventLoop& loop;
+    platform::StoreClient& store;
+    ports::RandomSource& random;
+    const request_path::DomainRegions& regions;
+  };
+
+  PeerGroup(const adapters::NodeSettings& settings, const Parts& parts);
+
+  /// @return false when the datagram socket can't be opened.
+  bool Start();
+
+  void SetPhase(membership::HostPhase phase);
+  /// @return addresses of the ready hosts of this region, this one included.
+  [[nodiscard]] std::vector<std::string> CallableAddresses() const;
+  /// @return all hosts that have a row, this one included.
+  [[nodiscard]] std::uint32_t KnownHosts() const;
+  [[nodiscard]] bool HasTable() const { return watch_.HasTable(); }
+
+  void OnTable(std::span<const platform::StoreRow> rows) override;
+  void OnRows(std::span<const platform::StoreRow> rows) override;
+  void OnStoreLost(platform::StoreFailure failure) override;
+  void OnStoreBack(Duration away) override;
+
+ private:
+  struct Entry {
+    ports::ListedHost host;
+    std::uint64_t row_version = 0;
+    MonotonicTime seen_at;
+  };
+
+  void Apply(const platform::StoreRow& row);
+  void PublishList();
+  void WriteOwnRow();
+  void SendBeats();
+  void RemoveLostHosts();
+  [[nodiscard]] bool IsInOwnRegion(const FailureDomainName& domain) const;
+
+  const adapters::NodeSettings& settings_;
+  Parts parts_;
+  membership::MembershipTable table_;
+  std::unique_ptr<adapters::BeatChannel> channel_;
+  platform::StoreWatch watch_;
+  std::map<HostName, Entry> entries_;
+};
+
+}  // namespace medlarcroft::node
+
+#endif  // MEDLARCROFT_PROGRAMS_NODE_PEER_GROUP_H_
--- /dev/null
+++ b/programs/node/routing_news.cc
@@ -0,0 +1,156 @@
+#include "routing_news.h"
+
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "adapters/process/log.h"
+#include "platform/configuration_decoder.h"
+#include "platform/operator_keys.h"
+
+namespace medlarcroft::node {
+
+namespace {
+
+using adapters::Log;
+using adapters::LogLevel;
+
+// Live targets whose entries lapsed while the store was away have registered
+// again after this.
+constexpr Duration kRegisteredAgain = std::chrono::milliseconds(2200);
+
+void LogUnreadable(std::string_view event,
+                   const std::string& key,
+                   const platform::DecodeFault& fault) {
+  Log(LogLevel::kError, event,
+      {{"key", key},
+       {"field", fault.field},
+       {"problem", platform::NameOf(fault.problem)}});
+}
+
+void LogStoreLost(std::string_view table, platform::StoreFailure failure) {
+  Log(LogLevel::kWarning, "store-lost",
+      {{"table", table}, {"reason", platform::NameOf(failure)}});
+}
+
+void LogStoreBack(std::string_view table, Duration away) {
+  Log(LogLevel::kInfo, "store-back",
+      {{"table", table}, {"away_ms", ToMilliseconds(away)}});
+}
+
+}  // namespace
+
+void OperatorNews::OnTable(std::span<const platform::StoreRow> rows) {
+  evacuated_.clear();
+  for (const platform::StoreRow& row : rows) {
+    Apply(row);
+  }
+  PublishEvacuated();
+}
+
+void OperatorNews::OnRows(std::span<const platform::StoreRow> rows) {
+  for (const platform::StoreRow& row : rows) {
+    Apply(row);
+  }
+  PublishEvacuated();
+}
+
+void OperatorNews::Apply(const platform::StoreRow& row) {
+  if (platform::IsConfigurationKey(row.key)) {
+    ApplyConfiguration(row);
+    return;
+  }
+  const auto domain = platform::EvacuatedDomainOf(row.key);
+  if (!domain) {
+    return;
+  }
+  Log(LogLevel::kInfo, row.is_removed ? "evacuation-ended" : "evacuation-began",
+      {{"domain", domain->Value()}, {"row_version", row.version}});
+  if (row.is_removed) {
+    evacuated_.erase(*domain);
+  } else {
+    evacuated_.insert(*domain);
+  }
+}
+
+void OperatorNews::ApplyConfiguration(const platform::StoreRow& row) {
+  // Nobody takes a configuration away: what is in force stays.
+  if (row.is_removed) {
+    return;
+  }
+  auto configuration = platform::DecodeConfiguration(row.value);
+  if (!IsOk(configuration)) {
+    LogUnreadable("configuration-unreadable", row.key, ErrorOf(configuration));
+    return;
+  }
+  const std::uint64_t version = ValueOf(configuration).version;
+  const std::uint64_t before = routes_.Version();
+  for (const routing::ServiceRules& service : ValueOf(configuration).services) {
+    targets_.SetColdTime(service.name, service.cold_time);
+  }
+  if (!routes_.Apply(TakeValue(std::move(configuration)))) {
+    return;
+  }
+  Log(LogLevel::kInfo, "configuration-in-force",
+      {{"version", version}, {"before", before}, {"row_version", row.version}});
+  on_configuration_();
+}
+
+void OperatorNews::PublishEvacuated() {
+  targets_.SetEvacuated(evacuated_, loop_.Now());
+}
+
+void OperatorNews::OnStoreLost(platform::StoreFailure failure) {
+  LogStoreLost("operator", failure);
+}
+
+void OperatorNews::OnStoreBack(Duration away) {
+  LogStoreBack("operator", away);
+}
+
+void TargetNews::OnTable(std::span<const platform::StoreRow> rows) {
+  std::vector<request_path::TargetRecord> targets;
+  for (const platform::StoreRow& row : rows) {
+    auto target = platform::DecodeTargetEntry(row.key, row.value);
+    if (!IsOk(target)) {
+      LogUnreadable("target-entry-unreadable", row.key, ErrorOf(target));
+      continue;
+    }
+    targets.push_back(TakeValue(std::move(target)));
+  }
+  targets_.ReplaceAll(targets, DoubtedUntil(), loop_.Now());
+}
+
+void TargetNews::OnRows(std::span<const platform::StoreRow> rows) {
+  const MonotonicTime now = loop_.Now();
+  for (const platform::StoreRow& row : rows) {
+    if (row.is_removed) {
+      targets_.Remove(TargetName(row.key), DoubtedUntil(), now);
+      continue;
+    }
+    auto target = platform::DecodeTargetEntry(row.key, row.value);
+    if (!IsOk(target)) {
+      LogUnreadable("target-entry-unreadable", row.key, ErrorOf(target));
+      continue;
+    }
+    targets_.Put(ValueOf(target), now);
+  }
+}
+
+std::optional<MonotonicTime> TargetNews::DoubtedUntil() const {
+  if (!back_at_ || loop_.Now() - *back_at_ > kRegisteredAgain) {
+    return std::nullopt;
+  }
+  return *back_at_ + kRegisteredAgain;
+}
+
+void TargetNews::OnStoreLost(platform::StoreFailure failure) {
+  LogStoreLost("targets", failure);
+}
+
+void TargetNews::OnStoreBack(Duration away) {
+  back_at_ = loop_.Now();
+  LogStoreBack("targets", away);
+}
+
+}  // namespace medlarcroft::node
--- /dev/null
+++ b/programs/node/routing_news.h
@@ -0,0 +1,66 @@
+#ifndef MEDLARCROFT_PROGRAMS_NODE_ROUTING_NEWS_H_
+#define MEDLARCROFT_PROGRAMS_NODE_ROUTING_NEWS_H_
+
+#include <functional>
+#include <set>
+
+#include "adapters/event/event_loop.h"
+#include "medlarcroft/request_path/target_book.h"
+#include "medlarcroft/routing/route_table.h"
+#include "platform/store_watch.h"
+
+namespace medlarcroft::node {
+
+/// @brief Brings the operator's rows into force: the configuration and the
+/// domains that are evacuated.
+class OperatorNews final : public platform::TableListener {
+ public:
+  OperatorNews(adapters::EventLoop& loop,
+               routing::RouteTable& routes,
+               request_path::TargetBook& targets,
+               std::function<void()> on_configuration)
+      : loop_(loop),
+        routes_(routes),
+        targets_(targets),
+        on_configuration_(std::move(on_configuration)) {}
+
+  void OnTable(std::span<const platform::StoreRow> rows) override;
+  void OnRows(std::span<const platform::StoreRow> rows) override;
+  void OnStoreLost(platform::StoreFailure failure) override;
+  void OnStoreBack(Duration away) override;
+
+ private:
+  void Apply(const platform::StoreRow& row);
+  void ApplyConfiguration(const platform::StoreRow& row);
+  void PublishEvacuated();
+
+  adapters::EventLoop& loop_;
+  routing::RouteTable& routes_;
+  request_path::TargetBook& targets_;
+  std::function<void()> on_configuration_;
+  std::set<FailureDomainName> evacuated_;
+};
+
+/// @brief Brings the targets' registry into the book.
+class TargetNews final : public platform::TableListener {
+ public:
+  TargetNews(adapters::EventLoop& loop, request_path::TargetBook& targets)
+      : loop_(loop), targets_(targets) {}
+
+  void OnTable(std::span<const platform::StoreRow> rows) override;
+  void OnRows(std::span<const platform::StoreRow> rows) override;
+  void OnStoreLost(platform::StoreFailure failure) override;
+  void OnStoreBack(Duration away) override;
+
+ private:
+  /// @return until when a missing entry may only have lapsed.
+  [[nodiscard]] std::optional<MonotonicTime> DoubtedUntil() const;
+
+  adapters::EventLoop& loop_;
+  request_path::TargetBook& targets_;
+  std::optional<MonotonicTime> back_at_;
+};
+
+}  // namespace medlarcroft::node
+
+#endif  // MEDLARCROFT_PROGRAMS_NODE_ROUTING_NEWS_H_
--- /dev/null
+++ b/tests/unit/platform/configuration_decoder_test.cc
@@ -0,0 +1,138 @@
+#include "platform/configuration_decoder.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace medlarcroft::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::string_view kConfiguration =
+    R"({"version":7,"added":1,"resources":[
+ {"resource_kind":"routes","metadata":{"name":"r-1"},"spec":{"host":"Menus.example","prefix":"/a/",
+  "kind":"idempotent","timeout":"1200ms","target_latency":"0.6s","priority":2,
+  "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+  "max_attempts":2,"sticky":true,"allowed_regions":["kigali"]}},
+ {"resource_kind":"routes","metadata":{"name":"r-2"},"spec":{"host":"orders.example","prefix":"/",
+  "kind":"non_idempotent","timeout":"1500ms","service":"s3"}},
+ {"resource_kind":"services","metadata":{"name":"s1"},"spec":{"health_path":"/h","max_connections":330,
+  "cold":"3s","cold_per_s":5.6}},
+ {"resource_kind":"novelties","metadata":{},"spec":{}},
+ {"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":1000,
+  "header_timeout":"3000ms","idle_timeout":"15000ms"}}]})";
+
+TEST(ConfigurationDecoderTest, ReadsRoutesServicesAndLimits) {
+  const auto decoded = DecodeConfiguration(kConfiguration);
+  ASSERT_TRUE(IsOk(decoded));
+  const routing::RoutingConfiguration& configuration = ValueOf(decoded);
+
+  EXPECT_EQ(configuration.version, 7U);
+  ASSERT_EQ(configuration.routes.size(), 2U);
+  const routing::Route& split = configuration.routes[0];
+  EXPECT_EQ(split.host, "menus.example");
+  EXPECT_EQ(split.kind, routing::RequestKind::kIdempotent);
+  EXPECT_EQ(split.timeout, milliseconds(1200));
+  EXPECT_EQ(split.latency_objective, milliseconds(600));
+  EXPECT_EQ(split.parts[1].weight, 10);
+  EXPECT_TRUE(split.is_sticky);
+  EXPECT_EQ(split.allowed_regions.at(0), RegionName("kigali"));
+  const routing::Route& orders = configuration.routes[1];
+  EXPECT_EQ(orders.kind, routing::RequestKind::kNonIdempotent);
+  EXPECT_EQ(orders.parts.at(0).service, ServiceName("s3"));
+  EXPECT_EQ(configuration.services.at(0).cold_time, seconds(3));
+  EXPECT_EQ(configuration.services.at(0).cold_requests_per_second, 5.6);
+  EXPECT_EQ(configuration.limits.max_body_bytes, 1000U);
+}
+
+struct BadInput {
+  std::string name;
+  std::string text;
+  DecodeProblem problem;
+};
+
+class BadConfigurationTable : public testing::TestWithParam<BadInput> {};
+
+TEST_P(BadConfigurationTable, IsRefusedWithTheFieldAtFault) {
+  const auto decoded = DecodeConfiguration(GetParam().text);
+  ASSERT_FALSE(IsOk(decoded));
+  EXPECT_EQ(ErrorOf(decoded).problem, GetParam().problem);
+}
+
+std::string Replaced(std::string_view from, std::string_view to) {
+  std::string text(kConfiguration);
+  return text.replace(text.find(from), from.size(), to);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    BadConfigurationTable,
+    testing::Values(
+        BadInput{"Cut", std::string(kConfiguration.substr(0, 300)),
+                 DecodeProblem::kNotJson},
+        BadInput{"NoObject", "[]", DecodeProblem::kWrongType},
+        BadInput{"NoVersion", R"({"resources":[]})", DecodeProblem::kMissing},
+        BadInput{"NegativeVersion", R"({"version":-1,"resources":[]})",
+                 DecodeProblem::kOutOfRange},
+        BadInput{"NoResources", R"({"version":1})", DecodeProblem::kMissing},
+        BadInput{"ResourceIsNumber", R"({"version":1,"resources":[3]})",
+                 DecodeProblem::kWrongType},
+        BadInput{"OddKind", Replaced("\"idempotent\"", "\"perhaps\""),
+                 DecodeProblem::kUnknownWord},
+        BadInput{"OddTime", Replaced("1200ms", "1200"),
+                 DecodeProblem::kOutOfRange},
+        BadInput{"NoService", Replaced(R"(,"service":"s3")", ""),
+                 DecodeProblem::kMissing},
+        BadInput{"SplitOfNumbers",
+                 Replaced(R"({"service":"s1","weight":90})", "90"),
+                 DecodeProblem::kWrongType},
+        BadInput{"RegionIsNumber", Replaced(R"(["kigali"])", "[1]"),
+                 DecodeProblem::kWrongType}),
+    [](const auto& tested) { return tested.param.name; });
+
+constexpr std::string_view kTarget =
+    R"({"address":"10.0.0.9:80","info":{"service":"s1","version":"v1","zone":"z","slots":7},)"
+    R"("status":{"state":"in_service","sequence":4,"cold_remaining":"1500ms"}})";
+
+TEST(TargetEntryTest, ReadsWhatATargetSaysOfItself) {
+  const auto decoded = DecodeTargetEntry("i-1", kTarget);
+  ASSERT_TRUE(IsOk(decoded));
+  const request_path::TargetRecord expected{
+      .id = TargetName("i-1"),
+      .service = ServiceName("s1"),
+      .address = "10.0.0.9:80",
+      .domain = FailureDomainName("z"),
+      .slots = 7,
+      .cold_remaining = milliseconds(1500)};
+  EXPECT_EQ(ValueOf(decoded), expected);
+}
+
+class BadTargetTable : public testing::TestWithParam<BadInput> {};
+
+TEST_P(BadTargetTable, IsRefusedWithTheFieldAtFault) {
+  const auto decoded = DecodeTargetEntry("i-1", GetParam().text);
+  ASSERT_FALSE(IsOk(decoded));
+  EXPECT_EQ(ErrorOf(decoded).problem, GetParam().problem);
+  EXPECT_EQ(ErrorOf(decoded).field.substr(0, 3), "i-1");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    BadTargetTable,
+    testing::Values(
+        BadInput{"NoAddress", R"({"info":{},"status":{}})",
+                 DecodeProblem::kMissing},
+        BadInput{"NoStatus", R"({"address":"a","info":{"service":"s"}})",
+                 DecodeProblem::kMissing},
+        BadInput{"StatusIsText", R"({"address":"a","info":{},"status":"x"})",
+                 DecodeProblem::kWrongType},
+        BadInput{
+            "NoState",
+            R"({"address":"a","info":{"service":"s","zone":"z"},"status":{}})",
+            DecodeProblem::kMissing}),
+    [](const auto& tested) { return tested.param.name; });
+
+}  // namespace
+}  // namespace medlarcroft::platform
--- /dev/null
+++ b/tests/unit/platform/json_reader_test.cc
@@ -0,0 +1,76 @@
+#include "platform/json_reader.h"
+
+#include <gtest/gtest.h>
+
+#include "platform/host_entry.h"
+#include "platform/store_client.h"
+
+namespace medlarcroft::platform {
+namespace {
+
+struct Base64Case {
+  std::string bytes;
+  std::string text;
+};
+
+class Base64Table : public testing::TestWithParam<Base64Case> {};
+
+TEST_P(Base64Table, GoesBothWays) {
+  EXPECT_EQ(EncodeBase64(GetParam().bytes), GetParam().text);
+  EXPECT_EQ(DecodeBase64(GetParam().text), GetParam().bytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         Base64Table,
+                         testing::Values(Base64Case{"", ""},
+                                         Base64Case{"n", "bg=="},
+                                         Base64Case{"no", "bm8="},
+                                         Base64Case{"nod", "bm9k"},
+                                         Base64Case{"node-1", "bm9kZS0x"}));
+
+TEST(Base64Test, WhatIsNoneIsRefused) {
+  EXPECT_FALSE(DecodeBase64("bm9"));
+  EXPECT_FALSE(DecodeBase64("b*9k"));
+}
+
+TEST(StoreRowsTest, OneUnreadableRowDoesNotHideTheOthers) {
+  const auto rows = DecodeRows(
+      R"({"rows":[{"key":"a","value":"bm9k","schema_version":3},{"key":"b","value":"*"},7,)"
+      R"({"key":"c","removed":true,"schema_version":4}],"schema_version":9,"has_more":true})");
+  ASSERT_TRUE(IsOk(rows));
+  ASSERT_EQ(ValueOf(rows).rows.size(), 2U);
+  EXPECT_EQ(ValueOf(rows).rows[0].value, "nod");
+  EXPECT_TRUE(ValueOf(rows).rows[1].is_removed);
+  EXPECT_EQ(ValueOf(rows).newest_version, 9U);
+  EXPECT_TRUE(ValueOf(rows).has_more);
+}
+
+class BadRowsTable : public testing::TestWithParam<std::string> {};
+
+TEST_P(BadRowsTable, AreABadAnswer) {
+  const auto rows = DecodeRows(GetParam());
+  ASSERT_FALSE(IsOk(rows));
+  EXPECT_EQ(ErrorOf(rows), StoreFailure::kBadAnswer);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         BadRowsTable,
+                         testing::Values("",
+                                         "{}",
+                                         "[]",
+                                         R"({"rows":[]})",
+                                         R"({"rows":3,"schema_version":1})"));
+
+TEST(HostEntryTest, ReadsTheSameAsItWasWritten) {
+  const ports::ListedHost host{.name = "h1",
+                               .failure_domain = FailureDomainName("z"),
+                               .address = "127.0.0.1:7000"};
+  const auto decoded = DecodeHostEntry("h1", EncodeHostEntry(host));
+  ASSERT_TRUE(IsOk(decoded));
+  EXPECT_EQ(ValueOf(decoded).address, host.address);
+  EXPECT_EQ(ValueOf(decoded).failure_domain, host.failure_domain);
+  EXPECT_FALSE(IsOk(DecodeHostEntry("h1", "{}")));
+}
+
+}  // namespace
+}  // namespace medlarcroft::platform
--- /dev/null
+++ b/tests/unit/platform/platform_codec_test.cc
@@ -0,0 +1,188 @@
+#include "platform/platform_codec.h"
+
+#include <gtest/gtest.h>
+
+#include "platform/platform_pages.h"
+
+namespace medlarcroft::platform {
+namespace {
+
+using adapters::HttpHeaders;
+using adapters::HttpRequest;
+using adapters::HttpResponse;
+using request_path::AttemptEnd;
+using request_path::EndReason;
+using std::chrono::milliseconds;
+
+HttpRequest MakeCall() {
+  return {.method = "POST",
+          .raw_target = "/a/b%20c?q=%2F",
+          .headers = {{"Host", "menus.example"},
+                      {"X-Medlarcroft-Attempt-Id", "id-1"},
+                      {"X-Medlarcroft-Affinity-Key", "17"},
+                      {"X-Medlarcroft-Deadline-Ms", "4000"},
+                      {"X-Medlarcroft-Expect-Instance", "forged"},
+                      {"Connection", "close, X-Hop"},
+                      {"X-Hop", "1"},
+                      {"Transfer-Encoding", "chunked"},
+                      {"X-Kept", "2"}},
+          .body = "dish"};
+}
+
+TEST(PlatformCodecTest, ReadsWhatACallerAsksFor) {
+  const auto decoded = PlatformCodec().Decode(MakeCall());
+
+  EXPECT_EQ(decoded.id, "id-1");
+  EXPECT_EQ(decoded.request.host, "menus.example");
+  EXPECT_EQ(decoded.request.target, "/a/b%20c?q=%2F");
+  EXPECT_EQ(decoded.request.object, "17");
+  EXPECT_EQ(decoded.request.time_left, Duration(milliseconds(4000)));
+}
+
+TEST(PlatformCodecTest, ADeadlineThatIsNoNumberCountsAsMissing) {
+  HttpRequest call = MakeCall();
+  call.headers.Set("X-Medlarcroft-Deadline-Ms", "-5");
+  EXPECT_FALSE(PlatformCodec().Decode(call).request.time_left);
+}
+
+TEST(PlatformCodecTest,
+     ATargetGetsTheRequestUnchangedButForWhatConcernsOneConnection) {
+  request_path::SendAttempt attempt;
+  attempt.target = TargetName("i-1");
+  attempt.time_left = milliseconds(900);
+
+  EXPECT_EQ(PlatformCodec().EncodeAttempt(MakeCall(), attempt),
+            "POST /a/b%20c?q=%2F HTTP/1.1\r\n"
+            "Host: menus.example\r\n"
+            "X-Medlarcroft-Attempt-Id: id-1\r\n"
+            "X-Medlarcroft-Affinity-Key: 17\r\n"
+            "X-Kept: 2\r\n"
+            "X-Medlarcroft-Deadline-Ms: 900\r\n"
+            "X-Medlarcroft-Expect-Instance: i-1\r\n"
+            "Content-Length: 4\r\n"
+            "\r\n"
+            "dish");
+}
+
+struct JudgeCase {
+  std::string name;
+  int status;
+  HttpHeaders headers;
+  AttemptEnd end;
+};
+
+class JudgeTable : public testing::TestWithParam<JudgeCase> {};
+
+TEST_P(JudgeTable, OnlyTheTargetsOwnProofMeansNotRun) {
+  EXPECT_EQ(
+      PlatformCodec()
+          .Judge({.status = GetParam().status, .headers = GetParam().headers})
+          .end,
+      GetParam().end);
+}
+
+const HttpHeaders kSealed = {{"X-Medlarcroft-Server-Seal", "s"}};
+const HttpHeaders kNotRun = {{"X-Medlarcroft-Not-Executed", "1"}};
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    JudgeTable,
+    testing::Values(
+        JudgeCase{"Success", 200, kSealed, AttemptEnd::kAnswered},
+        JudgeCase{"SuccessWithoutSeal", 200, {}, AttemptEnd::kLost},
+        JudgeCase{"NoSuchObject", 404, kSealed, AttemptEnd::kAnswered},
+        JudgeCase{"Failure", 500, kSealed, AttemptEnd::kTargetFailed},
+        JudgeCase{"Deadline", 504, kSealed, AttemptEnd::kTargetFailed},
+        JudgeCase{"Full", 503, kNotRun, AttemptEnd::kNotRun},
+        JudgeCase{"FullWithoutProof", 503, kSealed, AttemptEnd::kLost},
+        JudgeCase{"TooManyWithoutProof", 429, {}, AttemptEnd::kLost},
+        JudgeCase{"OtherTarget", 421, {}, AttemptEnd::kOtherTarget},
+        JudgeCase{"NoId", 400, kNotRun, AttemptEnd::kAnswered}),
+    [](const auto& tested) { return tested.param.name; });
+
+TEST(PlatformCodecTest, AnAnswerBelongsToTheRequestWhoseIdItBears) {
+  const PlatformCodec codec;
+  const HttpHeaders own = {{"X-Medlarcroft-Attempt-Id", "id-1"}};
+
+  EXPECT_TRUE(codec.IsOwnAnswer({.status = 200, .headers = own}, "id-1"));
+  EXPECT_FALSE(codec.IsOwnAnswer({.status = 200, .headers = own}, "id-2"));
+  EXPECT_FALSE(codec.IsOwnAnswer({.status = 503, .headers = own}, "id-2"));
+  EXPECT_FALSE(codec.IsOwnAnswer({.status = 200}, "id-1"));
+  EXPECT_TRUE(codec.IsOwnAnswer({.status = 503}, "id-1"));
+}
+
+struct LoadCase {
+  std::string text;
+  bool is_read;
+};
+
+class LoadTable : public testing::TestWithParam<LoadCase> {};
+
+TEST_P(LoadTable, ThreeNumbersOrNothing) {
+  const auto judged = PlatformCodec().Judge(
+      {.status = 200,
+       .headers = {{"X-Medlarcroft-Server-Load", GetParam().text}}});
+  EXPECT_EQ(judged.load.has_value(), GetParam().is_read);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         LoadTable,
+                         testing::Values(LoadCase{"3,0,8", true},
+                                         LoadCase{"3,0", false},
+                                         LoadCase{"3,0,8,1", false},
+                                         LoadCase{"a,0,8", false},
+                                         LoadCase{"-1,0,8", false},
+                                         LoadCase{"", false}));
+
+struct EndingCase {
+  std::string name;
+  request_path::Ending ending;
+  int status;
+  bool says_when;
+};
+
+class EndingTable : public testing::TestWithParam<EndingCase> {};
+
+TEST_P(EndingTable, AStatusPromisesNotRunOnlyWhenThatIsProved) {
+  const HttpResponse response =
+      PlatformCodec().EncodeEnding(GetParam().ending, "id-1");
+
+  EXPECT_EQ(response.status, GetParam().status);
+  EXPECT_EQ(response.headers.Find("Retry-After").has_value(),
+            GetParam().says_when);
+  EXPECT_EQ(response.headers.Find("X-Medlarcroft-Attempt-Id"), "id-1");
+}
+
+constexpr Duration kSoon = milliseconds(250);
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    EndingTable,
+    testing::Values(
+        EndingCase{"NoRoom", {EndReason::kNoRoom, true, kSoon}, 503, true},
+        EndingCase{"NoRoute", {EndReason::kNoRoute, true, {}}, 404, false},
+        EndingCase{"SpentNotRun",
+                   {EndReason::kRetriesSpent, true, kSoon},
+                   503,
+                   true},
+        EndingCase{"SpentMaybeRun",
+                   {EndReason::kRetriesSpent, false, kSoon},
+                   502,
+                   false},
+        EndingCase{"MayHaveRun",
+                   {EndReason::kMayHaveRun, false, {}},
+                   502,
+                   false},
+        EndingCase{"TimedOut", {EndReason::kTimedOut, false, {}}, 504, false}),
+    [](const auto& tested) { return tested.param.name; });
+
+TEST(FindParameterTest, FindsWholeNamesOnly) {
+  EXPECT_EQ(FindParameter("/r?name=a&region=north&zone=z", "region"), "north");
+  EXPECT_EQ(FindParameter("/r?subregion=x", "region"), "");
+  EXPECT_EQ(FindParameter("/r?region", "region"), "");
+  EXPECT_EQ(FindParameter("/r", "region"), "");
+  EXPECT_EQ(FindParameter("/r?&&region=a", "region"), "a");
+}
+
+}  // namespace
+}  // namespace medlarcroft::platform
