Let hosts that the store turns away hear its rows from others

The store turned away a third of the hosts; they did not hear that a domain was evacuated and its targets cold, and sent on as to warm ones.

Change: every host keeps the rows as it heard them (platform/table_mirror) and tells them, on its peer port, to hosts that are turned away, as long as it hears from the store itself. Rows older than the asker's are passed over. Beside it, hosts of a region tell each other which target got which object (one datagram, again after 2 s at the earliest), and a target that nobody used yet is priced as likely warm for its first request, so that those that join are not left unused.

Tests: the watch against a store of our own that refuses, is silent, forgets its history, answers from before and loses answers of writes; a host that is turned away hears an evacuation from another.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -68,6 +68,8 @@
   Duration round_trip{0};  ///< To the target, as measured.
   Duration time_left{0};   ///< To tell the target.
   bool may_repeat = false;
+  /// Other hosts are to hear that the target has the object now.
+  bool is_news = false;
   /// When `OnSlow` is due, if the attempt has not ended by then.
   std::optional<Duration> slow_after;
   Placement placement;
@@ -141,6 +143,8 @@
   void OnReport(const TargetName& target,
                 const LoadReport& report,
                 MonotonicTime now);
+  /// @brief Another host sent that object to a target.
+  void OnPlacedByOther(const TargetName& target, std::string_view object);
   void OnConnected(const RegionName& region, Duration round_trip) {
     distances_.OnConnected(region, round_trip);
   }
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -46,6 +46,8 @@
   void Update(TargetRecord record) { record_ = std::move(record); }
 
   void OnSent(std::string_view object, MonotonicTime now);
+  /// Another host sent it that object.
+  void OnSentByOther(std::string_view object);
   /// @param relative_time the time at the target divided by what was expected;
   /// absent when it says nothing of the target's speed.
   void OnEnded(AttemptEnd end,
@@ -60,7 +62,12 @@
   [[nodiscard]] std::uint32_t OwnOutstanding() const { return outstanding_; }
   [[nodiscard]] std::optional<Duration> ReportAge(MonotonicTime now) const;
 
-  /// @return whether this host sent it that object lately.
+  /// @return whether this host, or one that told of it, sent it that object
+  /// lately.
+  /// @return whether other hosts should hear that it gets that object: it did
+  /// not have it, or they were not told for a while. It counts as told then.
+  [[nodiscard]] bool IsNews(std::string_view object, MonotonicTime now);
+  [[nodiscard]] bool HasBeenUsed() const { return has_been_used_; }
   [[nodiscard]] bool HasHandled(std::string_view object) const;
 
   /// @return its time for a request over what is usual in its service.
@@ -86,6 +93,7 @@
 
  private:
   void NoteFailure(MonotonicTime now);
+  void NoteObject(std::string_view object);
 
   TargetRecord record_;
   RegionName region_;
@@ -93,7 +101,11 @@
   double others_load_ = 0;  ///< At the last report.
   double others_mean_ = 0;  ///< Over the reports.
   std::optional<MonotonicTime> reported_at_;
-  std::list<std::string> objects_;  ///< Latest first.
+  struct HandledObject {
+    std::string name;
+    MonotonicTime told_at{};  ///< To other hosts.
+  };
+  std::list<HandledObject> objects_;  ///< Latest first.
   double relative_time_ = 1.0;
   double failure_ratio_ = 0.0;
   std::uint32_t failures_in_a_row_ = 0;
@@ -101,6 +113,7 @@
   MonotonicTime resting_until_{};
   MonotonicTime cold_until_{};
   std::deque<MonotonicTime> sends_;
+  bool has_been_used_ = false;
   bool is_replaced_ = false;
 };
 
--- a/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
@@ -100,6 +100,9 @@
                          Running& running,
                          const SendAttempt& attempt) {
   parts_.telemetry.OnSend(running.decoded.id, *running.begun.route, attempt);
+  if (attempt.is_news && parts_.on_placed) {
+    parts_.on_placed(attempt.target, running.decoded.request.object);
+  }
   OutboundRequest request;
   request.address = attempt.address;
   request.text = parts_.codec.EncodeAttempt(running.call, attempt);
--- a/lib/libmedlarcroft/source/adapters/forward/request_runner.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.h
@@ -2,10 +2,12 @@
 #define MEDLARCROFT_ADAPTERS_FORWARD_REQUEST_RUNNER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "adapters/event/http_caller.h"
 #include "adapters/event/http_listener.h"
@@ -25,9 +27,12 @@
     request_path::RequestPath& path;
     const RequestCodec& codec;
     RequestTelemetry& telemetry;
+    /// Told when an object was sent to a target, unless it was lately.
+    std::function<void(const TargetName& target, const std::string& object)>
+        on_placed;
   };
 
-  explicit RequestRunner(const Parts& parts) : parts_(parts) {}
+  explicit RequestRunner(Parts parts) : parts_(std::move(parts)) {}
   ~RequestRunner() override;
 
   void OnCall(HttpRequest call,
--- a/lib/libmedlarcroft/source/adapters/peer/beat_channel.cc
+++ b/lib/libmedlarcroft/source/adapters/peer/peer_channel.cc
@@ -1,4 +1,4 @@
-#include "adapters/peer/beat_channel.h"
+#include "adapters/peer/peer_channel.h"
 
 #include <sys/socket.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -22,32 +22,47 @@
 
 }  // namespace
 
-std::string EncodeBeat(const membership::HostState& state) {
-  membership::HostState brief = state;
-  brief.loads.clear();
+std::string EncodePeerNews(const PeerNews& news) {
+  wire::PeerDatagram datagram;
+  if (news.state) {
+    membership::HostState brief = *news.state;
+    brief.loads.clear();
+    datagram.__set_state(ToWire(brief));
+  }
+  for (const PlacedObject& placed : news.placed) {
+    wire::PlacedObject item;
+    item.target = placed.target.Value();
+    item.object = placed.object;
+    datagram.placed.push_back(item);
+  }
   const auto buffer = std::make_shared<TMemoryBuffer>();
-  ToWire(brief).write(MakeCompactProtocol(buffer).get());
+  datagram.write(MakeCompactProtocol(buffer).get());
   return buffer->getBufferAsString();
 }
 
-std::optional<membership::HostState> DecodeBeat(std::string_view datagram) {
+std::optional<PeerNews> DecodePeerNews(std::string_view datagram) {
   std::string bytes(datagram);
   const auto buffer = std::make_shared<TMemoryBuffer>(
       reinterpret_cast<std::uint8_t*>(bytes.data()),
       static_cast<std::uint32_t>(bytes.size()));
-  wire::HostState state;
+  wire::PeerDatagram message;
   try {
-    state.read(MakeCompactProtocol(buffer).get());
+    message.read(MakeCompactProtocol(buffer).get());
   } catch (const apache::thrift::TException&) {
     return std::nullopt;
   }
-  if (state.host.empty()) {
-    return std::nullopt;
+  PeerNews news;
+  if (message.__isset.state && !message.state.host.empty()) {
+    news.state = FromWire(message.state);
+  }
+  for (const wire::PlacedObject& item : message.placed) {
+    news.placed.push_back(
+        {.target = TargetName(item.target), .object = item.object});
   }
-  return FromWire(state);
+  return news;
 }
 
-Result<std::unique_ptr<BeatChannel>, BeatChannel::Failure> BeatChannel::Open(
+Result<std::unique_ptr<PeerChannel>, PeerChannel::Failure> PeerChannel::Open(
     EventLoop& loop,
     const std::string& address,
     Receiver receiver) {
@@ -64,33 +79,32 @@
     }
     return Failure::kCannotBind;
   }
-  return std::unique_ptr<BeatChannel>(
-      new BeatChannel(loop, descriptor, std::move(receiver)));
+  return std::unique_ptr<PeerChannel>(
+      new PeerChannel(loop, descriptor, std::move(receiver)));
 }
 
-BeatChannel::BeatChannel(EventLoop& loop, int descriptor, Receiver receiver)
+PeerChannel::PeerChannel(EventLoop& loop, int descriptor, Receiver receiver)
     : loop_(loop), descriptor_(descriptor), receiver_(std::move(receiver)) {
   loop_.Watch(descriptor_, *this);
 }
 
-BeatChannel::~BeatChannel() {
+PeerChannel::~PeerChannel() {
   loop_.Unwatch(descriptor_);
   ::close(descriptor_);
 }
 
-bool BeatChannel::Send(const std::string& address,
-                       const membership::HostState& state) {
+bool PeerChannel::Send(const std::string& address, const PeerNews& news) {
   const auto parsed = ParseSocketAddress(address);
   if (!parsed) {
     return false;
   }
-  const std::string datagram = EncodeBeat(state);
+  const std::string datagram = EncodePeerNews(news);
   return ::sendto(descriptor_, datagram.data(), datagram.size(), MSG_DONTWAIT,
                   parsed->Get(),
                   parsed->length) == static_cast<ssize_t>(datagram.size());
 }
 
-void BeatChannel::OnReadable() {
+void PeerChannel::OnReadable() {
   std::array<char, kMaxDatagramBytes> buffer;
   while (true) {
     const ssize_t count =
@@ -98,13 +112,13 @@
     if (count < 0) {
       return;
     }
-    const auto state =
-        DecodeBeat({buffer.data(), static_cast<std::size_t>(count)});
-    if (!state) {
+    const auto news =
+        DecodePeerNews({buffer.data(), static_cast<std::size_t>(count)});
+    if (!news) {
       ++malformed_;
       continue;
     }
-    receiver_(*state);
+    receiver_(*news);
   }
 }
 
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/peer/peer_channel.h
@@ -0,0 +1,67 @@
+#ifndef MEDLARCROFT_ADAPTERS_PEER_PEER_CHANNEL_H_
+#define MEDLARCROFT_ADAPTERS_PEER_PEER_CHANNEL_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "adapters/event/event_loop.h"
+#include "medlarcroft/core/identifiers.h"
+#include "medlarcroft/core/result.h"
+#include "medlarcroft/membership/host_state.h"
+
+namespace medlarcroft::adapters {
+
+/// @brief An object that a host has just sent to a target.
+struct PlacedObject {
+  TargetName target;
+  std::string object;
+};
+
+/// @brief What one host tells another in one datagram.
+struct PeerNews {
+  std::optional<membership::HostState> state;  ///< Without its loads.
+  std::vector<PlacedObject> placed;
+};
+
+[[nodiscard]] std::string EncodePeerNews(const PeerNews& news);
+
+/// @return the news, or nullopt when `datagram` is none.
+[[nodiscard]] std::optional<PeerNews> DecodePeerNews(std::string_view datagram);
+
+/// @brief Hosts tell each other that they live and what they placed, by
+/// datagrams: losing one costs little, and no connection has to be kept or
+/// found silent.
+class PeerChannel final : public DescriptorHandler {
+ public:
+  enum class Failure { kBadAddress, kCannotBind };
+  using Receiver = std::function<void(const PeerNews&)>;
+
+  static Result<std::unique_ptr<PeerChannel>, Failure>
+  Open(EventLoop& loop, const std::string& address, Receiver receiver);
+  ~PeerChannel() override;
+
+  /// @return false when the datagram could not be handed to the kernel.
+  bool Send(const std::string& address, const PeerNews& news);
+
+  [[nodiscard]] std::uint64_t Malformed() const { return malformed_; }
+
+  void OnReadable() override;
+  void OnWritable() override {}
+
+ private:
+  PeerChannel(EventLoop& loop, int descriptor, Receiver receiver);
+
+  EventLoop& loop_;
+  int descriptor_;
+  Receiver receiver_;
+  std::uint64_t malformed_ = 0;
+};
+
+}  // namespace medlarcroft::adapters
+
+#endif  // MEDLARCROFT_ADAPTERS_PEER_PEER_CHANNEL_H_
--- a/lib/libmedlarcroft/source/request_path/placement_policy.cc
+++ b/lib/libmedlarcroft/source/request_path/placement_policy.cc
@@ -15,6 +15,10 @@
 constexpr double kWarmByRank[] = {0.6, 0.2};
 constexpr double kWarmOtherwise = 0.05;
 constexpr double kWarmWhenSent = 0.95;
+// A target that has just joined has nothing and would stay unused for long:
+// its first request is priced as if it were likely warm, which gives it an
+// object to keep.
+constexpr double kWarmUntried = 0.8;
 // Parts of the latency objective by which a failing target is worse.
 constexpr double kFailurePenalty = 2.0;
 // A queue is felt a little before the last slot is taken, since the estimate of
@@ -103,7 +107,10 @@
       ToSeconds(question.times.MeanWork()) * target.RelativeTime();
   const double wait = ahead / slots * mean_work;
 
-  const double chance = WarmChance(placement, question);
+  double chance = WarmChance(placement, question);
+  if (!target.HasBeenUsed()) {
+    chance = std::max(chance, kWarmUntried);
+  }
   const double work = (chance * ToSeconds(question.times.Work(true)) +
                        (1.0 - chance) * ToSeconds(question.times.Work(false))) *
                       target.RelativeTime();
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -174,6 +174,7 @@
       .time_left = std::max(request.deadline - now - kAnswerMargin,
                             Duration(std::chrono::milliseconds(1))),
       .may_repeat = may_repeat,
+      .is_news = request.route->is_sticky && target.IsNews(request.object, now),
       .placement = placement,
       .report_age = target.ReportAge(now)};
   if (may_repeat) {
@@ -370,6 +371,13 @@
   }
 }
 
+void RequestPath::OnPlacedByOther(const TargetName& target,
+                                  std::string_view object) {
+  if (TargetState* const state = targets_.Find(target)) {
+    state->OnSentByOther(object);
+  }
+}
+
 void RequestPath::OnReport(const TargetName& target,
                            const LoadReport& report,
                            MonotonicTime now) {
--- a/lib/libmedlarcroft/source/request_path/target_state.cc
+++ b/lib/libmedlarcroft/source/request_path/target_state.cc
@@ -10,6 +10,9 @@
 // Targets remember some tens of objects; beyond those sent lately by one host
 // the memory is likely taken by what other hosts send.
 constexpr std::size_t kRememberedObjects = 24;
+// Other hosts forget an object that nobody names; naming it each time would
+// cost a datagram to each of them for every request.
+constexpr Duration kTellAgain = std::chrono::seconds(2);
 // Other hosts' work changes within about one request's time; older reports
 // fade into the mean.
 constexpr double kReportFadeSeconds = 0.5;
@@ -39,15 +42,25 @@
     sends_.pop_front();
   }
   sends_.push_back(now);
+  has_been_used_ = true;
+  NoteObject(object);
+}
+
+void TargetState::OnSentByOther(std::string_view object) {
+  has_been_used_ = true;
+  NoteObject(object);
+}
+
+void TargetState::NoteObject(std::string_view object) {
   if (object.empty()) {
     return;
   }
-  const auto known = std::find(objects_.begin(), objects_.end(), object);
+  const auto known = std::ranges::find(objects_, object, &HandledObject::name);
   if (known != objects_.end()) {
     objects_.splice(objects_.begin(), objects_, known);
     return;
   }
-  objects_.emplace_front(object);
+  objects_.push_front({.name = std::string(object)});
   if (objects_.size() > kRememberedObjects) {
     objects_.pop_back();
   }
@@ -107,7 +120,17 @@
 }
 
 bool TargetState::HasHandled(std::string_view object) const {
-  return std::find(objects_.begin(), objects_.end(), object) != objects_.end();
+  return std::ranges::find(objects_, object, &HandledObject::name) !=
+         objects_.end();
+}
+
+bool TargetState::IsNews(std::string_view object, MonotonicTime now) {
+  NoteObject(object);
+  if (object.empty() || now - objects_.front().told_at < kTellAgain) {
+    return false;
+  }
+  objects_.front().told_at = now;
+  return true;
 }
 
 bool TargetState::IsResting(MonotonicTime now) const {
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -39,9 +39,9 @@
 constexpr Duration kShiftWindow = std::chrono::seconds(2);
 constexpr double kPlannedShift = 0.4;
 
-constexpr std::array<std::string_view, 5> kFailureNames = {
-    "caller-listener", "readiness-listener", "lookup-listener",
-    "metrics-listener", "peer-socket"};
+constexpr std::array<std::string_view, 6> kFailureNames = {
+    "caller-listener",  "readiness-listener", "lookup-listener",
+    "metrics-listener", "peer-listener",      "peer-socket"};
 constexpr std::array<std::string_view, 6> kChangeNames = {
     "added", "updated", "leaving", "doubted", "removed", "returned"};
 
@@ -94,30 +94,40 @@
                .caller = caller_,
                .path = path_,
                .codec = codec_,
-               .telemetry = telemetry_}),
+               .telemetry = telemetry_,
+               .on_placed =
+                   [this](const TargetName& target, const std::string& object) {
+                     peers_.TellPlaced({.target = target, .object = object});
+                   }}),
       store_(loop, {.address = settings.store_address}, metrics_),
       peers_(settings_,
              {.loop = loop,
               .store = store_,
               .random = random_,
-              .regions = regions_}),
+              .regions = regions_,
+              .on_placed =
+                  [this](const adapters::PlacedObject& placed) {
+                    path_.OnPlacedByOther(placed.target, placed.object);
+                  }}),
       operator_news_(loop, routes_, targets_, [this] { ApplyCallerLimits(); }),
       target_news_(loop, targets_),
       operator_watch_(loop,
                       store_,
                       random_,
-                      {.table = platform::kOperatorTableName},
+                      WatchOptions(platform::kOperatorTableName),
                       operator_news_),
       target_watch_(loop,
                     store_,
                     random_,
-                    {.table = platform::kTargetTableName},
+                    WatchOptions(platform::kTargetTableName),
                     target_news_),
       readiness_page_([this] { return IsReady(); }),
       lookup_page_(
           [this](const RegionName&) { return peers_.CallableAddresses(); },
           std::min(kLookupTimeToLive, settings.bounds.lookup_time_to_live)),
       metrics_page_(metrics_),
+      mirror_page_(
+          [this](std::string_view table) { return FindMirror(table); }),
       stop_(StopOptions(settings)) {}
 
 std::optional<StartFailure> Node::Start() {
@@ -127,7 +137,9 @@
       {settings_.readiness_listen, readiness_page_, readiness_listener_,
        StartFailure::kReadinessListener},
       {settings_.lookup_listen, lookup_page_, lookup_listener_,
-       StartFailure::kLookupListener}};
+       StartFailure::kLookupListener},
+      {settings_.peer_listen, mirror_page_, peer_listener_,
+       StartFailure::kPeerListener}};
   if (!settings_.metrics_listen.empty()) {
     plans.push_back({settings_.metrics_listen, metrics_page_, metrics_listener_,
                      StartFailure::kMetricsListener});
@@ -150,6 +162,24 @@
   return std::nullopt;
 }
 
+platform::StoreWatch::Options Node::WatchOptions(const std::string& table) {
+  return {.table = table,
+          .ask_peer = [this, table](std::uint64_t version,
+                                    platform::RowsCallback callback) {
+            peers_.AskSomePeer(table, version, std::move(callback));
+          }};
+}
+
+const platform::TableMirror* Node::FindMirror(std::string_view table) const {
+  for (const platform::StoreWatch* const watch :
+       {&operator_watch_, &target_watch_}) {
+    if (watch->Table() == table && watch->HasTable() && !watch->IsAway()) {
+      return &watch->Mirror();
+    }
+  }
+  return nullptr;
+}
+
 void Node::Reload(const adapters::NodeSettings& settings) {
   settings_.telemetry = settings.telemetry;
   adapters::SetLogLevel(settings.telemetry.log_level);
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -27,6 +27,7 @@
   kReadinessListener,
   kLookupListener,
   kMetricsListener,
+  kPeerListener,
   kPeerSocket,
 };
 
@@ -54,6 +55,11 @@
     StartFailure failure;
   };
 
+  [[nodiscard]] platform::StoreWatch::Options WatchOptions(
+      const std::string& table);
+  /// @return the rows of a table while this host hears from the store itself.
+  [[nodiscard]] const platform::TableMirror* FindMirror(
+      std::string_view table) const;
   [[nodiscard]] bool IsReady() const;
   void Tick();
   void ApplyCallerLimits();
@@ -82,11 +88,13 @@
   platform::ReadinessPage readiness_page_;
   platform::LookupPage lookup_page_;
   MetricsPage metrics_page_;
+  platform::MirrorPage mirror_page_;
   process::StopSequence stop_;
   std::unique_ptr<adapters::HttpListener> caller_listener_;
   std::unique_ptr<adapters::HttpListener> readiness_listener_;
   std::unique_ptr<adapters::HttpListener> lookup_listener_;
   std::unique_ptr<adapters::HttpListener> metrics_listener_;
+  std::unique_ptr<adapters::HttpListener> peer_listener_;
 };
 
 }  // namespace medlarcroft::node
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -46,6 +46,7 @@
               .forget_after = kLostAfter},
              MakeSelf(settings, parts.loop.Clock()),
              parts.loop.Clock()),
+      caller_(parts.loop, {.max_idle_per_address = 1}),
       watch_(parts.loop,
              parts.store,
              parts.random,
@@ -53,9 +54,9 @@
              *this) {}
 
 bool PeerGroup::Start() {
-  auto channel = adapters::BeatChannel::Open(
+  auto channel = adapters::PeerChannel::Open(
       parts_.loop, settings_.peer_listen,
-      [this](const membership::HostState& state) { table_.Receive(state); });
+      [this](const adapters::PeerNews& news) { OnNews(news); });
   if (!IsOk(channel)) {
     return false;
   }
@@ -92,6 +93,37 @@
   return addresses;
 }
 
+void PeerGroup::AskSomePeer(const std::string& table,
+                            std::uint64_t version,
+                            platform::RowsCallback callback) {
+  std::vector<std::string> addresses;
+  for (const membership::Member& member : table_.Members()) {
+    if (member.state.age < kUnheardLimit &&
+        !member.state.peer_address.empty()) {
+      addresses.push_back(member.state.peer_address);
+    }
+  }
+  // A store that turns away a whole region may serve another one.
+  std::vector<std::string> elsewhere;
+  for (const auto& [name, entry] : entries_) {
+    if (!IsInOwnRegion(entry.host.failure_domain)) {
+      elsewhere.push_back(entry.host.address);
+    }
+  }
+  if (!elsewhere.empty()) {
+    addresses.push_back(elsewhere[parts_.random.NextBelow(elsewhere.size())]);
+  }
+  if (addresses.empty()) {
+    parts_.loop.After(Duration(0), [callback = std::move(callback)] {
+      callback(platform::StoreFailure::kUnreachable);
+    });
+    return;
+  }
+  platform::AskPeer(caller_,
+                    addresses[parts_.random.NextBelow(addresses.size())], table,
+                    version, std::move(callback));
+}
+
 std::uint32_t PeerGroup::KnownHosts() const {
   const bool is_listed = entries_.contains(HostName(settings_.host));
   return static_cast<std::uint32_t>(entries_.size()) + (is_listed ? 0 : 1);
@@ -169,11 +201,28 @@
 void PeerGroup::SendBeats() {
   table_.Tick();
   table_.UpdateSelf([](membership::HostState&) {});
+  SendToRegion({.state = table_.Self()});
+}
+
+void PeerGroup::TellPlaced(const adapters::PlacedObject& placed) {
+  SendToRegion({.placed = {placed}});
+}
+
+void PeerGroup::OnNews(const adapters::PeerNews& news) {
+  if (news.state) {
+    table_.Receive(*news.state);
+  }
+  for (const adapters::PlacedObject& placed : news.placed) {
+    parts_.on_placed(placed);
+  }
+}
+
+void PeerGroup::SendToRegion(const adapters::PeerNews& news) {
   for (const auto& [name, entry] : entries_) {
     if (name.Value() != settings_.host &&
         IsInOwnRegion(entry.host.failure_domain)) {
       // A lost datagram is made up for by the next one.
-      (void)channel_->Send(entry.host.address, table_.Self());
+      (void)channel_->Send(entry.host.address, news);
     }
   }
 }
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -1,13 +1,14 @@
 #ifndef MEDLARCROFT_PROGRAMS_NODE_PEER_GROUP_H_
 #define MEDLARCROFT_PROGRAMS_NODE_PEER_GROUP_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "adapters/event/event_loop.h"
-#include "adapters/peer/beat_channel.h"
+#include "adapters/peer/peer_channel.h"
 #include "adapters/process/node_settings.h"
 #include "medlarcroft/membership/membership_table.h"
 #include "medlarcroft/ports/host_list.h"
@@ -27,6 +28,8 @@
     platform::StoreClient& store;
     ports::RandomSource& random;
     const request_path::DomainRegions& regions;
+    /// Told what other hosts of the region placed.
+    std::function<void(const adapters::PlacedObject&)> on_placed;
   };
 
   PeerGroup(const adapters::NodeSettings& settings, const Parts& parts);
@@ -35,10 +38,16 @@
   bool Start();
 
   void SetPhase(membership::HostPhase phase);
+  /// @brief Tells the region's other hosts what was placed.
+  void TellPlaced(const adapters::PlacedObject& placed);
   /// @return addresses of the ready hosts of this region, this one included.
   [[nodiscard]] std::vector<std::string> CallableAddresses() const;
   /// @return all hosts that have a row, this one included.
   [[nodiscard]] std::uint32_t KnownHosts() const;
+  /// @brief Asks a live host of the region for rows newer than `version`.
+  void AskSomePeer(const std::string& table,
+                   std::uint64_t version,
+                   platform::RowsCallback callback);
   [[nodiscard]] bool HasTable() const { return watch_.HasTable(); }
 
   void OnTable(std::span<const platform::StoreRow> rows) override;
@@ -57,13 +66,16 @@
   void PublishList();
   void WriteOwnRow();
   void SendBeats();
+  void SendToRegion(const adapters::PeerNews& news);
+  void OnNews(const adapters::PeerNews& news);
   void RemoveLostHosts();
   [[nodiscard]] bool IsInOwnRegion(const FailureDomainName& domain) const;
 
   const adapters::NodeSettings& settings_;
   Parts parts_;
   membership::MembershipTable table_;
-  std::unique_ptr<adapters::BeatChannel> channel_;
+  adapters::HttpCaller caller_;
+  std::unique_ptr<adapters::PeerChannel> channel_;
   platform::StoreWatch watch_;
   std::map<HostName, Entry> entries_;
 };
--- /dev/null
+++ b/tests/fakes/fake_store_server.h
@@ -0,0 +1,217 @@
+#ifndef MEDLARCROFT_TESTS_FAKES_FAKE_STORE_SERVER_H_
+#define MEDLARCROFT_TESTS_FAKES_FAKE_STORE_SERVER_H_
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "adapters/event/http_listener.h"
+#include "platform/json_reader.h"
+#include "platform/platform_pages.h"
+
+namespace medlarcroft::fakes {
+
+/// @brief The platform's store, one table, on the event loop of a test: rows,
+/// conditions and feed as its pages tell, with the faults that a test sets.
+class FakeStoreServer final : public adapters::HttpCallHandler {
+ public:
+  explicit FakeStoreServer(adapters::EventLoop& loop) : loop_(loop) {
+    listener_ =
+        TakeValue(adapters::HttpListener::Open(loop, "127.0.0.1:0", *this));
+  }
+
+  [[nodiscard]] std::string Address() const {
+    return "127.0.0.1:" + std::to_string(listener_->Port());
+  }
+
+  void Put(const std::string& key, const std::string& value) {
+    ++version;
+    rows_[key] = {value, version};
+    removed_.erase(key);
+    WakeFeeds();
+  }
+  void Remove(const std::string& key) {
+    ++version;
+    rows_.erase(key);
+    removed_[key] = version;
+    WakeFeeds();
+  }
+  /// The history up to now is gone: feeds that ask from before get 410.
+  void Compact() { oldest_ = version + 1; }
+
+  // Faults.
+  std::optional<int> refuse_with;  ///< Status of every answer.
+  bool is_silent = false;          ///< Calls get no answer.
+  bool loses_answers = false;      ///< Writes are done and not answered.
+  std::uint64_t behind_by = 0;     ///< Lists tell an older version.
+  std::size_t page_rows = 500;
+
+  std::uint64_t version = 0;
+  std::map<std::string, int> calls;
+
+  void OnCall(
+      adapters::HttpRequest request,
+      const std::shared_ptr<adapters::HttpExchange>& exchange) override {
+    const std::string path =
+        request.raw_target.substr(0, request.raw_target.find('?'));
+    ++calls[path];
+    if (is_silent) {
+      hanging_.push_back(exchange);
+      return;
+    }
+    if (refuse_with) {
+      exchange->Answer({.status = *refuse_with});
+      return;
+    }
+    if (path.ends_with("rows-get")) {
+      List(request.raw_target, *exchange);
+    } else if (path.ends_with("rows-feed")) {
+      Feed(request.raw_target, exchange);
+    } else {
+      Write(request.body, exchange);
+    }
+  }
+
+ private:
+  struct Waiting {
+    std::shared_ptr<adapters::HttpExchange> exchange;
+    std::uint64_t after = 0;
+  };
+
+  static std::uint64_t NumberOf(const std::string& target,
+                                std::string_view name) {
+    return std::stoull("0" +
+                       std::string(platform::FindParameter(target, name)));
+  }
+
+  void Answer(adapters::HttpExchange& exchange, const nlohmann::json& body) {
+    exchange.Answer({.status = 200, .body = body.dump()});
+  }
+
+  static nlohmann::json RowOf(
+      const std::string& key,
+      const std::pair<std::string, std::uint64_t>& row) {
+    return {{"key", key},
+            {"value", platform::EncodeBase64(row.first)},
+            {"schema_version", row.second}};
+  }
+
+  void List(const std::string& target, adapters::HttpExchange& exchange) {
+    // Keys of these tests have no characters that need escaping but the last,
+    // which stands for "after this key".
+    std::string from(platform::FindParameter(target, "from"));
+    const bool is_after = from.ends_with("%00");
+    if (is_after) {
+      from.resize(from.size() - 3);
+    }
+    nlohmann::json rows = nlohmann::json::array();
+    bool has_more = false;
+    for (const auto& [key, row] : rows_) {
+      if (key < from || (is_after && key == from)) {
+        continue;
+      }
+      if (rows.size() == page_rows) {
+        has_more = true;
+        break;
+      }
+      rows.push_back(RowOf(key, row));
+    }
+    Answer(exchange, {{"rows", rows},
+                      {"has_more", has_more},
+                      {"schema_version", version - behind_by}});
+  }
+
+  void Feed(const std::string& target,
+            const std::shared_ptr<adapters::HttpExchange>& exchange) {
+    const std::uint64_t after = NumberOf(target, "after");
+    if (after + 1 < oldest_) {
+      exchange->Answer({.status = 410});
+      return;
+    }
+    if (after < version) {
+      Answer(*exchange, ChangesAfter(after));
+      return;
+    }
+    feeds_.push_back({exchange, after});
+    const Duration wait =
+        std::chrono::milliseconds(NumberOf(target, "wait_ms"));
+    // Only the first answer counts, if a change came before.
+    loop_.After(wait, [this, exchange, after] {
+      if (after + 1 < oldest_) {
+        exchange->Answer({.status = 410});
+      } else {
+        Answer(*exchange, ChangesAfter(after));
+      }
+    });
+  }
+
+  nlohmann::json ChangesAfter(std::uint64_t after) {
+    std::map<std::uint64_t, nlohmann::json> ordered;
+    for (const auto& [key, row] : rows_) {
+      if (row.second > after) {
+        ordered[row.second] = RowOf(key, row);
+      }
+    }
+    for (const auto& [key, removed_at] : removed_) {
+      if (removed_at > after) {
+        ordered[removed_at] = {
+            {"key", key}, {"removed", true}, {"schema_version", removed_at}};
+      }
+    }
+    nlohmann::json rows = nlohmann::json::array();
+    for (const auto& [at, row] : ordered) {
+      rows.push_back(row);
+    }
+    return {{"rows", rows}, {"schema_version", version}};
+  }
+
+  void WakeFeeds() {
+    if (is_silent) {
+      return;
+    }
+    for (const Waiting& waiting : std::exchange(feeds_, {})) {
+      Answer(*waiting.exchange, ChangesAfter(waiting.after));
+    }
+  }
+
+  void Write(const std::string& body,
+             const std::shared_ptr<adapters::HttpExchange>& exchange) {
+    const nlohmann::json transaction = nlohmann::json::parse(body);
+    for (const nlohmann::json& condition : transaction.at("precondition")) {
+      const auto found = rows_.find(condition.at("key").get<std::string>());
+      const std::uint64_t has = found == rows_.end() ? 0 : found->second.second;
+      if (has != condition.at("schema_version").get<std::uint64_t>()) {
+        exchange->Answer({.status = 412});
+        return;
+      }
+    }
+    for (const nlohmann::json& row : transaction.at("writes")) {
+      Put(row.at("key"),
+          *platform::DecodeBase64(row.at("value").get<std::string>()));
+    }
+    for (const nlohmann::json& row : transaction.at("remove")) {
+      Remove(row.at("key"));
+    }
+    if (loses_answers) {
+      hanging_.push_back(exchange);
+      return;
+    }
+    Answer(*exchange, {{"schema_version", version}});
+  }
+
+  adapters::EventLoop& loop_;
+  std::unique_ptr<adapters::HttpListener> listener_;
+  std::map<std::string, std::pair<std::string, std::uint64_t>> rows_;
+  std::map<std::string, std::uint64_t> removed_;
+  std::uint64_t oldest_ = 0;
+  std::vector<Waiting> feeds_;
+  std::vector<std::shared_ptr<adapters::HttpExchange>> hanging_;
+};
+
+}  // namespace medlarcroft::fakes
+
+#endif  // MEDLARCROFT_TESTS_FAKES_FAKE_STORE_SERVER_H_
--- /dev/null
+++ b/tests/unit/adapters/peer/peer_channel_test.cc
@@ -0,0 +1,57 @@
+#include "adapters/peer/peer_channel.h"
+
+#include <gtest/gtest.h>
+
+namespace medlarcroft::adapters {
+namespace {
+
+membership::HostState MakeState() {
+  membership::HostState state;
+  state.host = HostName("edge-1");
+  state.failure_domain = FailureDomainName("z");
+  state.number = {.incarnation = 7, .sequence = 9};
+  state.phase = membership::HostPhase::kReady;
+  state.entry_address = "127.0.0.1:80";
+  state.loads.push_back({.service = ServiceName("s")});
+  return state;
+}
+
+PeerNews MakeNews() {
+  return {.state = MakeState(),
+          .placed = {{.target = TargetName("t1"), .object = "17"}}};
+}
+
+TEST(PeerNewsTest, ReadsTheSameButForTheLoads) {
+  const auto decoded = DecodePeerNews(EncodePeerNews(MakeNews()));
+  ASSERT_TRUE(decoded && decoded->state);
+  EXPECT_EQ(decoded->state->host, HostName("edge-1"));
+  EXPECT_EQ(decoded->state->number, MakeState().number);
+  EXPECT_EQ(decoded->state->phase, membership::HostPhase::kReady);
+  EXPECT_EQ(decoded->state->entry_address, "127.0.0.1:80");
+  EXPECT_TRUE(decoded->state->loads.empty());
+  ASSERT_EQ(decoded->placed.size(), 1U);
+  EXPECT_EQ(decoded->placed[0].target, TargetName("t1"));
+  EXPECT_EQ(decoded->placed[0].object, "17");
+}
+
+TEST(PeerNewsTest, EitherPartMayBeMissing) {
+  EXPECT_FALSE(DecodePeerNews(EncodePeerNews({}))->state);
+  PeerNews placed = MakeNews();
+  placed.state.reset();
+  EXPECT_EQ(DecodePeerNews(EncodePeerNews(placed))->placed.size(), 1U);
+}
+
+TEST(PeerNewsTest, FitsWellIntoOneDatagram) {
+  EXPECT_LT(EncodePeerNews(MakeNews()).size(), 200U);
+}
+
+TEST(PeerNewsTest, WhatIsCutOrNoneIsRefused) {
+  const std::string datagram = EncodePeerNews(MakeNews());
+  for (std::size_t length = 0; length < datagram.size(); ++length) {
+    EXPECT_FALSE(DecodePeerNews(datagram.substr(0, length))) << length;
+  }
+  EXPECT_FALSE(DecodePeerNews("hello"));
+}
+
+}  // namespace
+}  // namespace medlarcroft::adapters
--- /dev/null
+++ b/tests/unit/platform/store_watch_test.cc
@@ -0,0 +1,318 @@
+#include "platform/store_watch.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "adapters/process/system_clock.h"
+#include "fakes/fake_store_server.h"
+#include "fakes/seeded_random.h"
+
+namespace medlarcroft::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// @brief What a table holds, as heard.
+class HeardTable final : public TableListener {
+ public:
+  void OnTable(std::span<const StoreRow> table) override {
+    ++tables;
+    rows.clear();
+    OnRows(table);
+  }
+  void OnRows(std::span<const StoreRow> changed) override {
+    for (const StoreRow& row : changed) {
+      if (row.is_removed) {
+        rows.erase(row.key);
+      } else {
+        rows[row.key] = row.value;
+      }
+    }
+  }
+  void OnStoreLost(StoreFailure failure) override { lost = failure; }
+  void OnStoreBack(Duration) override { ++returns; }
+
+  std::map<std::string, std::string> rows;
+  int tables = 0;
+  std::optional<StoreFailure> lost;
+  int returns = 0;
+};
+
+using Rows = std::map<std::string, std::string>;
+
+class StoreWatchTest : public testing::Test {
+ protected:
+  /// Runs the loop until `is_done`, or fails after a generous while.
+  void RunUntil(const std::function<bool()>& is_done) {
+    adapters::TimerId limit = loop_.After(seconds(20), [this] {
+      ADD_FAILURE() << "it did not come about";
+      loop_.Finish(1);
+    });
+    steps_.push_back(is_done);
+    if (steps_.size() == 1) {
+      loop_.Every(milliseconds(2), [this] { Step(); });
+    }
+    limits_.push_back(limit);
+  }
+  void Step() {
+    while (at_ < steps_.size() && steps_[at_]()) {
+      loop_.Cancel(limits_[at_]);
+      ++at_;
+    }
+    if (at_ == steps_.size()) {
+      loop_.Finish(0);
+    }
+  }
+
+  adapters::SystemClock clock_;
+  adapters::EventLoop loop_{clock_};
+  telemetry::MetricsRegistry metrics_;
+  fakes::FakeStoreServer server_{loop_};
+  fakes::SeededRandom random_{5};
+  StoreClient store_{
+      loop_,
+      {.address = server_.Address(), .call_timeout = milliseconds(100)},
+      metrics_};
+  HeardTable heard_;
+  StoreWatch watch_{loop_,
+                    store_,
+                    random_,
+                    {.table = "t", .wait = milliseconds(200)},
+                    heard_};
+  std::vector<std::function<bool()>> steps_;
+  std::vector<adapters::TimerId> limits_;
+  std::size_t at_ = 0;
+};
+
+TEST_F(StoreWatchTest, HearsTheTableAndThenWhatChanges) {
+  server_.Put("a", "1");
+  watch_.Start();
+  RunUntil([this] {
+    if (heard_.rows != Rows{{"a", "1"}}) {
+      return false;
+    }
+    server_.Put("b", "2");
+    server_.Remove("a");
+    return true;
+  });
+  RunUntil([this] { return heard_.rows == Rows{{"b", "2"}}; });
+  loop_.Run();
+
+  EXPECT_EQ(heard_.tables, 1);
+}
+
+TEST_F(StoreWatchTest, ReadsATableOfSeveralPages) {
+  server_.page_rows = 3;
+  for (int i = 0; i < 10; ++i) {
+    server_.Put("k" + std::to_string(i), "v");
+  }
+  watch_.Start();
+  RunUntil([this] { return heard_.rows.size() == 10; });
+  loop_.Run();
+
+  EXPECT_EQ(heard_.tables, 1);
+}
+
+// The store drops its history while this host waits for changes, and a row is
+// removed in the gap. The host must not go on believing in it.
+TEST_F(StoreWatchTest, ReadsTheTableAnewWhenTheHistoryIsGone) {
+  server_.Put("a", "1");
+  server_.Put("b", "2");
+  watch_.Start();
+  RunUntil([this] {
+    if (heard_.rows.size() != 2) {
+      return false;
+    }
+    server_.is_silent = true;
+    server_.Remove("a");
+    server_.Compact();
+    server_.is_silent = false;
+    return true;
+  });
+  RunUntil([this] { return heard_.rows == Rows{{"b", "2"}}; });
+  loop_.Run();
+
+  EXPECT_EQ(heard_.tables, 2);
+}
+
+struct OutageCase {
+  std::string name;
+  std::optional<int> refuse_with;  ///< Absent: silence.
+  StoreFailure failure;
+};
+
+class OutageTable : public StoreWatchTest,
+                    public testing::WithParamInterface<OutageCase> {};
+
+// The store is away for a while; what changed meanwhile is heard afterwards,
+// and what was known stays known.
+TEST_P(OutageTable, KeepsWhatItKnowsAndCatchesUp) {
+  server_.Put("a", "1");
+  watch_.Start();
+  RunUntil([this] {
+    if (heard_.rows.empty()) {
+      return false;
+    }
+    server_.refuse_with = GetParam().refuse_with;
+    server_.is_silent = !GetParam().refuse_with;
+    return true;
+  });
+  RunUntil([this] {
+    if (!heard_.lost) {
+      return false;
+    }
+    EXPECT_EQ(heard_.rows, (Rows{{"a", "1"}}));
+    EXPECT_TRUE(watch_.IsAway());
+    server_.refuse_with.reset();
+    server_.is_silent = false;
+    server_.Put("b", "2");
+    return true;
+  });
+  RunUntil([this] { return heard_.rows.size() == 2; });
+  loop_.Run();
+
+  EXPECT_EQ(*heard_.lost, GetParam().failure);
+  EXPECT_EQ(heard_.returns, 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    OutageTable,
+    testing::Values(OutageCase{"Busy", 503, StoreFailure::kRefused},
+                    OutageCase{"Many", 429, StoreFailure::kRefused},
+                    OutageCase{"Odd", 500, StoreFailure::kBadAnswer},
+                    OutageCase{"Silent", {}, StoreFailure::kUnreachable}),
+    [](const auto& tested) { return tested.param.name; });
+
+// A list comes from before what this host knows. Taking it would bring back
+// targets that left.
+TEST_F(StoreWatchTest, AnOlderListIsNotTaken) {
+  server_.Put("a", "1");
+  watch_.Start();
+  RunUntil([this] {
+    if (heard_.rows.empty()) {
+      return false;
+    }
+    server_.is_silent = true;
+    server_.Remove("a");
+    server_.Put("b", "2");
+    server_.Compact();
+    server_.behind_by = 3;
+    server_.is_silent = false;
+    return true;
+  });
+  RunUntil([this] {
+    if (!heard_.lost) {
+      return false;
+    }
+    EXPECT_EQ(heard_.tables, 1);
+    server_.behind_by = 0;
+    return true;
+  });
+  RunUntil([this] { return heard_.rows == Rows{{"b", "2"}}; });
+  loop_.Run();
+}
+
+TEST_F(StoreWatchTest, AWriteUnderAConditionIsRefusedWhenTheRowMoved) {
+  server_.Put("a", "1");
+  std::vector<Result<Success, StoreFailure>> results;
+  const auto keep = [&](const Result<Success, StoreFailure>& result) {
+    results.push_back(result);
+    if (results.size() == 2) {
+      loop_.Finish(0);
+    }
+  };
+  store_.Write({.table = "t", .key = "a", .expected_version = 9}, keep);
+  store_.Write({.table = "t", .key = "c", .value = "3", .expected_version = 0},
+               keep);
+  loop_.Run();
+
+  int refused = 0;
+  for (const auto& result : results) {
+    refused += IsOk(result) ? 0 : 1;
+  }
+  EXPECT_EQ(refused, 1);
+  EXPECT_EQ(server_.version, 2U);
+}
+
+// The write is done and its answer lost: whoever wrote must not take it for
+// refused.
+TEST_F(StoreWatchTest, ALostAnswerIsNotARefusal) {
+  server_.loses_answers = true;
+  std::optional<StoreFailure> failure;
+  store_.Write({.table = "t", .key = "c", .value = "3"},
+               [&](const Result<Success, StoreFailure>& result) {
+                 failure = ErrorOf(result);
+                 loop_.Finish(0);
+               });
+  loop_.Run();
+
+  EXPECT_EQ(failure, StoreFailure::kUnreachable);
+  EXPECT_EQ(server_.version, 1U);
+}
+
+// The store turns this host away and serves another one, to which a domain's
+// evacuation was told. This host hears of it from there, well before the store
+// takes it back.
+TEST_F(StoreWatchTest, AHostThatIsTurnedAwayHearsFromAnother) {
+  HeardTable other_heard;
+  StoreWatch other(loop_, store_, random_,
+                   {.table = "t", .wait = milliseconds(200)}, other_heard);
+  MirrorPage page([&](std::string_view) {
+    return other.IsAway() ? nullptr : &other.Mirror();
+  });
+  const auto listener =
+      TakeValue(adapters::HttpListener::Open(loop_, "127.0.0.1:0", page));
+  adapters::HttpCaller caller(loop_, {});
+
+  fakes::FakeStoreServer refusing(loop_);
+  refusing.refuse_with = 503;
+  StoreClient refused_store(loop_, {.address = refusing.Address()}, metrics_);
+  HeardTable heard;
+  StoreWatch turned_away(
+      loop_, refused_store, random_,
+      {.table = "t",
+       .wait = milliseconds(200),
+       .ask_peer =
+           [&](std::uint64_t version, RowsCallback callback) {
+             AskPeer(caller, "127.0.0.1:" + std::to_string(listener->Port()),
+                     "t", version, std::move(callback));
+           }},
+      heard);
+  server_.Put("evacuate/a", "{}");
+  other.Start();
+  turned_away.Start();
+  RunUntil([&] {
+    if (heard.rows != Rows{{"evacuate/a", "{}"}}) {
+      return false;
+    }
+    server_.Remove("evacuate/a");
+    server_.Put("evacuate/b", "{}");
+    return true;
+  });
+  RunUntil([&] { return heard.rows == Rows{{"evacuate/b", "{}"}}; });
+  loop_.Run();
+
+  EXPECT_TRUE(turned_away.IsAway());
+  EXPECT_EQ(heard.returns, 0);
+}
+
+TEST(TableMirrorTest, TellsAllRowsOnlyToWhoIsBehind) {
+  TableMirror mirror;
+  mirror.Replace(std::vector<StoreRow>{{.key = "a", .version = 3}}, 5);
+  mirror.Apply(std::vector<StoreRow>{{.key = "b", .version = 6},
+                                     {.key = "a", .is_removed = true}},
+               7);
+
+  EXPECT_EQ(mirror.Since(7).rows.size(), 0U);
+  ASSERT_EQ(mirror.Since(6).rows.size(), 1U);
+  EXPECT_EQ(mirror.Since(6).rows[0].key, "b");
+  EXPECT_EQ(mirror.Since(0).newest_version, 7U);
+}
+
+}  // namespace
+}  // namespace medlarcroft::platform
