Explain a failed request from its id, with three system tests

medlarctl request ID FILE... gathers one request's lines from several hosts' logs, in order of time. tests/system/platform_test.py runs medlar-node on loopback with a store and targets of our own: the whole path, a configuration that can't be read, a target that leaves, a planned stop under load, a caller that leaves, and the three failures of docs/OPERATIONS.md (refused though targets are idle, a 502 on an order, a slow answer), each caused and then explained from the lines and metrics by the page's steps.

--- a/lib/libmedlarcroft/source/adapters/console/command.cc
+++ b/lib/libmedlarcroft/source/adapters/console/command.cc
@@ -6,13 +6,14 @@
 
 #include "adapters/console/catalogue_commands.h"
 #include "adapters/console/drain_command.h"
+#include "adapters/console/request_command.h"
 #include "adapters/console/status_commands.h"
 
 namespace medlarcroft::adapters {
 
 namespace {
 
-constexpr std::array<Command, 11> kCommands{{
+constexpr std::array<Command, 12> kCommands{{
     {"catalogue get", "ENTRY", "prints an entry, ready to be edited",
      "medlarctl catalogue get service.lookup-desk > desk.json",
      &RunCatalogueGet},
@@ -47,6 +48,9 @@
      "medlarctl explain --service lookup-desk --brand uwimana", &RunExplain},
     {"status", "[--members]", "hosts, readiness, what each serves and can't",
      "medlarctl status --members", &RunStatus},
+    {"request", "ID FILE…",
+     "one request's log lines from several hosts' logs, in order of time",
+     "medlarctl request 9c41d07be2a35f68 logs/*.log", &RunRequest},
     {"report", "", "all steerds' status and catalogue, as one JSON document",
      "medlarctl report > report.json", &RunReport},
 }};
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -115,6 +115,7 @@
     }
   }
   std::vector<std::string> addresses;
+  addresses.reserve(live.size());
   for (const auto& [name, address] : live) {
     addresses.push_back(address);
   }
--- /dev/null
+++ b/tests/system/platform_standins.py
@@ -0,0 +1,167 @@
+"""The platform's store and its targets, small, for tests of medlar-node on loopback."""
+
+import base64
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, *_):
+        """A caller that is gone is no news here."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def answer(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def answer_json(self, body):
+        self.answer(200, json.dumps(body).encode(), [("Content-Type", "application/json")])
+
+
+class Store:
+    """Rows, conditions and feed. `refuse_with` is the status of every answer while it is set."""
+
+    def __init__(self, address):
+        self.refuse_with = None
+        self.version = 0
+        self.rows = {}  # (table, key) -> (value, version)
+        self.removed = {}
+        self.changed = threading.Condition()
+        store = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                store._get(self)
+
+            def do_POST(self):
+                store._post(self)
+
+        self.server = _Server(address, Handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def put(self, table, key, value):
+        with self.changed:
+            self.version += 1
+            self.rows[table, key] = (value, self.version)
+            self.removed.pop((table, key), None)
+            self.changed.notify_all()
+
+    def put_json(self, table, key, value):
+        self.put(table, key, json.dumps(value).encode())
+
+    def remove(self, table, key):
+        with self.changed:
+            self.version += 1
+            self.rows.pop((table, key), None)
+            self.removed[table, key] = self.version
+            self.changed.notify_all()
+
+    def _changes(self, table, after):
+        changed = [(version, {"key": key, "value": base64.b64encode(value).decode(), "schema_version": version})
+                   for (name, key), (value, version) in self.rows.items() if name == table and version > after]
+        changed += [(version, {"key": key, "removed": True, "schema_version": version})
+                    for (name, key), version in self.removed.items() if name == table and version > after]
+        return [row for _, row in sorted(changed, key=lambda item: item[0])]
+
+    def _get(self, handler):
+        url = urlsplit(handler.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if self.refuse_with:
+            handler.answer(self.refuse_with)
+            return
+        with self.changed:
+            after = 0
+            if url.path.endswith("rows-feed"):
+                after = int(query["after"])
+                end = time.monotonic() + int(query["wait_ms"]) / 1000
+                while not self._changes(query["table"], after) and time.monotonic() < end:
+                    self.changed.wait(end - time.monotonic())
+            rows = self._changes(query["table"], after)
+            if after == 0:
+                rows = [row for row in rows if not row.get("removed")]
+            body = {"rows": rows, "has_more": False, "schema_version": self.version, "now": "0ms"}
+        if self.refuse_with:
+            handler.answer(self.refuse_with)
+            return
+        handler.answer_json(body)
+
+    def _post(self, handler):
+        transaction = json.loads(handler.body())
+        if self.refuse_with:
+            handler.answer(self.refuse_with)
+            return
+        for row in transaction["writes"]:
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        for row in transaction["remove"]:
+            self.remove(row["table"], row["key"])
+        handler.answer_json({"schema_version": self.version})
+
+
+class Target:
+    """One target. `mode`: ok, slow (answers after `delay_s`), cut (runs, then closes without an answer)."""
+
+    def __init__(self, store, name, service, domain, address, slots=2):
+        self.store, self.name, self.slots = store, name, slots
+        self.mode, self.delay_s = "ok", 0.02
+        self.ran = []
+        self.running = 0
+        self.lock = threading.Lock()
+        self.entry = {"address": "%s:%d" % address,
+                      "info": {"service": service, "version": "v1", "zone": domain, "slots": slots},
+                      "status": {"state": "in_service", "sequence": 1, "cold_remaining": "0ms"}}
+        target = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                target._serve(self)
+
+            do_POST = do_GET
+
+        self.server = _Server(address, Handler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        store.put_json("servers", name, self.entry)
+
+    def leave(self):
+        self.entry["status"]["state"] = "draining"
+        self.store.put_json("servers", self.name, self.entry)
+
+    def _serve(self, handler):
+        body = handler.body()
+        request = handler.headers["X-Medlarcroft-Attempt-Id"]
+        headers = [("X-Medlarcroft-Attempt-Id", request), ("X-Medlarcroft-Instance-Id", self.name)]
+        if handler.headers["X-Medlarcroft-Expect-Instance"] != self.name:
+            handler.answer(421, b"", headers + [("X-Medlarcroft-Not-Executed", "1")])
+            return
+        with self.lock:
+            self.running += 1
+            self.ran.append(request)
+        time.sleep(self.delay_s)
+        with self.lock:
+            self.running -= 1
+            load = "%d,0,%d" % (self.running, self.slots)
+        if self.mode == "cut":
+            handler.close_connection = True
+            handler.connection.close()
+            return
+        handler.answer(200, handler.path.encode() + body,
+                       headers + [("X-Medlarcroft-Server-Seal", "seal"), ("X-Medlarcroft-Server-Load", load)])
--- /dev/null
+++ b/tests/system/platform_test.py
@@ -0,0 +1,233 @@
+"""medlar-node on loopback, with a store and targets of our own: the whole path, a planned stop, and the three
+ways of docs/OPERATIONS.md from a failed request's id to its cause."""
+
+import http.client
+import json
+import pathlib
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+import urllib.request
+
+from platform_standins import Store, Target
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+NODE = ROOT / "build/programs/medlar-node"
+CONSOLE = ROOT / "build/programs/medlarctl"
+NET = "127.77"
+LIMIT_S = 20  # Generous: a test waits for what must come, and fails only without it.
+HOST = "menus.example"
+
+
+def route(name, prefix, kind, service, timeout="1500ms"):
+    return {"resource_kind": "routes", "metadata": {"name": name},
+            "spec": {"host": HOST, "prefix": prefix, "kind": kind, "timeout": timeout, "target_latency": "400ms",
+                     "priority": 1, "service": service, "max_attempts": 2, "sticky": True, "allowed_regions": []}}
+
+
+def configuration(version, routes):
+    services = [{"resource_kind": "services", "metadata": {"name": name}, "spec": {"cold": "0ms", "cold_per_s": 5}}
+                for name in ("desk", "ledger")]
+    return {"version": version, "resources": routes + services}
+
+
+ROUTES = [route("lookups", "/lookup/", "idempotent", "desk"),
+          route("orders", "/order/", "non_idempotent", "ledger")]
+
+
+def wait_for(condition):
+    end = time.monotonic() + LIMIT_S
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("it did not come about")
+        time.sleep(0.02)
+
+
+class Node:
+    """One medlar-node with its log file."""
+
+    def __init__(self, folder, number, store_port):
+        ip = f"{NET}.1.{number}"
+        self.name, self.caller, self.lookup = f"edge-{number}", (ip, 18100), (ip, 18102)
+        self.readiness, self.metrics = (ip, 18101), (ip, 18104)
+        self.log = folder / f"{self.name}.log"
+        settings = folder / f"{self.name}.yaml"
+        settings.write_text(json.dumps({
+            "host": self.name, "failure_domain": "z1", "region": "r1", "domains": [{"domain": "z1", "region": "r1"}],
+            "caller_listen": f"{ip}:18100", "readiness_listen": f"{ip}:18101", "lookup_listen": f"{ip}:18102",
+            "peer_listen": f"{ip}:18103", "metrics_listen": f"{ip}:18104", "store_address": f"{NET}.0.1:{store_port}"}))
+        self.process = subprocess.Popen([NODE, "--settings", settings], stdout=open(self.log, "wb"))
+
+    def get(self, address, path):
+        connection = http.client.HTTPConnection(*address, timeout=LIMIT_S)
+        connection.request("GET", path)
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+
+    def is_ready(self):
+        try:
+            return self.get(self.readiness, "/medlarcroft/readiness")[0] == 200
+        except OSError:
+            return False
+
+    def call(self, path, request, method="GET", body=None, connection=None):
+        connection = connection or http.client.HTTPConnection(*self.caller, timeout=LIMIT_S)
+        connection.request(method, path, body,
+                           {"Host": HOST, "X-Medlarcroft-Attempt-Id": request,
+                            "X-Medlarcroft-Affinity-Key": "7", "X-Medlarcroft-Deadline-Ms": "4000"})
+        answer = connection.getresponse()
+        return answer, answer.read()
+
+    def lines_of(self, request):
+        """The lines of docs/OPERATIONS.md's first step."""
+        def run():
+            return subprocess.run([CONSOLE, "request", request, self.log], capture_output=True, text=True)
+        wait_for(lambda: run().returncode == 0)
+        return [json.loads(line) for line in run().stdout.splitlines()]
+
+    def metric(self, name):
+        body = urllib.request.urlopen("http://%s:%d/metrics" % self.metrics, timeout=LIMIT_S).read().decode()
+        return sum(float(line.split()[-1]) for line in body.splitlines() if line.startswith(name))
+
+
+class PlatformTest(unittest.TestCase):
+    port = 18200
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.store = Store((f"{NET}.0.1", 0))
+        self.addCleanup(self.store.server.shutdown)
+        self.store.put_json("op", "config", configuration(1, ROUTES))
+        self.targets = {}
+        for service in ("desk", "ledger"):
+            for number in (1, 2):
+                PlatformTest.port += 1
+                name = f"{service}-{number}"
+                self.targets[name] = Target(self.store, name, service, "z1", (f"{NET}.2.1", PlatformTest.port))
+                self.addCleanup(self.targets[name].server.shutdown)
+        self.node = Node(pathlib.Path(folder.name), 1, self.store.server.server_port)
+        self.addCleanup(self.end_node)
+        wait_for(self.node.is_ready)
+
+    def end_node(self):
+        self.node.process.kill()
+        self.node.process.wait()
+
+    def runs(self, request):
+        return sum(target.ran.count(request) for target in self.targets.values())
+
+    def test_the_whole_path(self):
+        answer, body = self.node.call("/lookup/a%2Fb?q=%20", "r-1")
+        self.assertEqual((answer.status, body), (200, b"/lookup/a%2Fb?q=%20"))
+        self.assertEqual(answer.headers["X-Medlarcroft-Server-Seal"], "seal")
+        answer, body = self.node.call("/order/1", "r-2", "POST", b"swap")
+        self.assertEqual((answer.status, body), (200, b"/order/1swap"))
+        self.assertEqual(self.node.call("/nowhere/", "r-3")[0].status, 404)
+        wait_for(lambda: self.node.get(self.node.lookup, "/medlarcroft/resolve?region=r1")[0] == 200)
+        _, body = self.node.get(self.node.lookup, "/medlarcroft/resolve?region=r1")
+        self.assertEqual(json.loads(body)["addresses"], ["%s:%d" % self.node.caller])
+
+    def test_a_configuration_is_in_force_and_a_broken_one_changes_nothing(self):
+        self.store.put("op", "config", b'{"version":2,"resources":[{"resource_kind":"routes"}]}')
+        wait_for(lambda: '"event":"configuration-unreadable"' in self.node.log.read_text())
+        self.store.put_json("op", "config", configuration(3, ROUTES + [route("more", "/more/", "idempotent", "desk")]))
+        wait_for(lambda: self.node.call("/more/1", "r-1")[0].status == 200)
+        self.assertEqual(self.node.call("/lookup/1", "r-2")[0].status, 200)
+
+    def test_a_leaving_target_gets_nothing_new(self):
+        # The target says that it leaves; a moment later all callers are served by the other one.
+        self.targets["desk-1"].leave()
+        wait_for(lambda: '"change":"leaving"' in self.node.log.read_text())
+        before = len(self.targets["desk-1"].ran)
+        for number in range(20):
+            self.assertEqual(self.node.call("/lookup/%d" % number, "r-%d" % number)[0].status, 200)
+        self.assertEqual(len(self.targets["desk-1"].ran), before)
+
+    def test_a_planned_stop_cuts_nothing(self):
+        # Callers are being answered when the host is told to stop. Each gets its whole answer, readiness and
+        # look-ups end at once, and the process ends by itself.
+        for target in self.targets.values():
+            target.delay_s = 0.5
+        answers = []
+        callers = [threading.Thread(target=lambda n=n: answers.append(self.node.call("/lookup/%d" % n, "s-%d" % n)))
+                   for n in range(4)]
+        for caller in callers:
+            caller.start()
+        wait_for(lambda: sum(target.running for target in self.targets.values()) == 4)
+        self.node.process.terminate()
+        wait_for(lambda: not self.node.is_ready())
+        for caller in callers:
+            caller.join()
+        self.assertEqual([answer.status for answer, _ in answers], [200] * 4)
+        self.assertTrue(all(answer.headers["Connection"] == "close" for answer, _ in answers))
+        self.assertEqual(self.node.process.wait(LIMIT_S), 0)
+
+    def test_a_caller_that_leaves_ends_its_request(self):
+        # A caller closes its connection while a target works for it: the target's connection ends too, and what
+        # comes afterwards is not held up.
+        for target in self.targets.values():
+            target.delay_s = 1.0
+        connection = http.client.HTTPConnection(*self.node.caller, timeout=LIMIT_S)
+        connection.request("GET", "/lookup/1", headers={"Host": HOST, "X-Medlarcroft-Attempt-Id": "gone-1"})
+        wait_for(lambda: self.runs("gone-1") == 1)
+        connection.close()
+        lines = self.node.lines_of("gone-1")
+        wait_for(lambda: self.node.lines_of("gone-1")[-1]["event"] == "request-cancelled")
+        self.assertEqual(lines[0]["event"], "request-placed")
+
+    # The three ways of docs/OPERATIONS.md.
+
+    def test_explains_a_refusal_though_room_seems_free(self):
+        # The operator evacuates the only domain of the service: all its targets are idle, and every caller is
+        # refused at once.
+        self.store.put("op", "evacuate/z1", b"{}")
+        wait_for(lambda: '"event":"evacuation-began"' in self.node.log.read_text())
+        answer, _ = self.node.call("/lookup/1", "refused-1")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        self.assertEqual(self.runs("refused-1"), 0)
+
+        ending = self.node.lines_of("refused-1")[-1]
+        self.assertEqual((ending["event"], ending["reason"], ending["is_not_run"]),
+                         ("request-refused", "no-target", True))
+        cause = [json.loads(line) for line in self.node.log.read_text().splitlines() if "evacuation-began" in line]
+        self.assertEqual(cause[-1]["domain"], "z1")
+        self.assertLess(cause[-1]["time"], ending["time"])
+        self.assertGreaterEqual(self.node.metric('medlar_requests_ended_total{reason="no-target"}'), 1)
+
+    def test_explains_a_502_on_an_order(self):
+        # A target runs an order and closes the connection without an answer. The order may not run again, so its
+        # caller hears 502, and it ran once.
+        for target in self.targets.values():
+            target.mode = "cut"
+        answer, _ = self.node.call("/order/1", "lost-1", "POST", b"swap")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.runs("lost-1"), 1)
+
+        lines = self.node.lines_of("lost-1")
+        self.assertEqual([line["event"] for line in lines], ["request-placed", "attempt-failed", "request-failed"])
+        self.assertEqual(lines[1]["end"], "lost")
+        self.assertEqual(lines[1]["target"], lines[0]["target"])
+        self.assertEqual((lines[2]["reason"], lines[2]["is_not_run"]), ("may-have-run", False))
+        self.assertEqual(self.node.metric('medlar_attempt_ends_total{end="lost"}'), 1)
+
+    def test_explains_a_slow_answer(self):
+        # Both targets work slowly. The answer is whole and past its objective; the lines tell which target took
+        # the time, and that it was not the wait in a queue.
+        for target in self.targets.values():
+            target.delay_s = 0.7
+        answer, _ = self.node.call("/order/1", "slow-1", "POST", b"swap")
+        self.assertEqual(answer.status, 200)
+
+        lines = self.node.lines_of("slow-1")
+        self.assertEqual([line["event"] for line in lines], ["request-placed", "request-answered-late"])
+        self.assertLess(lines[0]["expected_wait_ms"], 50)
+        self.assertGreater(lines[1]["since_arrival_ms"], lines[1]["objective_ms"])
+        self.assertIn(lines[0]["target"], self.targets)
+
+
+if __name__ == "__main__":
+    unittest.main()
