Try routes whose time limit is below cold work

Change: too late is refused by the soonest answer (way, wait and warm work), not by the expected one. Refusals' lines tell the configuration and the best place there was.

Test: a route with a short limit is tried though nothing is warm.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
@@ -31,6 +31,7 @@
 struct Placement {
   TargetState* target = nullptr;
   Duration expected{0};       ///< Until the whole answer is here.
+  Duration soonest{0};        ///< The same, if the object is there.
   Duration expected_wait{0};  ///< Part of it, in the target's queue.
   double estimated_load = 0;
   std::uint32_t rank = 0;  ///< In the object's order within its region.
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -57,6 +57,8 @@
   bool is_not_run = true;
   /// When the caller may come back; absent: no use.
   std::optional<Duration> retry_after;
+  /// The best place there was, for the log; absent: none.
+  std::optional<Placement> best;
 };
 
 /// @brief Send the request to `target` now.
@@ -151,6 +153,9 @@
 
   [[nodiscard]] std::size_t InFlight() const { return requests_.size(); }
   [[nodiscard]] std::uint32_t HostCount() const { return host_count_; }
+  [[nodiscard]] std::uint64_t ConfigurationVersion() const {
+    return routes_.Version();
+  }
   [[nodiscard]] double AttemptsLeft(const ServiceName& service,
                                     MonotonicTime now);
 
--- a/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
@@ -199,6 +199,7 @@
 
 void RequestRunner::End(Running& running, const Ending& ending) {
   parts_.telemetry.OnEnding(running.decoded, running.begun.route.get(), ending,
+                            parts_.path.ConfigurationVersion(),
                             parts_.loop.Now() - running.started_at);
   running.exchange->Answer(
       parts_.codec.EncodeEnding(ending, running.decoded.id));
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -113,8 +113,10 @@
 void RequestTelemetry::OnEnding(const DecodedCall& call,
                                 const routing::Route* route,
                                 const request_path::Ending& ending,
+                                std::uint64_t configuration_version,
                                 Duration since_arrival) {
   const std::string_view name = NameOf(ending.reason);
+  const auto& best = ending.best;
   metrics_.CounterOf(kEndings, {Label::OfConstant("reason", name)}).Add();
   Log(LogLevel::kWarning,
       ending.is_not_run ? "request-refused" : "request-failed",
@@ -123,6 +125,12 @@
        {"path", call.request.target},
        {"reason", name},
        {"is_not_run", ending.is_not_run},
+       {"configuration", configuration_version},
+       {"best_target",
+        best ? best->target->Record().id.Value() : std::string()},
+       {"expected_ms", best ? ToMilliseconds(best->expected) : -1},
+       {"expected_wait_ms", best ? ToMilliseconds(best->expected_wait) : -1},
+       {"estimated_load", best ? best->estimated_load : -1.0},
        {"retry_after_ms",
         ending.retry_after ? ToMilliseconds(*ending.retry_after) : -1},
        {"since_arrival_ms", ToMilliseconds(since_arrival)}});
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.h
@@ -1,6 +1,7 @@
 #ifndef MEDLARCROFT_ADAPTERS_FORWARD_REQUEST_TELEMETRY_H_
 #define MEDLARCROFT_ADAPTERS_FORWARD_REQUEST_TELEMETRY_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -36,6 +37,7 @@
   void OnEnding(const DecodedCall& call,
                 const routing::Route* route,
                 const request_path::Ending& ending,
+                std::uint64_t configuration_version,
                 Duration since_arrival);
   void OnCallerGone(std::string_view id, Duration since_arrival);
 
--- a/lib/libmedlarcroft/source/request_path/placement_policy.cc
+++ b/lib/libmedlarcroft/source/request_path/placement_policy.cc
@@ -116,6 +116,9 @@
                       target.RelativeTime();
   const double penalty = target.FailureRatio() * kFailurePenalty *
                          ToSeconds(question.latency_objective);
+  const double warm_work =
+      ToSeconds(question.times.Work(true)) * target.RelativeTime();
+  placement.soonest = round_trip + FromSeconds(wait + warm_work);
   placement.expected_wait = FromSeconds(wait);
   placement.expected = round_trip + FromSeconds(wait + work + penalty);
 }
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -143,16 +143,21 @@
     return Ending{.reason = EndReason::kNoTarget,
                   .retry_after = ReturnTime(Duration(0), now)};
   }
-  if (placement->expected > request.deadline - now) {
+  // Failure: refusing by the expected time denies routes of short time limits
+  // altogether while nothing of them is warm. Symptom: a route that was added
+  // serves nobody. So only what can't be in time at best is refused.
+  if (placement->soonest > request.deadline - now) {
     return Ending{.reason = EndReason::kTooLate,
-                  .retry_after = ReturnTime(placement->expected_wait, now)};
+                  .retry_after = ReturnTime(placement->expected_wait, now),
+                  .best = placement};
   }
   const Duration longest_wait =
       FromSeconds(kLongestWait * ToSeconds(request.route->latency_objective));
   if (placement->expected_wait > longest_wait) {
-    return Ending{.reason = EndReason::kNoRoom,
-                  .retry_after =
-                      ReturnTime(placement->expected_wait - longest_wait, now)};
+    return Ending{
+        .reason = EndReason::kNoRoom,
+        .retry_after = ReturnTime(placement->expected_wait - longest_wait, now),
+        .best = placement};
   }
   return Send(request, *placement, now);
 }
--- a/tests/unit/request_path/request_path_test.cc
+++ b/tests/unit/request_path/request_path_test.cc
@@ -37,7 +37,7 @@
                                .latency_objective = milliseconds(500),
                                .max_attempts = max_attempts,
                                .parts = {{.service = kService}},
-                               .is_sticky = true}}});
+                               .is_sticky = is_sticky_}}});
     std::vector<TargetRecord> records;
     records.reserve(static_cast<std::size_t>(targets));
     for (int i = 0; i < targets; ++i) {
@@ -67,6 +67,7 @@
                     book_,
                     random_};
   std::uint64_t version_ = 0;
+  bool is_sticky_ = true;
 };
 
 const Ending* EndingIn(const Step& step) {
@@ -248,6 +249,19 @@
   EXPECT_EQ(EndingIn(Begin(milliseconds(5)).step)->reason, EndReason::kTooLate);
 }
 
+// A route was added with a time limit below what cold work takes, and nothing
+// of it is warm yet. Its callers must be tried: refused, nothing would ever get
+// warm, and the route would serve nobody.
+TEST_F(RequestPathTest, ARouteWithAShortLimitIsTriedThoughNothingIsWarm) {
+  is_sticky_ = false;
+  Configure(RequestKind::kIdempotent);
+  const Begun begun = Begin(milliseconds(300));
+
+  ASSERT_TRUE(std::holds_alternative<SendAttempt>(begun.step));
+  EXPECT_GT(std::get<SendAttempt>(begun.step).placement.expected,
+            milliseconds(300));
+}
+
 TEST_F(RequestPathTest, ACallerThatLeavesFreesItsPlace) {
   Configure(RequestKind::kIdempotent, 1);
   const Begun begun = Begin();
