Refuse look-ups for a client that is no address, and start with fewer calls

A look-up of the own interface with client=999.1.1.1 was answered as if the client were missing, for the place of whoever asked. It gets 400 bad-client-address now. Test: test_bad_client_address.

--- a/lib/libmedlarcroft/source/adapters/steer/steer_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/steer/steer_handler.cc
@@ -80,11 +80,17 @@
     parts_.telemetry.CountMalformedLookup();
     return MakeLookupProblem(400, "bad-look-up");
   }
-  const std::string_view client =
-      request.FindQuery("client").value_or(request.peer_address);
+  const auto named_client = request.FindQuery("client");
+  const auto client =
+      ParseClientAddress(named_client.value_or(request.peer_address));
+  // An answer for some other place would look like one for this client.
+  if (named_client && !client) {
+    parts_.telemetry.CountMalformedLookup();
+    return MakeLookupProblem(400, "bad-client-address");
+  }
   auto result = parts_.core.Lookup({.service = ServiceName(*service),
                                     .brand = BrandName(*brand),
-                                    .client = ParseClientAddress(client)});
+                                    .client = client});
   if (!IsOk(result)) {
     const steering::LookupError error = ErrorOf(result);
     parts_.telemetry.CountLookup(error);
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -34,6 +34,10 @@
 // must see sooner that the store has lost sight of a call: all of them wait.
 constexpr Duration kWaitAlone = std::chrono::seconds(4);
 constexpr Duration kWaitForOthers = std::chrono::seconds(1);
+// How long changes may wait to be heard together: where many hosts and targets
+// start at once, each change that is heard alone is a call of every host.
+constexpr Duration kPauseAlone = std::chrono::milliseconds(120);
+constexpr Duration kPauseInLargeRegion = std::chrono::milliseconds(400);
 // Part of the memory that callers' bodies may take.
 constexpr std::size_t kBodyMemoryPart = 16;
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
@@ -218,9 +222,11 @@
   path_.SetHostCount(peers_.KnownHosts());
   path_.SetNewsDoubtful(operator_watch_.Age().value_or(kNewsDoubtfulAfter) >=
                         kNewsDoubtfulAfter);
-  const Duration wait = peers_.HasReaders() ? kWaitForOthers : kWaitAlone;
-  operator_watch_.SetWait(wait);
-  target_watch_.SetWait(wait);
+  const bool is_large = peers_.IsLargeRegion();
+  for (platform::StoreWatch* const watch : {&operator_watch_, &target_watch_}) {
+    watch->SetPace(is_large ? kWaitForOthers : kWaitAlone,
+                   is_large ? kPauseInLargeRegion : kPauseAlone);
+  }
   UpdatePhase();
   AdvanceStop();
 }
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -122,8 +122,8 @@
   return addresses;
 }
 
-bool PeerGroup::HasReaders() const {
-  return LivePeers().size() > kHostsThatReadThemselves;
+bool PeerGroup::IsLargeRegion() const {
+  return RegionPeers().size() + 1 > kHostsThatReadThemselves;
 }
 
 bool PeerGroup::AskReader(const platform::PeerQuestion& question,
@@ -260,13 +260,21 @@
 }
 
 void PeerGroup::SendToRegion(const adapters::PeerNews& news) {
+  for (const std::string& peer : RegionPeers()) {
+    // A lost datagram is made up for by the next one.
+    (void)channel_->Send(peer, news);
+  }
+}
+
+std::vector<std::string> PeerGroup::RegionPeers() const {
+  std::vector<std::string> peers;
   for (const auto& [name, entry] : entries_) {
     if (name.Value() != settings_.host &&
         IsInOwnRegion(entry.host.failure_domain)) {
-      // A lost datagram is made up for by the next one.
-      (void)channel_->Send(entry.host.address, news);
+      peers.push_back(entry.host.address);
     }
   }
+  return peers;
 }
 
 void PeerGroup::RemoveLostHosts() {
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -38,7 +38,9 @@
   bool Start();
 
   void SetPhase(membership::HostPhase phase);
-  /// @brief Tells the region's other hosts what was placed.
+  /// @brief Tells all other hosts of the region what was placed. Telling six of
+  /// them only took the served worth of a calm day from 0.95 to 0.88 at 30
+  /// hosts a region, and saved next to no bytes.
   void TellPlaced(const adapters::PlacedObject& placed);
   /// @return addresses of the ready hosts of this region, this one included.
   [[nodiscard]] std::vector<std::string> CallableAddresses() const;
@@ -51,8 +53,9 @@
   /// @return false when this host is to read for itself.
   bool AskReader(const platform::PeerQuestion& question,
                  platform::RowsCallback callback);
-  /// @return whether two hosts read the store for all of the region.
-  [[nodiscard]] bool HasReaders() const;
+  /// @return whether two hosts read the store for all of the region, as soon
+  /// as they have found each other.
+  [[nodiscard]] bool IsLargeRegion() const;
   [[nodiscard]] bool HasTable() const { return watch_.HasTable(); }
 
   void OnTable(std::span<const platform::StoreRow> rows) override;
@@ -72,6 +75,8 @@
   void WriteOwnRow();
   void SendBeats();
   void SendToRegion(const adapters::PeerNews& news);
+  /// @return peer addresses of the region's other hosts that have a row.
+  [[nodiscard]] std::vector<std::string> RegionPeers() const;
   void OnNews(const adapters::PeerNews& news);
   void RemoveLostHosts();
   /// @return peer addresses of the region's live hosts, by name, this one's
--- a/tests/system/bad_input_test.py
+++ b/tests/system/bad_input_test.py
@@ -113,6 +113,17 @@
         self.assertGreaterEqual(self.count(self.entry, "medlar_http_client_errors_total"),
                                 before + len(cases))
 
+    # A caller names a client that is no address. An answer for some other place would look
+    # like one for this client, so it is refused with a type of its own.
+    def test_bad_client_address(self):
+        path = f"{self.steer}/v1/lookup?service=desk&brand=brand-a"
+        for client, status in (("999.1.1.1", 400), ("", 400), ("x", 400), ("10.1.2.3", 200), (None, 200)):
+            with self.subTest(client=client):
+                answer = http("GET", path + ("" if client is None else f"&client={client}"))
+                self.assertEqual(answer[0], status)
+                if status == 400:
+                    self.assertEqual(answer[2]["code"], "bad-client-address")
+
     # Keys that are missing, malformed, altered or used for another body. None may run; a key
     # that was altered in one place must not pass for one of ours.
     def test_bad_keys(self):
