Send signs of life of ten bytes between whole host states

Cause: a whole state each 0.8 s to each host of the region is 25 KB a second at 126 hosts, against 7 KB a second for control at the planned size.

Change: two beats of three are a heartbeat of ten bytes, which the membership table takes already; in regions of more than 50 hosts beats are further apart and the time after which a host counts as unheard grows with them.

--- a/lib/libmedlarcroft/source/adapters/peer/peer_channel.cc
+++ b/lib/libmedlarcroft/source/adapters/peer/peer_channel.cc
@@ -35,6 +35,7 @@
     item.object = placed.object;
     datagram.placed.push_back(item);
   }
+  datagram.heartbeats = membership::EncodeHeartbeats(news.heartbeats);
   const auto buffer = std::make_shared<TMemoryBuffer>();
   datagram.write(MakeCompactProtocol(buffer).get());
   return buffer->getBufferAsString();
@@ -59,6 +60,11 @@
     news.placed.push_back(
         {.target = TargetName(item.target), .object = item.object});
   }
+  auto heartbeats = membership::DecodeHeartbeats(message.heartbeats);
+  if (!heartbeats) {
+    return std::nullopt;
+  }
+  news.heartbeats = std::move(*heartbeats);
   return news;
 }
 
--- a/lib/libmedlarcroft/source/adapters/peer/peer_channel.h
+++ b/lib/libmedlarcroft/source/adapters/peer/peer_channel.h
@@ -12,6 +12,7 @@
 #include "adapters/event/event_loop.h"
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/result.h"
+#include "medlarcroft/membership/heartbeat.h"
 #include "medlarcroft/membership/host_state.h"
 
 namespace medlarcroft::adapters {
@@ -26,6 +27,8 @@
 struct PeerNews {
   std::optional<membership::HostState> state;  ///< Without its loads.
   std::vector<PlacedObject> placed;
+  /// Signs of life of hosts whose state is known, in ten bytes each.
+  std::vector<membership::Heartbeat> heartbeats;
 };
 
 [[nodiscard]] std::string EncodePeerNews(const PeerNews& news);
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -20,6 +20,14 @@
 // Three beats: one lost datagram must not take a host out of look-ups, and a
 // dead one must be out well before callers have tried it often.
 constexpr Duration kUnheardLimit = std::chrono::milliseconds(2600);
+// One beat in so many tells the whole state, for hosts that have just started;
+// the others are signs of life, a third of its bytes.
+constexpr std::uint32_t kWholeStateEvery = 3;
+// In larger regions beats are further apart, so that a host sends no more than
+// some 5 KB a second of them at 126 hosts, which is what the planned size has.
+constexpr std::size_t kPeersABeat = 50;
+// The table's own limits are not used; they only must not be shorter.
+constexpr Duration kTableLimit = std::chrono::seconds(20);
 constexpr Duration kRowWait = std::chrono::seconds(20);
 // Hosts start together, and each writes its row.
 constexpr Duration kRowPause = std::chrono::milliseconds(1000);
@@ -50,8 +58,8 @@
     : settings_(settings),
       parts_(parts),
       table_({.suspect_after = kUnheardLimit,
-              .dead_after = kUnheardLimit,
-              .unknown_after = kUnheardLimit,
+              .dead_after = kTableLimit,
+              .unknown_after = kTableLimit,
               .forget_after = kLostAfter},
              MakeSelf(settings, parts.loop.Clock()),
              parts.loop.Clock()),
@@ -84,7 +92,7 @@
     return;
   }
   table_.UpdateSelf([&](membership::HostState& self) { self.phase = phase; });
-  SendBeats();
+  SendState();
 }
 
 std::vector<std::string> PeerGroup::CallableAddresses() const {
@@ -94,7 +102,7 @@
   }
   for (const membership::Member& member : table_.Members()) {
     const bool is_callable = member.state.phase == HostPhase::kReady &&
-                             member.state.age < kUnheardLimit &&
+                             IsHeard(member) &&
                              member.liveness != Liveness::kLeaving &&
                              IsInOwnRegion(member.state.failure_domain);
     if (is_callable) {
@@ -109,7 +117,7 @@
   live[table_.Self().host] = settings_.peer_listen;
   for (const membership::Member& member : table_.Members()) {
     const membership::HostState& state = member.state;
-    if (state.age < kUnheardLimit && !state.peer_address.empty() &&
+    if (IsHeard(member) && !state.peer_address.empty() &&
         state.phase == HostPhase::kReady) {
       live[state.host] = state.peer_address;
     }
@@ -242,10 +250,33 @@
 
 void PeerGroup::SendBeats() {
   table_.Tick();
+  if (++beats_ % BeatSpacing() != 0) {
+    return;
+  }
   table_.UpdateSelf([](membership::HostState&) {});
+  const membership::HostState& self = table_.Self();
+  const auto heartbeat =
+      membership::MakeHeartbeat(self.host, self.number, Duration(0));
+  const bool is_whole = beats_ / BeatSpacing() % kWholeStateEvery == 0;
+  if (is_whole || !heartbeat) {
+    SendState();
+    return;
+  }
+  SendToRegion({.heartbeats = {*heartbeat}});
+}
+
+void PeerGroup::SendState() {
   SendToRegion({.state = table_.Self()});
 }
 
+std::uint32_t PeerGroup::BeatSpacing() const {
+  return 1 + static_cast<std::uint32_t>(RegionPeers().size() / kPeersABeat);
+}
+
+bool PeerGroup::IsHeard(const membership::Member& member) const {
+  return member.state.age < kUnheardLimit * BeatSpacing();
+}
+
 void PeerGroup::TellPlaced(const adapters::PlacedObject& placed) {
   SendToRegion({.placed = {placed}});
 }
@@ -254,6 +285,9 @@
   if (news.state) {
     table_.Receive(*news.state);
   }
+  for (const membership::Heartbeat& heartbeat : news.heartbeats) {
+    table_.Receive(heartbeat);
+  }
   for (const adapters::PlacedObject& placed : news.placed) {
     parts_.on_placed(placed);
   }
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -74,6 +74,10 @@
   void PublishList();
   void WriteOwnRow();
   void SendBeats();
+  void SendState();
+  /// @return how many beat periods lie between this host's beats.
+  [[nodiscard]] std::uint32_t BeatSpacing() const;
+  [[nodiscard]] bool IsHeard(const membership::Member& member) const;
   void SendToRegion(const adapters::PeerNews& news);
   /// @return peer addresses of the region's other hosts that have a row.
   [[nodiscard]] std::vector<std::string> RegionPeers() const;
@@ -91,6 +95,7 @@
   std::unique_ptr<adapters::PeerChannel> channel_;
   platform::StoreWatch watch_;
   std::map<HostName, Entry> entries_;
+  std::uint32_t beats_ = 0;
 };
 
 }  // namespace medlarcroft::node
--- a/tests/unit/adapters/peer/peer_channel_test.cc
+++ b/tests/unit/adapters/peer/peer_channel_test.cc
@@ -17,8 +17,10 @@
 }
 
 PeerNews MakeNews() {
-  return {.state = MakeState(),
-          .placed = {{.target = TargetName("t1"), .object = "17"}}};
+  return {
+      .state = MakeState(),
+      .placed = {{.target = TargetName("t1"), .object = "17"}},
+      .heartbeats = {{.host_hash = 3, .incarnation_hash = 5, .sequence = 7}}};
 }
 
 TEST(PeerNewsTest, ReadsTheSameButForTheLoads) {
@@ -29,6 +31,7 @@
   EXPECT_EQ(decoded->state->phase, membership::HostPhase::kReady);
   EXPECT_EQ(decoded->state->entry_address, "127.0.0.1:80");
   EXPECT_TRUE(decoded->state->loads.empty());
+  EXPECT_EQ(decoded->heartbeats, MakeNews().heartbeats);
   ASSERT_EQ(decoded->placed.size(), 1U);
   EXPECT_EQ(decoded->placed[0].target, TargetName("t1"));
   EXPECT_EQ(decoded->placed[0].object, "17");
