--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -140,7 +140,7 @@
   /// @brief The time that `Begin` told is over: the request ends.
   [[nodiscard]] Ending OnTimeout(RequestTicket ticket, MonotonicTime now);
   /// @brief The caller went away: the request ends.
-  void OnCallerGone(RequestTicket ticket, MonotonicTime now);
+  void OnCallerGone(RequestTicket ticket);
 
   void OnReport(const TargetName& target,
                 const LoadReport& report,
@@ -202,13 +202,12 @@
   [[nodiscard]] Step SendAgain(Request& request, MonotonicTime now);
   [[nodiscard]] Step Conclude(RequestTicket ticket,
                               Request& request,
-                              const Ending& ending,
-                              MonotonicTime now);
+                              const Ending& ending);
   void Learn(const Request& request,
              const Attempt& attempt,
              AttemptEnd end,
              MonotonicTime now);
-  [[nodiscard]] Duration ReturnTime(Duration wait, MonotonicTime now);
+  [[nodiscard]] Duration ReturnTime(Duration wait);
   std::vector<AttemptNumber> Abandon(Request& request);
 
   Options options_;
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_book.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_book.h
@@ -50,8 +50,7 @@
                   MonotonicTime now);
   void Put(const TargetRecord& target, MonotonicTime now);
   void Remove(const TargetName& target,
-              std::optional<MonotonicTime> doubted_until,
-              MonotonicTime now);
+              std::optional<MonotonicTime> doubted_until);
   /// @brief Removes targets whose doubt has ended.
   void Advance(MonotonicTime now);
 
--- a/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
@@ -184,7 +184,7 @@
   const MonotonicTime now = parts_.loop.Now();
   parts_.telemetry.OnCallerGone(found->second->decoded.id,
                                 now - found->second->started_at);
-  parts_.path.OnCallerGone(ticket, now);
+  parts_.path.OnCallerGone(ticket);
   Forget(ticket);
 }
 
--- a/lib/libmedlarcroft/source/adapters/process/pipe_appender.h
+++ b/lib/libmedlarcroft/source/adapters/process/pipe_appender.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace medlarcroft::adapters {
 
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -53,7 +53,7 @@
   Begun begun;
   if (!routes_.IsConfigured()) {
     begun.step = Ending{.reason = EndReason::kNotConfigured,
-                        .retry_after = ReturnTime(Duration(0), now)};
+                        .retry_after = ReturnTime(Duration(0))};
     return begun;
   }
   begun.route = routes_.Find(request.host, request.target);
@@ -61,7 +61,7 @@
     Ending ending{.reason = EndReason::kNoRoute};
     if (is_news_doubtful_) {
       ending = {.reason = EndReason::kNoRouteYet,
-                .retry_after = ReturnTime(Duration(0), now)};
+                .retry_after = ReturnTime(Duration(0))};
     }
     begun.step = ending;
     return begun;
@@ -141,14 +141,14 @@
   const std::optional<Placement> placement = PlaceByPlan(request, now);
   if (!placement) {
     return Ending{.reason = EndReason::kNoTarget,
-                  .retry_after = ReturnTime(Duration(0), now)};
+                  .retry_after = ReturnTime(Duration(0))};
   }
   // Failure: refusing by the expected time denies routes of short time limits
   // altogether while nothing of them is warm. Symptom: a route that was added
   // serves nobody. So only what can't be in time at best is refused.
   if (placement->soonest > request.deadline - now) {
     return Ending{.reason = EndReason::kTooLate,
-                  .retry_after = ReturnTime(placement->expected_wait, now),
+                  .retry_after = ReturnTime(placement->expected_wait),
                   .best = placement};
   }
   const Duration longest_wait =
@@ -156,7 +156,7 @@
   if (placement->expected_wait > longest_wait) {
     return Ending{
         .reason = EndReason::kNoRoom,
-        .retry_after = ReturnTime(placement->expected_wait - longest_wait, now),
+        .retry_after = ReturnTime(placement->expected_wait - longest_wait),
         .best = placement};
   }
   return Send(request, *placement, now);
@@ -202,7 +202,7 @@
 Step RequestPath::SendAgain(Request& request, MonotonicTime now) {
   const Ending spent{.reason = EndReason::kRetriesSpent,
                      .is_not_run = !request.may_have_run,
-                     .retry_after = ReturnTime(Duration(0), now)};
+                     .retry_after = ReturnTime(Duration(0))};
   if (request.arrivals >= request.route->max_attempts) {
     return spent;
   }
@@ -254,8 +254,7 @@
       request.may_have_run || request.failed_answer.has_value();
   if (has_run && !may_repeat) {
     return Conclude(ticket, request,
-                    {.reason = EndReason::kMayHaveRun, .is_not_run = false},
-                    now);
+                    {.reason = EndReason::kMayHaveRun, .is_not_run = false});
   }
   const bool has_open =
       std::any_of(request.attempts.begin(), request.attempts.end(),
@@ -265,15 +264,14 @@
   }
   Step step = SendAgain(request, now);
   if (const auto* const ending = std::get_if<Ending>(&step)) {
-    return Conclude(ticket, request, *ending, now);
+    return Conclude(ticket, request, *ending);
   }
   return step;
 }
 
 Step RequestPath::Conclude(RequestTicket ticket,
                            Request& request,
-                           const Ending& ending,
-                           MonotonicTime /*now*/) {
+                           const Ending& ending) {
   // A target's own answer, though it reports a failure, says more than ours.
   Step step = ending;
   if (request.failed_answer) {
@@ -323,7 +321,7 @@
   return {.reason = EndReason::kTimedOut, .is_not_run = false};
 }
 
-void RequestPath::OnCallerGone(RequestTicket ticket, MonotonicTime /*now*/) {
+void RequestPath::OnCallerGone(RequestTicket ticket) {
   const auto found = requests_.find(ticket);
   if (found == requests_.end()) {
     return;
@@ -415,7 +413,7 @@
   return static_cast<std::uint32_t>(of_all / host_count_);
 }
 
-Duration RequestPath::ReturnTime(Duration wait, MonotonicTime /*now*/) {
+Duration RequestPath::ReturnTime(Duration wait) {
   const double seconds = kLeastReturnSeconds + ToSeconds(wait) +
                          kReturnSpreadSeconds * random_.NextUnit();
   return FromSeconds(std::min(seconds, kLongestReturnSeconds));
--- a/lib/libmedlarcroft/source/request_path/target_book.cc
+++ b/lib/libmedlarcroft/source/request_path/target_book.cc
@@ -22,7 +22,7 @@
     }
   }
   for (const TargetName& id : missing) {
-    Remove(id, doubted_until, now);
+    Remove(id, doubted_until);
   }
   is_first_list_ = false;
 }
@@ -71,8 +71,7 @@
 }
 
 void TargetBook::Remove(const TargetName& target,
-                        std::optional<MonotonicTime> doubted_until,
-                        MonotonicTime /*now*/) {
+                        std::optional<MonotonicTime> doubted_until) {
   const auto found = targets_.find(target);
   if (found == targets_.end()) {
     return;
--- a/programs/node/routing_news.cc
+++ b/programs/node/routing_news.cc
@@ -125,7 +125,7 @@
   const MonotonicTime now = loop_.Now();
   for (const platform::StoreRow& row : rows) {
     if (row.is_removed) {
-      targets_.Remove(TargetName(row.key), DoubtedUntil(), now);
+      targets_.Remove(TargetName(row.key), DoubtedUntil());
       continue;
     }
     auto target = platform::DecodeTargetEntry(row.key, row.value);
--- a/tests/fuzz/settings_fuzzer.cc
+++ b/tests/fuzz/settings_fuzzer.cc
@@ -7,6 +7,7 @@
 
 #include "adapters/load/load_plan_schema.h"
 #include "adapters/process/entryd_settings.h"
+#include "adapters/process/node_settings.h"
 #include "adapters/process/settings_document.h"
 #include "adapters/process/steerd_settings.h"
 
@@ -37,6 +38,7 @@
   const std::string_view text(reinterpret_cast<const char*>(data), size);
   adapters::Check(adapters::SteerdSchema(), text);
   adapters::Check(adapters::EntrydSchema(), text);
+  adapters::Check(adapters::NodeSchema(), text);
   adapters::Check(adapters::LoadPlanSchema(), text);
   return 0;
 }
--- a/tests/unit/adapters/process/program_options_test.cc
+++ b/tests/unit/adapters/process/program_options_test.cc
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "adapters/process/entryd_settings.h"
+#include "adapters/process/node_settings.h"
 #include "adapters/process/steerd_settings.h"
 #include "adapters/process/version.h"
 
@@ -103,6 +104,7 @@
 std::string MakeSettingsPage() {
   const SteerdSettings steerd;
   const EntrydSettings entryd;
+  const NodeSettings node;
   return "# Settings\n\n"
          "Made from the schemas in `lib/libmedlarcroft/source/adapters/"
          "process/`;\nprinted by each program with `--settings-reference`. "
@@ -110,7 +112,8 @@
          "`scripts/write-settings-page`.\n\n## medlar-steerd\n\n" +
          FormatReference(SteerdSchema().Fields(), &steerd) +
          "\n## medlar-entryd\n\n" +
-         FormatReference(EntrydSchema().Fields(), &entryd);
+         FormatReference(EntrydSchema().Fields(), &entryd) +
+         "\n## medlar-node\n\n" + FormatReference(NodeSchema().Fields(), &node);
 }
 
 TEST(SettingsPageTest, IsWhatTheSchemasSay) {
--- /dev/null
+++ b/tests/unit/dist/deploy_template_test.cc
@@ -0,0 +1,49 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <regex>
+#include <sstream>
+#include <string>
+
+#include "adapters/process/node_settings.h"
+#include "adapters/process/settings_document.h"
+
+namespace medlarcroft::adapters {
+namespace {
+
+// The platform fills in the template; with any value of the right form in each
+// place the result must be settings without a fault.
+TEST(DeployTemplateTest, FillsInToGoodSettings) {
+  std::ifstream file(std::string(MEDLARCROFT_SOURCE_DIR) +
+                     "/deploy/node.yaml.in");
+  std::stringstream text;
+  text << file.rdbuf();
+  std::string settings = text.str();
+  const std::vector<std::pair<std::string, std::string>> values = {
+      {R"(\{\{[#/]zones\}\})", ""},
+      {R"(\{\{@\}\})", "zone-a"},
+      {R"(\{\{\.\}\})", "region-a"},
+      {R"(\{\{(listen\.\w+|platform\.address)\|json\}\})", "\"127.0.0.1:80\""},
+      {R"(\{\{bounds\.(budget_window|grace|ttl_max)\|json\}\})", "\"5s\""},
+      {R"(\{\{\w+\|json\}\})", "\"name\""},
+      {R"(\{\{ip\}\})", "127.0.0.1"},
+      {R"(\{\{port_range\.0\}\})", "7540"},
+      {R"(\{\{limits\.memory_mb\}\})", "260"},
+      {R"(\{\{bounds\.(budget_ratio|max_shift)\}\})", "0.2"},
+      {R"(\{\{bounds\.\w+\}\})", "5"}};
+  for (const auto& [place, value] : values) {
+    settings = std::regex_replace(settings, std::regex(place), value);
+  }
+  ASSERT_EQ(settings.find("{{"), std::string::npos) << settings;
+
+  const auto parsed = ParseSettings(NodeSchema(), settings, "node.yaml");
+
+  ASSERT_TRUE(IsOk(parsed)) << FormatFault(ErrorOf(parsed).front());
+  EXPECT_EQ(ValueOf(parsed).memory_mb, 260U);
+  EXPECT_EQ(ValueOf(parsed).bounds.stop_limit, std::chrono::seconds(5));
+  ASSERT_EQ(ValueOf(parsed).domains.size(), 1U);
+  EXPECT_EQ(ValueOf(parsed).domains[0].region, "region-a");
+}
+
+}  // namespace
+}  // namespace medlarcroft::adapters
--- a/tests/unit/request_path/request_path_test.cc
+++ b/tests/unit/request_path/request_path_test.cc
@@ -265,7 +265,7 @@
 TEST_F(RequestPathTest, ACallerThatLeavesFreesItsPlace) {
   Configure(RequestKind::kIdempotent, 1);
   const Begun begun = Begin();
-  path_.OnCallerGone(begun.ticket, kStart);
+  path_.OnCallerGone(begun.ticket);
 
   EXPECT_EQ(path_.InFlight(), 0U);
   EXPECT_EQ(book_.Find(TargetName("t0"))->OwnOutstanding(), 0U);
--- a/tests/unit/request_path/target_book_test.cc
+++ b/tests/unit/request_path/target_book_test.cc
@@ -63,7 +63,7 @@
   List({MakeTarget("t1"), MakeTarget("t2")});
   EXPECT_EQ(UsableIds(), Ids{TargetName("t2")});
 
-  book_.Remove(TargetName("t1"), std::nullopt, kStart);
+  book_.Remove(TargetName("t1"), std::nullopt);
   book_.Put(MakeTarget("t1"), kStart);
   EXPECT_EQ(UsableIds(), Ids{TargetName("t2")});
 }
@@ -95,7 +95,7 @@
 
 TEST_F(TargetBookTest, ARemovedEntryIsGoneAtOnceWhileTheStoreIsWell) {
   List({MakeTarget("t1")});
-  book_.Remove(TargetName("t1"), std::nullopt, kStart);
+  book_.Remove(TargetName("t1"), std::nullopt);
 
   EXPECT_TRUE(UsableIds().empty());
   EXPECT_EQ(observer_.changes.back().first, BookChange::kRemoved);
