--- a/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
@@ -22,7 +22,7 @@
 // Failure: a target drops an idle connection as a request is sent on it.
 // Symptom: nothing tells whether the request ran, so one that is not idempotent
 // can't be sent again. Servers keep connections for seconds, so one that was in
-// use a moment ago is safe, at the cost of about one connection in ten.
+// use a moment ago is safe.
 constexpr Duration kFreshIdle = std::chrono::milliseconds(2500);
 constexpr Duration kAnyIdle = std::chrono::seconds(8);
 
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -20,7 +20,7 @@
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(250);
 // Callers ask again after this, so a host that leaves or dies is named no
-// longer than that; shorter costs more look-ups, of 0.1 ms each.
+// longer than that; shorter costs more look-ups.
 constexpr Duration kLookupTimeToLive = std::chrono::milliseconds(1000);
 // Some callers keep an answer three times as long as they are told.
 constexpr Duration kAnnounceTime = std::chrono::milliseconds(2800);
