Let a setting with nothing behind its name keep its default

Cause: the deploy template is filled in with what a deployment has. One that lacks a bound (a contract that is not in force there) left the name with nothing behind it, and medlar-node refused to start (exit 3, wrong-type). Change: an empty value of an optional setting counts as not given; a required one is a fault as before. Shown by: SettingsSchemaTest.ANameWithNothingBehindItKeepsItsDefault, which failed first.

--- a/lib/libmedlarcroft/source/adapters/process/settings_field.cc
+++ b/lib/libmedlarcroft/source/adapters/process/settings_field.cc
@@ -53,6 +53,12 @@
                     "each name once");
     return;
   }
+  // Failure: a template is filled in where a value does not exist. Symptom: the
+  // name stands there with nothing behind it and the program refuses to start.
+  // It counts as not given; a required one is still a fault.
+  if (value.IsNull() && !field->options.is_required) {
+    return;
+  }
   field->read(settings, {.node = value, .path = path, .sink = parent.sink});
 }
 
--- a/tests/unit/adapters/process/settings_schema_test.cc
+++ b/tests/unit/adapters/process/settings_schema_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "adapters/process/entryd_settings.h"
+#include "adapters/process/node_settings.h"
 #include "adapters/process/settings_document.h"
 #include "adapters/process/steerd_settings.h"
 
@@ -124,6 +125,31 @@
                         "share_listen", "platform_url"}));
 }
 
+// A template is filled in for a deployment that lacks some values: the names
+// stand there with nothing behind them. The program must start all the same.
+TEST(SettingsSchemaTest, ANameWithNothingBehindItKeepsItsDefault) {
+  const auto result = ParseSettings(NodeSchema(),
+                                    R"(host: a
+failure_domain: z
+region: r
+caller_listen: 127.0.0.1:1
+readiness_listen: 127.0.0.1:2
+lookup_listen: 127.0.0.1:3
+peer_listen: 127.0.0.1:4
+store_address: 127.0.0.1:5
+memory_mb:
+bounds:
+  shift_most:
+  stop_limit: 7s
+)",
+                                    "n.yaml");
+
+  ASSERT_TRUE(IsOk(result));
+  EXPECT_EQ(ValueOf(result).memory_mb, NodeSettings().memory_mb);
+  EXPECT_EQ(ValueOf(result).bounds.shift_most, NodeBounds().shift_most);
+  EXPECT_EQ(ValueOf(result).bounds.stop_limit, std::chrono::seconds(7));
+}
+
 // Hosts change over to a new secret one after the other, so that two are
 // accepted for a while. A list without any would accept no key at all.
 TEST(SettingsSchemaTest, ListsHaveASize) {
