Write a span for each hop of a request in medlar-node

Cause: medlar-node wrote no spans; the two daemons do. Change: RequestTrace keeps one span for the host and one for each send, with the target told its own send's span as parent. Only sampled requests have any; of the others the caller's header goes on unchanged. telemetry.trace_file and trace_sampling as in the daemons; sampling is read again with SIGHUP. Shown by: RequestTraceTest (four cases).

--- a/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
@@ -52,6 +52,7 @@
   const MonotonicTime now = parts_.loop.Now();
   auto running = std::make_unique<Running>();
   running->decoded = parts_.codec.Decode(call);
+  running->trace.emplace(parts_.tracer, call, running->decoded.id);
   running->call = std::move(call);
   running->exchange = exchange;
   running->started_at = now;
@@ -103,6 +104,7 @@
   if (attempt.is_news && parts_.on_placed) {
     parts_.on_placed(attempt.target, running.decoded.request.object);
   }
+  running.trace->OnSend(attempt, running.call);
   OutboundRequest request;
   request.address = attempt.address;
   request.text = parts_.codec.EncodeAttempt(running.call, attempt);
@@ -152,6 +154,7 @@
     // What broke one connection may have broken those that idle beside it.
     parts_.caller.RetireIdle(attempt.address);
   }
+  running.trace->OnAttemptEnd(attempt.attempt, end);
   parts_.telemetry.OnAttemptEnd(running.decoded.id, attempt, end,
                                 now - running.started_at);
   Carry(ticket, parts_.path.OnAttemptEnd(ticket, attempt.attempt, end, now));
@@ -191,6 +194,7 @@
 void RequestRunner::PassOn(Running& running,
                            const request_path::PassOn& pass_on) {
   HttpResponse& answer = running.answers.at(pass_on.attempt);
+  running.trace->OnAnswer(answer.status);
   parts_.telemetry.OnAnswer(running.decoded.id, *running.begun.route,
                             answer.status,
                             parts_.loop.Now() - running.started_at);
@@ -198,6 +202,7 @@
 }
 
 void RequestRunner::End(Running& running, const Ending& ending) {
+  running.trace->OnEnding(ending);
   parts_.telemetry.OnEnding(running.decoded, running.begun.route.get(), ending,
                             parts_.path.ConfigurationVersion(),
                             parts_.loop.Now() - running.started_at);
--- a/lib/libmedlarcroft/source/adapters/forward/request_runner.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -13,6 +14,7 @@
 #include "adapters/event/http_listener.h"
 #include "adapters/forward/request_codec.h"
 #include "adapters/forward/request_telemetry.h"
+#include "adapters/forward/request_trace.h"
 #include "medlarcroft/request_path/request_path.h"
 
 namespace medlarcroft::adapters {
@@ -27,6 +29,7 @@
     request_path::RequestPath& path;
     const RequestCodec& codec;
     RequestTelemetry& telemetry;
+    telemetry::Tracer& tracer;
     /// Told when an object was sent to a target, unless it was lately.
     std::function<void(const TargetName& target, const std::string& object)>
         on_placed;
@@ -47,6 +50,7 @@
   struct Running {
     DecodedCall decoded;
     HttpRequest call;
+    std::optional<RequestTrace> trace;
     std::shared_ptr<HttpExchange> exchange;
     request_path::Begun begun;
     MonotonicTime started_at;
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/forward/request_trace.cc
@@ -0,0 +1,86 @@
+#include "adapters/forward/request_trace.h"
+
+#include <string>
+#include <utility>
+
+#include "adapters/forward/request_telemetry.h"
+#include "medlarcroft/telemetry/trace.h"
+
+namespace medlarcroft::adapters {
+
+namespace {
+
+using telemetry::SpanKind;
+using telemetry::SpanStatus;
+
+constexpr std::string_view kTraceHeader = "traceparent";
+
+std::optional<telemetry::TraceContext> ParentOf(const HttpRequest& call) {
+  const auto parsed = telemetry::ParseTraceparent(
+      call.headers.Find(kTraceHeader).value_or(std::string_view{}));
+  return IsOk(parsed) ? std::optional(ValueOf(parsed)) : std::nullopt;
+}
+
+}  // namespace
+
+RequestTrace::RequestTrace(telemetry::Tracer& tracer,
+                           const HttpRequest& call,
+                           std::string_view id)
+    : tracer_(tracer) {
+  telemetry::ActiveSpan span =
+      tracer.Start("entry-host", SpanKind::kServer, ParentOf(call));
+  if (!span.IsSampled()) {
+    return;
+  }
+  request_.emplace(std::move(span));
+  request_->SetAttribute("medlar.request", std::string(id));
+}
+
+void RequestTrace::OnSend(const request_path::SendAttempt& attempt,
+                          HttpRequest& call) {
+  if (!request_) {
+    return;
+  }
+  telemetry::ActiveSpan span =
+      tracer_.Start("target", SpanKind::kClient, request_->Context());
+  span.SetAttribute("medlar.target", attempt.target.Value());
+  span.SetAttribute("medlar.region", attempt.region.Value());
+  span.SetAttribute("medlar.attempt", std::int64_t{attempt.attempt});
+  call.headers.Set(kTraceHeader, telemetry::FormatTraceparent(span.Context()));
+  attempts_.emplace(attempt.attempt, std::move(span));
+}
+
+void RequestTrace::OnAttemptEnd(request_path::AttemptNumber attempt,
+                                request_path::AttemptEnd end) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  found->second.SetAttribute("medlar.end", std::string(NameOf(end)));
+  found->second.SetStatus(end == request_path::AttemptEnd::kAnswered
+                              ? SpanStatus::kOk
+                              : SpanStatus::kError);
+  attempts_.erase(found);
+}
+
+void RequestTrace::OnAnswer(int status) {
+  attempts_.clear();
+  if (!request_) {
+    return;
+  }
+  request_->SetAttribute("http.status_code", std::int64_t{status});
+  request_->SetStatus(SpanStatus::kOk);
+  request_.reset();
+}
+
+void RequestTrace::OnEnding(const request_path::Ending& ending) {
+  attempts_.clear();
+  if (!request_) {
+    return;
+  }
+  request_->SetAttribute("medlar.reason", std::string(NameOf(ending.reason)));
+  request_->SetStatus(SpanStatus::kError);
+  request_.reset();
+}
+
+}  // namespace medlarcroft::adapters
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -98,11 +98,20 @@
       path_(PathOptions(settings), routes_, targets_, random_),
       caller_(loop, {}),
       telemetry_(metrics_),
+      spans_(settings_.telemetry,
+             {.program = "medlar-node",
+              .host = settings_.host,
+              .failure_domain = settings_.failure_domain}),
+      tracer_(loop.Clock(),
+              random_,
+              spans_.Exporter(),
+              settings_.telemetry.trace_sampling),
       runner_({.loop = loop,
                .caller = caller_,
                .path = path_,
                .codec = codec_,
                .telemetry = telemetry_,
+               .tracer = tracer_,
                .on_placed =
                    [this](const TargetName& target, const std::string& object) {
                      peers_.TellPlaced({.target = target, .object = object});
@@ -203,6 +212,7 @@
 void Node::Reload(const adapters::NodeSettings& settings) {
   settings_.telemetry = settings.telemetry;
   adapters::SetLogLevel(settings.telemetry.log_level);
+  tracer_.SetSampling(settings.telemetry.trace_sampling);
 }
 
 void Node::RequestStop(int signals) {
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -9,10 +9,12 @@
 #include "adapters/event/http_listener.h"
 #include "adapters/forward/request_runner.h"
 #include "adapters/process/node_settings.h"
+#include "adapters/process/span_output.h"
 #include "adapters/process/system_random.h"
 #include "medlarcroft/process/stop_sequence.h"
 #include "medlarcroft/request_path/request_path.h"
 #include "medlarcroft/telemetry/metrics.h"
+#include "medlarcroft/telemetry/tracer.h"
 #include "metrics_page.h"
 #include "peer_group.h"
 #include "platform/platform_codec.h"
@@ -78,6 +80,8 @@
   platform::PlatformCodec codec_;
   adapters::HttpCaller caller_;
   adapters::RequestTelemetry telemetry_;
+  adapters::SpanOutput spans_;
+  telemetry::Tracer tracer_;
   adapters::RequestRunner runner_;
   platform::StoreClient store_;
   PeerGroup peers_;
--- /dev/null
+++ b/tests/unit/adapters/forward/request_trace_test.cc
@@ -0,0 +1,107 @@
+#include "adapters/forward/request_trace.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "fakes/manual_clock.h"
+#include "fakes/seeded_random.h"
+
+namespace medlarcroft::adapters {
+namespace {
+
+using request_path::AttemptEnd;
+using request_path::SendAttempt;
+
+constexpr std::string_view kSampled =
+    "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+constexpr std::string_view kNotSampled =
+    "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00";
+
+class KeptSpans final : public telemetry::SpanExporter {
+ public:
+  void Export(telemetry::Span span) override {
+    spans.push_back(std::move(span));
+  }
+  std::vector<telemetry::Span> spans;
+};
+
+class RequestTraceTest : public testing::Test {
+ protected:
+  static HttpRequest CallWith(std::string_view parent) {
+    HttpRequest call;
+    call.headers.Add("traceparent", parent);
+    return call;
+  }
+  static SendAttempt SendTo(const std::string& target,
+                            request_path::AttemptNumber number) {
+    return {.attempt = number, .target = TargetName(target)};
+  }
+
+  fakes::ManualClock clock_;
+  fakes::SeededRandom random_{3};
+  KeptSpans kept_;
+  telemetry::Tracer tracer_{clock_, random_, kept_, 0.0};
+};
+
+// A lookup's first send is lost and its second answers: whoever reads the trace
+// sees the host's span and below it both sends, each with its end, and the
+// target was told its own send's span as its parent.
+TEST_F(RequestTraceTest, HasASpanForTheHostAndOneForEachSend) {
+  HttpRequest call = CallWith(kSampled);
+  RequestTrace trace(tracer_, call, "r-1");
+  trace.OnSend(SendTo("a", 1), call);
+  const std::string first(*call.headers.Find("traceparent"));
+  trace.OnAttemptEnd(1, AttemptEnd::kLost);
+  trace.OnSend(SendTo("b", 2), call);
+  const std::string second(*call.headers.Find("traceparent"));
+  trace.OnAttemptEnd(2, AttemptEnd::kAnswered);
+  trace.OnAnswer(200);
+
+  ASSERT_EQ(kept_.spans.size(), 3U);
+  const telemetry::Span& lost = kept_.spans[0];
+  const telemetry::Span& answered = kept_.spans[1];
+  const telemetry::Span& host = kept_.spans[2];
+  EXPECT_EQ(lost.status, telemetry::SpanStatus::kError);
+  EXPECT_EQ(answered.status, telemetry::SpanStatus::kOk);
+  EXPECT_EQ(lost.parent, host.context.span_id);
+  EXPECT_EQ(answered.parent, host.context.span_id);
+  EXPECT_EQ(telemetry::FormatTraceparent(lost.context), first);
+  EXPECT_EQ(telemetry::FormatTraceparent(answered.context), second);
+  EXPECT_EQ(telemetry::FormatId(host.context.trace_id),
+            "4bf92f3577b34da6a3ce929d0e0e4736");
+}
+
+// A send that is given up, as the other one answered, still has its span.
+TEST_F(RequestTraceTest, ASendThatIsGivenUpEndsWithTheRequest) {
+  HttpRequest call = CallWith(kSampled);
+  RequestTrace trace(tracer_, call, "r-1");
+  trace.OnSend(SendTo("a", 1), call);
+  trace.OnEnding({.reason = request_path::EndReason::kTimedOut});
+
+  EXPECT_EQ(kept_.spans.size(), 2U);
+}
+
+class UnsampledTable : public RequestTraceTest,
+                       public testing::WithParamInterface<std::string_view> {};
+
+// What is not sampled leaves no span, and the target gets what the caller sent.
+TEST_P(UnsampledTable, LeavesTheCallersHeaderAlone) {
+  HttpRequest call = CallWith(GetParam());
+  RequestTrace trace(tracer_, call, "r-1");
+  trace.OnSend(SendTo("a", 1), call);
+  trace.OnAttemptEnd(1, AttemptEnd::kAnswered);
+  trace.OnAnswer(200);
+
+  EXPECT_TRUE(kept_.spans.empty());
+  EXPECT_EQ(call.headers.Find("traceparent"), GetParam());
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         UnsampledTable,
+                         testing::Values(kNotSampled,
+                                         std::string_view("no parent")));
+
+}  // namespace
+}  // namespace medlarcroft::adapters
