Let one host read each table for its region, and starters hear from it

Change: one reader a table and region, by rendezvous over live hosts weighted with their links (rows tell link_mbps); starting hosts count as readers and read through them; the table of hosts is read the same way; a row that stands there already is not written again; a reader tells what changed instead of the whole table, and refuses as soon as it has not heard from the store for the held call and 0.6 s, so its calls may be held 1.5 s. Small regions: calls held 4.8 s.

--- a/lib/libmedlarcroft/source/adapters/process/node_settings.cc
+++ b/lib/libmedlarcroft/source/adapters/process/node_settings.cc
@@ -75,6 +75,9 @@
       .Integer("memory_mb", &NodeSettings::memory_mb, {16, 1'000'000},
                {.description = "memory that the process may use; requests' "
                                "bodies take a quarter of it at most"})
+      .Real("link_mbps", &NodeSettings::link_mbps, {0.001, 1e6},
+            {.description = "what the host's link carries, Mbit/s: hosts with "
+                            "more read the store for their region more often"})
       .Group("bounds", &NodeSettings::bounds, MakeBoundsSchema(),
              {.description = "bounds that all hosts keep together"})
       .Group("telemetry", &NodeSettings::telemetry, MakeTelemetrySchema(),
--- a/lib/libmedlarcroft/source/adapters/process/node_settings.h
+++ b/lib/libmedlarcroft/source/adapters/process/node_settings.h
@@ -40,6 +40,7 @@
   std::string peer_listen;     ///< UDP.
   std::string store_address;
   std::uint32_t memory_mb = 256;
+  double link_mbps = 1000;
   NodeBounds bounds;
   TelemetrySettings telemetry;
 };
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -31,9 +31,14 @@
 // that has not come.
 constexpr Duration kNewsDoubtfulAfter = std::chrono::seconds(6);
 // How long the store holds a call when nothing changes. Who reads for others
-// must see sooner that the store has lost sight of a call: all of them wait.
-constexpr Duration kWaitAlone = std::chrono::seconds(4);
-constexpr Duration kWaitForOthers = std::chrono::seconds(1);
+// must see sooner that the store has lost sight of a call: all of them wait,
+// and with the margin and a call of their own must hear within 2.5 s.
+constexpr Duration kWaitAlone = std::chrono::milliseconds(4800);
+constexpr Duration kWaitForOthers = std::chrono::milliseconds(1500);
+// A host that starts looks so long for hosts that read for its region; a start
+// of all at once, when there are none yet, is held up by no more.
+constexpr Duration kReaderSearch = std::chrono::milliseconds(400);
+constexpr Duration kReaderSearchStep = std::chrono::milliseconds(20);
 // How long changes may wait to be heard together: where many hosts and targets
 // start at once, each change that is heard alone is a call of every host.
 constexpr Duration kPauseAlone = std::chrono::milliseconds(120);
@@ -173,12 +178,12 @@
   if (!peers_.Start()) {
     return StartFailure::kPeerSocket;
   }
-  for (platform::StoreWatch* const watch : {&operator_watch_, &target_watch_}) {
+  for (platform::StoreWatch* const watch :
+       {&operator_watch_, &target_watch_, &peers_.Watch()}) {
     watch->Mirror().OnChange(
         [this, watch] { mirror_page_.OnChange(watch->Table()); });
   }
-  operator_watch_.Start();
-  target_watch_.Start();
+  StartWatches(loop_.Now() + kReaderSearch);
   RegisterGauges();
   loop_.Every(kTickPeriod, [this] { Tick(); });
   return std::nullopt;
@@ -199,14 +204,25 @@
               }};
 }
 
-const platform::TableMirror* Node::FindMirror(std::string_view table) const {
-  for (const platform::StoreWatch* const watch :
-       {&operator_watch_, &target_watch_}) {
-    if (watch->Table() == table && watch->IsFreshFromStore()) {
-      return &watch->Mirror();
+void Node::StartWatches(MonotonicTime deadline) {
+  if (!peers_.HasFoundReaders() && loop_.Now() < deadline) {
+    loop_.After(kReaderSearchStep,
+                [this, deadline] { StartWatches(deadline); });
+    return;
+  }
+  SetPaceOfWatches();
+  operator_watch_.Start();
+  target_watch_.Start();
+}
+
+platform::FreshTable Node::FindMirror(std::string_view table) {
+  for (platform::StoreWatch* const watch :
+       {&operator_watch_, &target_watch_, &peers_.Watch()}) {
+    if (watch->Table() == table) {
+      return watch->TellOthers();
     }
   }
-  return nullptr;
+  return {};
 }
 
 void Node::Reload(const adapters::NodeSettings& settings) {
@@ -232,13 +248,17 @@
   path_.SetHostCount(peers_.KnownHosts());
   path_.SetNewsDoubtful(operator_watch_.Age().value_or(kNewsDoubtfulAfter) >=
                         kNewsDoubtfulAfter);
+  SetPaceOfWatches();
+  UpdatePhase();
+  AdvanceStop();
+}
+
+void Node::SetPaceOfWatches() {
   const bool is_large = peers_.IsLargeRegion();
   for (platform::StoreWatch* const watch : {&operator_watch_, &target_watch_}) {
     watch->SetPace(is_large ? kWaitForOthers : kWaitAlone,
                    is_large ? kPauseInLargeRegion : kPauseAlone);
   }
-  UpdatePhase();
-  AdvanceStop();
 }
 
 void Node::UpdatePhase() {
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -60,10 +60,12 @@
   [[nodiscard]] platform::StoreWatch::Options WatchOptions(
       const std::string& table);
   /// @return the rows of a table while this host hears from the store itself.
-  [[nodiscard]] const platform::TableMirror* FindMirror(
-      std::string_view table) const;
+  [[nodiscard]] platform::FreshTable FindMirror(std::string_view table);
+  /// @brief Begins to read once the hosts that may read for this one are known.
+  void StartWatches(MonotonicTime deadline);
   [[nodiscard]] bool IsReady() const;
   void Tick();
+  void SetPaceOfWatches();
   void ApplyCallerLimits();
   void UpdatePhase();
   void AdvanceStop();
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -1,7 +1,10 @@
 #include "peer_group.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
-#include <span>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 #include "adapters/process/log.h"
@@ -28,15 +31,22 @@
 constexpr std::size_t kPeersABeat = 50;
 // The table's own limits are not used; they only must not be shorter.
 constexpr Duration kTableLimit = std::chrono::seconds(20);
-constexpr Duration kRowWait = std::chrono::seconds(20);
+constexpr Duration kRowWait = std::chrono::seconds(29);
 // Hosts start together, and each writes its row.
 constexpr Duration kRowPause = std::chrono::milliseconds(1000);
 // Up to so many hosts of a region each read the store for themselves; in larger
-// ones two read for all. At 30 hosts reading each for itself took 0.41 of a
-// day's worth, at 3 and 4 hosts 0.02.
+// ones one reads each table for all. At 30 hosts reading each for itself took
+// 0.41 of a day's worth, at 3 and 4 hosts 0.02.
 constexpr std::size_t kHostsThatReadThemselves = 5;
-constexpr std::size_t kReaders = 2;
+// Hosts join and leave slowly, and hear of each other by datagrams as well.
+constexpr Duration kReaderWait = std::chrono::seconds(5);
 constexpr Duration kWriteAgain = std::chrono::milliseconds(700);
+// A host that starts tells its whole state each time that it hears of others.
+constexpr Duration kIntroductionTime = std::chrono::seconds(3);
+// Mbit/s of a host whose row is not here yet: it may read, but rarely does.
+constexpr double kUnknownLink = 1;
+// The own row's news takes so long to come back from the store.
+constexpr Duration kRowSettles = std::chrono::seconds(5);
 // A row without a living host is taken away after this; until then the host
 // counts among those that share what is bounded for all.
 constexpr Duration kLostAfter = std::chrono::seconds(40);
@@ -52,6 +62,14 @@
   return self;
 }
 
+/// @return uniform in (0, 1), the same on every host.
+double UnitOf(std::string_view table, const HostName& host) {
+  const std::uint64_t hash =
+      XXH3_64bits_withSeed(host.Value().data(), host.Value().size(),
+                           XXH3_64bits(table.data(), table.size()));
+  return (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53;
+}
+
 }  // namespace
 
 PeerGroup::PeerGroup(const adapters::NodeSettings& settings, const Parts& parts)
@@ -69,7 +87,13 @@
              parts.random,
              {.table = std::string(platform::kHostTable),
               .wait = kRowWait,
-              .pause_after_change = kRowPause},
+              .pause_after_change = kRowPause,
+              .reader_wait = kReaderWait,
+              .ask_reader =
+                  [this](const platform::PeerQuestion& question,
+                         platform::RowsCallback callback) {
+                    return AskReader(question, std::move(callback));
+                  }},
              *this) {}
 
 bool PeerGroup::Start() {
@@ -80,10 +104,13 @@
     return false;
   }
   channel_ = TakeValue(std::move(channel));
+  started_at_ = parts_.loop.Now();
   watch_.Start();
-  WriteOwnRow();
   parts_.loop.Every(kBeatPeriod, [this] { SendBeats(); });
-  parts_.loop.Every(kLostAfter, [this] { RemoveLostHosts(); });
+  parts_.loop.Every(kLostAfter, [this] {
+    RemoveLostHosts();
+    KeepOwnRow();
+  });
   return true;
 }
 
@@ -112,47 +139,68 @@
   return addresses;
 }
 
-std::vector<std::string> PeerGroup::LivePeers() const {
+std::map<HostName, std::string> PeerGroup::LiveHosts() const {
   std::map<HostName, std::string> live;
   live[table_.Self().host] = settings_.peer_listen;
   for (const membership::Member& member : table_.Members()) {
     const membership::HostState& state = member.state;
     if (IsHeard(member) && !state.peer_address.empty() &&
-        state.phase == HostPhase::kReady) {
+        state.phase != HostPhase::kLeaving) {
       live[state.host] = state.peer_address;
     }
   }
-  std::vector<std::string> addresses;
-  addresses.reserve(live.size());
+  return live;
+}
+
+std::string PeerGroup::ReaderOf(
+    std::string_view table,
+    const std::map<HostName, std::string>& live) const {
+  std::string reader = settings_.peer_listen;
+  double least = std::numeric_limits<double>::infinity();
   for (const auto& [name, address] : live) {
-    addresses.push_back(address);
+    const auto entry = entries_.find(name);
+    const double link =
+        entry == entries_.end() ? kUnknownLink : entry->second.link_mbps;
+    const double cost = -std::log(UnitOf(table, name)) / link;
+    if (cost < least) {
+      least = cost;
+      reader = address;
+    }
   }
-  return addresses;
+  return reader;
 }
 
 bool PeerGroup::IsLargeRegion() const {
   return RegionPeers().size() + 1 > kHostsThatReadThemselves;
 }
 
+bool PeerGroup::HasFoundReaders() const {
+  return watch_.HasTable() &&
+         (!IsLargeRegion() || LiveHosts().size() > kHostsThatReadThemselves);
+}
+
 bool PeerGroup::AskReader(const platform::PeerQuestion& question,
                           platform::RowsCallback callback) {
-  const std::vector<std::string> live = LivePeers();
+  const std::map<HostName, std::string> live = LiveHosts();
   if (live.size() <= kHostsThatReadThemselves) {
     return false;
   }
-  const auto readers = std::span(live).first(kReaders);
-  if (std::ranges::find(readers, settings_.peer_listen) != readers.end()) {
+  const std::string reader = ReaderOf(question.table, live);
+  if (reader == settings_.peer_listen) {
     return false;
   }
-  const std::string& reader = readers[parts_.random.NextBelow(kReaders)];
   platform::AskPeer(caller_, reader, question, std::move(callback));
   return true;
 }
 
 void PeerGroup::AskSomePeer(const platform::PeerQuestion& question,
                             platform::RowsCallback callback) {
-  std::vector<std::string> addresses = LivePeers();
-  std::erase(addresses, settings_.peer_listen);
+  std::vector<std::string> addresses;
+  for (const auto& [name, address] : LiveHosts()) {
+    if (name.Value() != settings_.host) {
+      addresses.push_back(address);
+    }
+  }
   // A store that turns away a whole region may serve another one.
   std::vector<std::string> elsewhere;
   for (const auto& [name, entry] : entries_) {
@@ -185,6 +233,8 @@
     Apply(row);
   }
   PublishList();
+  KeepOwnRow();
+  Introduce();
 }
 
 void PeerGroup::OnRows(std::span<const platform::StoreRow> rows) {
@@ -192,6 +242,17 @@
     Apply(row);
   }
   PublishList();
+  KeepOwnRow();
+  Introduce();
+}
+
+// The others hear at once of a host that starts, and not at its next beat that
+// tells the whole state: it is named to callers, and counts as a reader, from
+// then on.
+void PeerGroup::Introduce() {
+  if (parts_.loop.Now() - started_at_ < kIntroductionTime) {
+    SendState();
+  }
 }
 
 void PeerGroup::Apply(const platform::StoreRow& row) {
@@ -200,15 +261,16 @@
     entries_.erase(name);
     return;
   }
-  auto host = platform::DecodeHostEntry(row.key, row.value);
-  if (!IsOk(host)) {
+  const auto decoded = platform::DecodeHostEntry(row.key, row.value);
+  if (!IsOk(decoded)) {
     Log(LogLevel::kWarning, "host-entry-unreadable",
         {{"peer", row.key},
-         {"field", ErrorOf(host).field},
-         {"problem", platform::NameOf(ErrorOf(host).problem)}});
+         {"field", ErrorOf(decoded).field},
+         {"problem", platform::NameOf(ErrorOf(decoded).problem)}});
     return;
   }
-  entries_[name] = {.host = TakeValue(std::move(host)),
+  entries_[name] = {.host = ValueOf(decoded).host,
+                    .link_mbps = ValueOf(decoded).link_mbps,
                     .row_version = row.version,
                     .seen_at = parts_.loop.Now()};
 }
@@ -231,11 +293,26 @@
       {{"table", "hosts"}, {"away_ms", ToMilliseconds(away)}});
 }
 
+// A host that starts again finds its row and leaves it: each row that is
+// written wakes all who follow the table.
+void PeerGroup::KeepOwnRow() {
+  const auto own = entries_.find(HostName(settings_.host));
+  const bool is_kept = own != entries_.end() &&
+                       own->second.host.address == settings_.peer_listen;
+  const bool is_settling =
+      written_at_ && parts_.loop.Now() - *written_at_ < kRowSettles;
+  if (!is_kept && !is_writing_ && !is_settling) {
+    WriteOwnRow();
+  }
+}
+
 void PeerGroup::WriteOwnRow() {
-  const ports::ListedHost self{
-      .name = settings_.host,
-      .failure_domain = FailureDomainName(settings_.failure_domain),
-      .address = settings_.peer_listen};
+  is_writing_ = true;
+  const platform::HostEntry self{
+      .host = {.name = settings_.host,
+               .failure_domain = FailureDomainName(settings_.failure_domain),
+               .address = settings_.peer_listen},
+      .link_mbps = settings_.link_mbps};
   parts_.store.Write(
       {.table = std::string(platform::kHostTable),
        .key = settings_.host,
@@ -244,7 +321,10 @@
         // Writing it twice does no harm.
         if (!IsOk(result)) {
           parts_.loop.After(kWriteAgain, [this] { WriteOwnRow(); });
+          return;
         }
+        is_writing_ = false;
+        written_at_ = parts_.loop.Now();
       });
 }
 
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,10 +54,12 @@
   /// @return false when this host is to read for itself.
   bool AskReader(const platform::PeerQuestion& question,
                  platform::RowsCallback callback);
-  /// @return whether two hosts read the store for all of the region, as soon
+  /// @return whether one host reads each table for all of the region, as soon
   /// as they have found each other.
   [[nodiscard]] bool IsLargeRegion() const;
-  [[nodiscard]] bool HasTable() const { return watch_.HasTable(); }
+  /// @return whether the hosts that may read for this one are known.
+  [[nodiscard]] bool HasFoundReaders() const;
+  [[nodiscard]] platform::StoreWatch& Watch() { return watch_; }
 
   void OnTable(std::span<const platform::StoreRow> rows) override;
   void OnRows(std::span<const platform::StoreRow> rows) override;
@@ -66,13 +69,17 @@
  private:
   struct Entry {
     ports::ListedHost host;
+    double link_mbps = 0;
     std::uint64_t row_version = 0;
     MonotonicTime seen_at;
   };
 
   void Apply(const platform::StoreRow& row);
   void PublishList();
+  /// @brief Writes this host's row unless it stands there as it would be.
+  void KeepOwnRow();
   void WriteOwnRow();
+  void Introduce();
   void SendBeats();
   void SendState();
   /// @return how many beat periods lie between this host's beats.
@@ -83,9 +90,15 @@
   [[nodiscard]] std::vector<std::string> RegionPeers() const;
   void OnNews(const adapters::PeerNews& news);
   void RemoveLostHosts();
-  /// @return peer addresses of the region's live hosts, by name, this one's
-  /// included.
-  [[nodiscard]] std::vector<std::string> LivePeers() const;
+  /// @return peer addresses of all live hosts that do not leave, by name, this
+  /// one's included.
+  [[nodiscard]] std::map<HostName, std::string> LiveHosts() const;
+  /// @return the peer address of the host that reads that table for all: the
+  /// same on all hosts that know of the same ones, a host with twice the link
+  /// twice as likely.
+  [[nodiscard]] std::string ReaderOf(
+      std::string_view table,
+      const std::map<HostName, std::string>& live) const;
   [[nodiscard]] bool IsInOwnRegion(const FailureDomainName& domain) const;
 
   const adapters::NodeSettings& settings_;
@@ -96,6 +109,9 @@
   platform::StoreWatch watch_;
   std::map<HostName, Entry> entries_;
   std::uint32_t beats_ = 0;
+  MonotonicTime started_at_{};
+  bool is_writing_ = false;
+  std::optional<MonotonicTime> written_at_;
 };
 
 }  // namespace medlarcroft::node
--- a/tests/fakes/fake_store_server.h
+++ b/tests/fakes/fake_store_server.h
@@ -20,13 +20,15 @@
 class FakeStoreServer final : public adapters::HttpCallHandler {
  public:
   explicit FakeStoreServer(adapters::EventLoop& loop) : loop_(loop) {
-    listener_ =
-        TakeValue(adapters::HttpListener::Open(loop, "127.0.0.1:0", *this));
+    Listen("127.0.0.1:0");
+    address_ = "127.0.0.1:" + std::to_string(listener_->Port());
   }
 
-  [[nodiscard]] std::string Address() const {
-    return "127.0.0.1:" + std::to_string(listener_->Port());
-  }
+  [[nodiscard]] const std::string& Address() const { return address_; }
+
+  /// Ends all connections, and resets new ones.
+  void Stop() { listener_.reset(); }
+  void Resume() { Listen(address_); }
 
   void Put(const std::string& key, const std::string& value) {
     ++version;
@@ -47,7 +49,11 @@
   std::optional<int> refuse_with;  ///< Status of every answer.
   bool is_silent = false;          ///< Calls get no answer.
   bool loses_answers = false;      ///< Writes are done and not answered.
-  std::uint64_t behind_by = 0;     ///< Lists tell an older version.
+  /// Calls are taken up so much later; one that waits no longer is not told.
+  Duration slow_by{0};
+  /// Writes are done so much later, and not answered.
+  Duration writes_late_by{0};
+  std::uint64_t behind_by = 0;  ///< Lists tell an older version.
   std::size_t page_rows = 500;
 
   std::uint64_t version = 0;
@@ -67,13 +73,13 @@
       exchange->Answer({.status = *refuse_with});
       return;
     }
-    if (path.ends_with("rows-get")) {
-      List(request.raw_target, *exchange);
-    } else if (path.ends_with("rows-feed")) {
-      Feed(request.raw_target, exchange);
-    } else {
-      Write(request.body, exchange);
+    if (slow_by > Duration(0)) {
+      loop_.After(slow_by, [this, path, request, exchange] {
+        TakeUp(path, request, exchange);
+      });
+      return;
     }
+    TakeUp(path, request, exchange);
   }
 
  private:
@@ -82,6 +88,26 @@
     std::uint64_t after = 0;
   };
 
+  void Listen(const std::string& address) {
+    listener_ = TakeValue(adapters::HttpListener::Open(loop_, address, *this));
+  }
+
+  void TakeUp(const std::string& path,
+              const adapters::HttpRequest& request,
+              const std::shared_ptr<adapters::HttpExchange>& exchange) {
+    if (path.ends_with("rows-get")) {
+      List(request.raw_target, *exchange);
+    } else if (path.ends_with("rows-feed")) {
+      Feed(request.raw_target, exchange);
+    } else if (writes_late_by > Duration(0)) {
+      hanging_.push_back(exchange);
+      loop_.After(writes_late_by,
+                  [this, request, exchange] { Write(request.body, exchange); });
+    } else {
+      Write(request.body, exchange);
+    }
+  }
+
   static std::uint64_t NumberOf(const std::string& target,
                                 std::string_view name) {
     return std::stoull("0" +
@@ -178,6 +204,18 @@
     }
   }
 
+  /// The rows of a transaction's conditions as they are.
+  std::string ConditionRows(const nlohmann::json& transaction) {
+    nlohmann::json rows = nlohmann::json::array();
+    for (const nlohmann::json& condition : transaction.at("precondition")) {
+      const auto found = rows_.find(condition.at("key").get<std::string>());
+      if (found != rows_.end()) {
+        rows.push_back(RowOf(found->first, found->second));
+      }
+    }
+    return nlohmann::json{{"rows", rows}, {"schema_version", version}}.dump();
+  }
+
   void Write(const std::string& body,
              const std::shared_ptr<adapters::HttpExchange>& exchange) {
     const nlohmann::json transaction = nlohmann::json::parse(body);
@@ -185,7 +223,7 @@
       const auto found = rows_.find(condition.at("key").get<std::string>());
       const std::uint64_t has = found == rows_.end() ? 0 : found->second.second;
       if (has != condition.at("schema_version").get<std::uint64_t>()) {
-        exchange->Answer({.status = 412});
+        exchange->Answer({.status = 412, .body = ConditionRows(transaction)});
         return;
       }
     }
@@ -196,7 +234,7 @@
     for (const nlohmann::json& row : transaction.at("remove")) {
       Remove(row.at("key"));
     }
-    if (loses_answers) {
+    if (loses_answers || writes_late_by > Duration(0)) {
       hanging_.push_back(exchange);
       return;
     }
@@ -205,6 +243,7 @@
 
   adapters::EventLoop& loop_;
   std::unique_ptr<adapters::HttpListener> listener_;
+  std::string address_;
   std::map<std::string, std::pair<std::string, std::uint64_t>> rows_;
   std::map<std::string, std::uint64_t> removed_;
   std::uint64_t oldest_ = 0;
--- a/tests/unit/dist/deploy_template_test.cc
+++ b/tests/unit/dist/deploy_template_test.cc
@@ -29,6 +29,7 @@
       {R"(\{\{ip\}\})", "127.0.0.1"},
       {R"(\{\{port_range\.0\}\})", "7540"},
       {R"(\{\{limits\.memory_mb\}\})", "260"},
+      {R"(\{\{limits\.link_mbps\}\})", "10.5"},
       {R"(\{\{bounds\.(budget_ratio|max_shift)\}\})", "0.2"},
       {R"(\{\{bounds\.\w+\}\})", "5"}};
   for (const auto& [place, value] : values) {
@@ -40,6 +41,7 @@
 
   ASSERT_TRUE(IsOk(parsed)) << FormatFault(ErrorOf(parsed).front());
   EXPECT_EQ(ValueOf(parsed).memory_mb, 260U);
+  EXPECT_EQ(ValueOf(parsed).link_mbps, 10.5);
   EXPECT_EQ(ValueOf(parsed).bounds.stop_limit, std::chrono::seconds(5));
   ASSERT_EQ(ValueOf(parsed).domains.size(), 1U);
   EXPECT_EQ(ValueOf(parsed).domains[0].region, "region-a");
--- a/tests/unit/platform/json_reader_test.cc
+++ b/tests/unit/platform/json_reader_test.cc
@@ -62,13 +62,15 @@
                                          R"({"rows":3,"schema_version":1})"));
 
 TEST(HostEntryTest, ReadsTheSameAsItWasWritten) {
-  const ports::ListedHost host{.name = "h1",
-                               .failure_domain = FailureDomainName("z"),
-                               .address = "127.0.0.1:7000"};
-  const auto decoded = DecodeHostEntry("h1", EncodeHostEntry(host));
+  const HostEntry entry{.host = {.name = "h1",
+                                 .failure_domain = FailureDomainName("z"),
+                                 .address = "127.0.0.1:7000"},
+                        .link_mbps = 10};
+  const auto decoded = DecodeHostEntry("h1", EncodeHostEntry(entry));
   ASSERT_TRUE(IsOk(decoded));
-  EXPECT_EQ(ValueOf(decoded).address, host.address);
-  EXPECT_EQ(ValueOf(decoded).failure_domain, host.failure_domain);
+  EXPECT_EQ(ValueOf(decoded).host.address, entry.host.address);
+  EXPECT_EQ(ValueOf(decoded).host.failure_domain, entry.host.failure_domain);
+  EXPECT_EQ(ValueOf(decoded).link_mbps, 10);
   EXPECT_FALSE(IsOk(DecodeHostEntry("h1", "{}")));
 }
 
--- a/tests/unit/platform/store_watch_test.cc
+++ b/tests/unit/platform/store_watch_test.cc
@@ -139,12 +139,42 @@
   EXPECT_EQ(heard_.tables, 2);
 }
 
+enum class Outage { kRefusing, kSilent, kSlow, kStopped };
+
 struct OutageCase {
   std::string name;
-  std::optional<int> refuse_with;  ///< Absent: silence.
+  Outage outage;
   StoreFailure failure;
+  int refuse_with = 0;
 };
 
+void Begin(const OutageCase& outage, fakes::FakeStoreServer& server) {
+  switch (outage.outage) {
+    case Outage::kRefusing:
+      server.refuse_with = outage.refuse_with;
+      break;
+    case Outage::kSilent:
+      server.is_silent = true;
+      break;
+    case Outage::kSlow:
+      // Past what the client waits for a call that is held for 200 ms.
+      server.slow_by = seconds(3);
+      break;
+    case Outage::kStopped:
+      server.Stop();
+      break;
+  }
+}
+
+void End(const OutageCase& outage, fakes::FakeStoreServer& server) {
+  server.refuse_with.reset();
+  server.is_silent = false;
+  server.slow_by = Duration(0);
+  if (outage.outage == Outage::kStopped) {
+    server.Resume();
+  }
+}
+
 class OutageTable : public StoreWatchTest,
                     public testing::WithParamInterface<OutageCase> {};
 
@@ -157,8 +187,7 @@
     if (heard_.rows.empty()) {
       return false;
     }
-    server_.refuse_with = GetParam().refuse_with;
-    server_.is_silent = !GetParam().refuse_with;
+    Begin(GetParam(), server_);
     return true;
   });
   RunUntil([this] {
@@ -167,8 +196,7 @@
     }
     EXPECT_EQ(heard_.rows, (Rows{{"a", "1"}}));
     EXPECT_TRUE(watch_.IsAway());
-    server_.refuse_with.reset();
-    server_.is_silent = false;
+    End(GetParam(), server_);
     server_.Put("b", "2");
     return true;
   });
@@ -182,10 +210,13 @@
 INSTANTIATE_TEST_SUITE_P(
     All,
     OutageTable,
-    testing::Values(OutageCase{"Busy", 503, StoreFailure::kRefused},
-                    OutageCase{"Many", 429, StoreFailure::kRefused},
-                    OutageCase{"Odd", 500, StoreFailure::kBadAnswer},
-                    OutageCase{"Silent", {}, StoreFailure::kUnreachable}),
+    testing::Values(
+        OutageCase{"Busy", Outage::kRefusing, StoreFailure::kRefused, 503},
+        OutageCase{"Many", Outage::kRefusing, StoreFailure::kRefused, 429},
+        OutageCase{"Odd", Outage::kRefusing, StoreFailure::kBadAnswer, 500},
+        OutageCase{"Silent", Outage::kSilent, StoreFailure::kUnreachable},
+        OutageCase{"Slow", Outage::kSlow, StoreFailure::kUnreachable},
+        OutageCase{"Reset", Outage::kStopped, StoreFailure::kUnreachable}),
     [](const auto& tested) { return tested.param.name; });
 
 // A list comes from before what this host knows. Taking it would bring back
@@ -255,6 +286,22 @@
   EXPECT_EQ(server_.version, 1U);
 }
 
+// A write gets no answer and is done afterwards. Whoever wrote may take it
+// neither for done nor for refused: its condition may still come to hold.
+TEST_F(StoreWatchTest, AWriteThatIsDoneLateIsNotARefusal) {
+  server_.writes_late_by = milliseconds(300);
+  std::optional<StoreFailure> failure;
+  store_.Write({.table = "t", .key = "c", .value = "3", .expected_version = 0},
+               [&](const Result<Success, StoreFailure>& result) {
+                 failure = ErrorOf(result);
+               });
+  RunUntil([&] { return failure.has_value(); });
+  RunUntil([this] { return server_.version == 1; });
+  loop_.Run();
+
+  EXPECT_EQ(failure, StoreFailure::kUnreachable);
+}
+
 // The store turns this host away and serves another one, to which a domain's
 // evacuation was told. This host hears of it from there, well before the store
 // takes it back.
@@ -262,9 +309,7 @@
   HeardTable other_heard;
   StoreWatch other(loop_, store_, random_,
                    {.table = "t", .wait = milliseconds(200)}, other_heard);
-  MirrorPage page(loop_, [&](std::string_view) -> const TableMirror* {
-    return other.IsFreshFromStore() ? &other.Mirror() : nullptr;
-  });
+  MirrorPage page(loop_, [&](std::string_view) { return other.TellOthers(); });
   const auto listener =
       TakeValue(adapters::HttpListener::Open(loop_, "127.0.0.1:0", page));
   adapters::HttpCaller caller(loop_, {});
@@ -309,8 +354,8 @@
   HeardTable reader_heard;
   StoreWatch reader(loop_, store_, random_,
                     {.table = "t", .wait = milliseconds(200)}, reader_heard);
-  MirrorPage page(loop_, [&](std::string_view) -> const TableMirror* {
-    return is_reader_fresh && reader.HasTable() ? &reader.Mirror() : nullptr;
+  MirrorPage page(loop_, [&](std::string_view) {
+    return is_reader_fresh ? reader.TellOthers() : FreshTable{};
   });
   reader.Mirror().OnChange([&] { page.OnChange("t"); });
   const auto listener =
@@ -352,17 +397,112 @@
   loop_.Run();
 }
 
-TEST(TableMirrorTest, TellsAllRowsOnlyToWhoIsBehind) {
+// Hosts of a large region start together. Each of them asks the one that reads
+// for all, which has nothing yet either; it hears the table all the same, and
+// the store is asked for it once.
+TEST_F(StoreWatchTest, AHostThatStartsHearsTheTableFromItsReader) {
+  server_.Put("a", "1");
+  HeardTable reader_heard;
+  StoreWatch reader(loop_, store_, random_,
+                    {.table = "t", .wait = milliseconds(200)}, reader_heard);
+  MirrorPage page(loop_, [&](std::string_view) { return reader.TellOthers(); });
+  reader.Mirror().OnChange([&] { page.OnChange("t"); });
+  const auto listener =
+      TakeValue(adapters::HttpListener::Open(loop_, "127.0.0.1:0", page));
+  adapters::HttpCaller caller(loop_, {});
+  HeardTable heard;
+  StoreWatch follower(
+      loop_, store_, random_,
+      {.table = "t",
+       .wait = milliseconds(200),
+       .ask_reader =
+           [&](const PeerQuestion& question, RowsCallback callback) {
+             AskPeer(caller, "127.0.0.1:" + std::to_string(listener->Port()),
+                     question, std::move(callback));
+             return true;
+           }},
+      heard);
+  follower.Start();
+  loop_.After(milliseconds(50), [&] { reader.Start(); });
+  RunUntil([&] { return heard.rows == Rows{{"a", "1"}}; });
+  loop_.Run();
+
+  EXPECT_EQ(server_.calls["/medlarcroft/rows-get"], 1);
+}
+
+// Hosts come and go, and another host takes this one for the reader while it
+// still waits on the reader before. It must not be refused, nor wait until that
+// call has ended: this host asks the store at once.
+TEST_F(StoreWatchTest, AHostThatIsTakenForTheReaderReadsAtOnce) {
+  server_.Put("a", "1");
+  int asked = 0;
+  RowsCallback held;
+  HeardTable heard;
+  StoreWatch watch(loop_, store_, random_,
+                   {.table = "t",
+                    .wait = milliseconds(200),
+                    .ask_reader =
+                        [&](const PeerQuestion&, RowsCallback callback) {
+                          held = std::move(callback);
+                          return ++asked > 0;
+                        }},
+                   heard);
+  watch.Start();
+  EXPECT_EQ(asked, 1);
+  EXPECT_TRUE(watch.TellOthers().is_awaited);
+  RunUntil([&] { return watch.TellOthers().mirror != nullptr; });
+  loop_.Run();
+  EXPECT_EQ(heard.rows, (Rows{{"a", "1"}}));
+
+  // What the reader before says now is old news.
+  held(StoreRows{.newest_version = 9, .is_whole = true});
+  EXPECT_EQ(heard.rows, (Rows{{"a", "1"}}));
+}
+
+TEST(TableMirrorTest, TellsWhatChangedAndToWhoIsFarBehindTheWholeTable) {
+  TableMirror mirror;
+  mirror.Replace(std::vector<StoreRow>{{.key = "a", .version = 3},
+                                       {.key = "c", .version = 4}},
+                 5);
+  mirror.Apply(std::vector<StoreRow>{{.key = "b", .version = 6}}, 6);
+  mirror.Apply(std::vector<StoreRow>{{.key = "a", .is_removed = true}}, 7);
+
+  EXPECT_TRUE(mirror.Since(7).rows.empty());
+  const StoreRows last = mirror.Since(6);
+  ASSERT_EQ(last.rows.size(), 1U);
+  EXPECT_TRUE(last.rows[0].is_removed);
+  EXPECT_EQ(last.rows[0].key, "a");
+  EXPECT_FALSE(last.is_whole);
+  EXPECT_EQ(mirror.Since(5).rows.size(), 2U);
+  const StoreRows whole = mirror.Since(4);
+  EXPECT_TRUE(whole.is_whole);
+  EXPECT_EQ(whole.rows.size(), 2U);
+  EXPECT_EQ(whole.newest_version, 7U);
+}
+
+// A row that was removed and is written again is told as written.
+TEST(TableMirrorTest, ARowThatReturnsIsNotTakenForRemoved) {
   TableMirror mirror;
-  mirror.Replace(std::vector<StoreRow>{{.key = "a", .version = 3}}, 5);
-  mirror.Apply(std::vector<StoreRow>{{.key = "b", .version = 6},
-                                     {.key = "a", .is_removed = true}},
-               7);
-
-  EXPECT_EQ(mirror.Since(7).rows.size(), 0U);
-  ASSERT_EQ(mirror.Since(6).rows.size(), 1U);
-  EXPECT_EQ(mirror.Since(6).rows[0].key, "b");
-  EXPECT_EQ(mirror.Since(0).newest_version, 7U);
+  mirror.Replace({}, 1);
+  mirror.Apply(std::vector<StoreRow>{{.key = "a", .is_removed = true}}, 2);
+  mirror.Apply(std::vector<StoreRow>{{.key = "a", .version = 3}}, 3);
+
+  const StoreRows rows = mirror.Since(1);
+  ASSERT_EQ(rows.rows.size(), 1U);
+  EXPECT_FALSE(rows.rows[0].is_removed);
+}
+
+// More rows go than are remembered as gone: whoever was behind gets the whole
+// table and keeps none of them.
+TEST(TableMirrorTest, AfterManyRemovalsTheWholeTableIsTold) {
+  TableMirror mirror;
+  mirror.Replace({}, 1);
+  for (std::uint64_t i = 0; i < 600; ++i) {
+    mirror.Apply(std::vector<StoreRow>{{.key = "k" + std::to_string(i),
+                                        .is_removed = true}},
+                 2 + i);
+  }
+  EXPECT_TRUE(mirror.Since(1).is_whole);
 }
 
 }  // namespace
