Take only heard hosts of the region for readers

Since starting hosts count as readers, hosts that were only listed, of all regions, counted as live: they have the first phase and no age. Change: a reader must have been heard and lie in the region. Shown by: PeerGroupTest, four cases on loopback datagrams; AHostThatIsOnlyListedDoesNotRead failed with the check taken out.

--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -144,8 +144,12 @@
   live[table_.Self().host] = settings_.peer_listen;
   for (const membership::Member& member : table_.Members()) {
     const membership::HostState& state = member.state;
-    if (IsHeard(member) && !state.peer_address.empty() &&
-        state.phase != HostPhase::kLeaving) {
+    // One that is only listed has no incarnation.
+    const bool is_live = state.number.incarnation > 0 && IsHeard(member) &&
+                         state.phase != HostPhase::kLeaving &&
+                         !state.peer_address.empty() &&
+                         IsInOwnRegion(state.failure_domain);
+    if (is_live) {
       live[state.host] = state.peer_address;
     }
   }
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -90,8 +90,8 @@
   [[nodiscard]] std::vector<std::string> RegionPeers() const;
   void OnNews(const adapters::PeerNews& news);
   void RemoveLostHosts();
-  /// @return peer addresses of all live hosts that do not leave, by name, this
-  /// one's included.
+  /// @return peer addresses of the region's live hosts that do not leave, by
+  /// name, this one's included.
   [[nodiscard]] std::map<HostName, std::string> LiveHosts() const;
   /// @return the peer address of the host that reads that table for all: the
   /// same on all hosts that know of the same ones, a host with twice the link
--- /dev/null
+++ b/tests/unit/node/peer_group_test.cc
@@ -0,0 +1,134 @@
+#include "peer_group.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "adapters/process/system_clock.h"
+#include "fakes/fake_store_server.h"
+#include "fakes/seeded_random.h"
+#include "platform/host_entry.h"
+
+namespace medlarcroft::node {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string RowOf(const std::string& host,
+                  const std::string& domain,
+                  const std::string& address) {
+  return platform::EncodeHostEntry(
+      {.host = {.name = host,
+                .failure_domain = FailureDomainName(domain),
+                .address = address}});
+}
+
+/// @brief Hosts of one region in one process, each with its own address.
+class PeerGroupTest : public testing::Test {
+ protected:
+  struct Host {
+    adapters::NodeSettings settings;
+    std::unique_ptr<PeerGroup> group;
+  };
+
+  PeerGroup& Add(int number) {
+    auto host = std::make_unique<Host>();
+    host->settings.host = "h" + std::to_string(number);
+    host->settings.failure_domain = "z";
+    host->settings.region = "r";
+    const std::string ip = "127.78.0." + std::to_string(number);
+    host->settings.peer_listen = ip + ":18790";
+    host->settings.caller_listen = ip + ":18791";
+    host->group =
+        std::make_unique<PeerGroup>(host->settings, PeerGroup::Parts{
+                                                        .loop = loop_,
+                                                        .store = store_,
+                                                        .random = random_,
+                                                        .regions = regions_,
+                                                    });
+    EXPECT_TRUE(host->group->Start());
+    hosts_.push_back(std::move(host));
+    return *hosts_.back()->group;
+  }
+
+  void RunFor(Duration time) {
+    loop_.After(time, [this] { loop_.Finish(0); });
+    loop_.Run();
+  }
+
+  [[nodiscard]] int Writes() { return server_.calls["/medlarcroft/rows-tx"]; }
+
+  static platform::PeerQuestion Question() { return {.table = "t"}; }
+
+  adapters::SystemClock clock_;
+  adapters::EventLoop loop_{clock_};
+  telemetry::MetricsRegistry metrics_;
+  fakes::FakeStoreServer server_{loop_};
+  fakes::SeededRandom random_{5};
+  platform::StoreClient store_{
+      loop_,
+      {.address = server_.Address(), .call_timeout = milliseconds(500)},
+      metrics_};
+  request_path::DomainRegions regions_{
+      {FailureDomainName("z"), RegionName("r")},
+      {FailureDomainName("far"), RegionName("other")}};
+  std::vector<std::unique_ptr<Host>> hosts_;
+};
+
+// Many hosts have a row, of this region and of another, and none of them was
+// heard. This host must read the store itself: nobody of them would answer.
+TEST_F(PeerGroupTest, AHostThatIsOnlyListedDoesNotRead) {
+  for (int number = 10; number < 20; ++number) {
+    const std::string name = "h" + std::to_string(number);
+    const std::string address = "127.78.0." + std::to_string(number) + ":1";
+    server_.Put(name, RowOf(name, number % 2 == 0 ? "z" : "far", address));
+  }
+  PeerGroup& group = Add(1);
+  RunFor(milliseconds(300));
+
+  EXPECT_GE(group.KnownHosts(), 10U);
+  EXPECT_FALSE(group.HasFoundReaders());
+  EXPECT_FALSE(group.AskReader(Question(), [](const auto&) {}));
+}
+
+// Seven hosts hear each other: all but one have the same one read for them.
+TEST_F(PeerGroupTest, OneHostOfALargeRegionReadsForTheOthers) {
+  constexpr int kHosts = 7;
+  for (int number = 1; number <= kHosts; ++number) {
+    Add(number);
+  }
+  RunFor(milliseconds(2500));
+
+  int readers = 0;
+  for (const auto& host : hosts_) {
+    EXPECT_TRUE(host->group->HasFoundReaders());
+    readers += host->group->AskReader(Question(), [](const auto&) {}) ? 0 : 1;
+  }
+  EXPECT_EQ(readers, 1);
+}
+
+// A host starts again at its old address. Its row stands there already; writing
+// it anew would wake all hosts that follow the table.
+TEST_F(PeerGroupTest, AHostThatStartsAgainLeavesItsRow) {
+  server_.Put("h1", RowOf("h1", "z", "127.78.0.1:18790"));
+  Add(1);
+  RunFor(milliseconds(300));
+  EXPECT_EQ(Writes(), 0);
+}
+
+// Another host took this one's row away, since it was not heard for long: it
+// writes it again, so that it counts among those that share the bounds.
+TEST_F(PeerGroupTest, AHostWhoseRowIsTakenAwayWritesItAgain) {
+  server_.Put("h1", RowOf("h1", "z", "127.78.0.1:18790"));
+  Add(1);
+  loop_.After(milliseconds(200), [this] { server_.Remove("h1"); });
+  RunFor(milliseconds(1800));
+  EXPECT_EQ(Writes(), 1);
+}
+
+}  // namespace
+}  // namespace medlarcroft::node
