Try policies on an emulated deployment, with medlar-emulate

Change: an emulation around RequestPath in virtual time (callers, hosts, targets with slots, queue and remembered objects, waves, faults), an experiment command that varies one option over seeds and writes a table and a plot, deployments of both users and of the grown one. What prices a candidate is in PlacementOptions, and a rule chooses among them, so that plainer policies run on the same path; the product's figures are unchanged by that.

--- a/cmake/Install.cmake
+++ b/cmake/Install.cmake
@@ -5,7 +5,7 @@
 
 set(medlarcroft_package_dir ${CMAKE_INSTALL_LIBDIR}/cmake/medlarcroft)
 
-foreach(program medlar-steerd medlar-entryd medlarctl medlar-load)
+foreach(program medlar-node medlar-steerd medlar-entryd medlarctl medlar-load medlar-emulate)
   if(TARGET ${program})
     install(TARGETS ${program} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
   endif()
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
@@ -13,6 +13,29 @@
 
 namespace medlarcroft::request_path {
 
+/// @brief How candidates are priced. The defaults are those that served best at
+/// 3, 7 and 9 slots a target (docs/decisions/platform.md).
+struct PlacementOptions {
+  /// How likely a target has an object that this host did not send there
+  /// lately, if it is the first or second in the object's order: other hosts
+  /// follow the same order.
+  double warm_when_first = 0.6;
+  double warm_when_second = 0.2;
+  double warm_otherwise = 0.05;
+  /// The same, when this host or one that told of it sent it there lately.
+  double warm_when_sent = 0.95;
+  /// A target that has just joined has nothing and would stay unused for long:
+  /// its first request is priced as if it were likely warm, which gives it an
+  /// object to keep.
+  double warm_when_untried = 0.8;
+  /// Parts of the latency objective by which a target is worse that fails all
+  /// its requests.
+  double failure_penalty = 2.0;
+  /// A queue is felt a little before the last slot is taken, since the estimate
+  /// of the others' work is late.
+  double slots_believed_free = 0.85;
+};
+
 /// @brief What placing one request depends on beside the targets.
 struct PlacementQuestion {
   std::string_view object;  ///< Empty: none.
@@ -25,6 +48,7 @@
   /// Targets that had the request already.
   std::span<const TargetName> excluded;
   std::span<const RegionName> allowed_regions;
+  PlacementOptions options;
 };
 
 /// @brief The target chosen and what decided it, for the log.
@@ -38,7 +62,25 @@
   bool is_warm = false;    ///< It had the object from this host lately.
 };
 
-/// @brief Chooses the target that is expected to answer first.
+/// @brief Which of the priced candidates gets the request.
+class CandidateRule {
+ public:
+  virtual ~CandidateRule() = default;
+  /// @param candidates by region, and within each by the object's order; at
+  /// least one.
+  /// @return a place in `candidates`.
+  [[nodiscard]] virtual std::size_t Choose(
+      std::span<const Placement> candidates) const = 0;
+};
+
+/// @brief The one that is expected to answer first.
+class SoonestAnswer final : public CandidateRule {
+ public:
+  [[nodiscard]] std::size_t Choose(
+      std::span<const Placement> candidates) const override;
+};
+
+/// @brief Prices the targets that may be used and lets a rule choose.
 ///
 /// Load: objects of which each target remembers some tens, targets of 3 to 9
 /// slots that all hosts use at once, regions whose demand passes their own
@@ -53,7 +95,8 @@
 [[nodiscard]] std::optional<Placement> ChooseTarget(
     std::span<TargetState* const> targets,
     const PlacementQuestion& question,
-    MonotonicTime now);
+    MonotonicTime now,
+    const CandidateRule& rule = SoonestAnswer());
 
 }  // namespace medlarcroft::request_path
 
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -116,6 +116,14 @@
     double cold_over = 1.0;
     double cold_extra = 0.0;
     RegionPlanOptions region_plan;
+    PlacementOptions placement;
+    /// Chooses among the targets; null: the one expected to answer first. It
+    /// must outlive the path.
+    const CandidateRule* rule = nullptr;
+    /// The longest wait in a target's queue that is still accepted, in parts of
+    /// the latency objective: beyond it the answer comes late and holds up what
+    /// follows.
+    double longest_wait = 0.6;
   };
 
   RequestPath(const Options& options,
@@ -194,6 +202,7 @@
   /// @brief Places a request's first send within the plan of regions.
   [[nodiscard]] std::optional<Placement> PlaceByPlan(const Request& request,
                                                      MonotonicTime now);
+  [[nodiscard]] Duration LongestWait(const Request& request) const;
   [[nodiscard]] RegionSlots SlotsOf(const ServiceName& service);
   [[nodiscard]] Step Send(Request& request,
                           const Placement& placement,
@@ -211,6 +220,7 @@
   std::vector<AttemptNumber> Abandon(Request& request);
 
   Options options_;
+  SoonestAnswer soonest_answer_;
   routing::RouteTable& routes_;
   TargetBook& targets_;
   ports::RandomSource& random_;
--- /dev/null
+++ b/lib/libmedlarcroft/source/emulation/experiment.cc
@@ -0,0 +1,292 @@
+#include "medlarcroft/emulation/experiment.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+
+namespace medlarcroft::emulation {
+
+namespace {
+
+using request_path::CandidateRule;
+using request_path::Placement;
+using request_path::PlacementOptions;
+using request_path::RequestPath;
+
+class RandomTarget final : public CandidateRule {
+ public:
+  std::size_t Choose(std::span<const Placement> candidates) const override {
+    return random_.NextBelow(candidates.size());
+  }
+
+ private:
+  mutable RepeatableRandom random_{1};
+};
+
+class RoundRobin final : public CandidateRule {
+ public:
+  std::size_t Choose(std::span<const Placement> candidates) const override {
+    return next_++ % candidates.size();
+  }
+
+ private:
+  mutable std::size_t next_ = 0;
+};
+
+class LeastOutstanding final : public CandidateRule {
+ public:
+  std::size_t Choose(std::span<const Placement> candidates) const override {
+    const auto least = std::ranges::min_element(
+        candidates, {}, [](const Placement& candidate) {
+          return candidate.target->OwnOutstanding();
+        });
+    return static_cast<std::size_t>(least - candidates.begin());
+  }
+};
+
+const RandomTarget kRandomTarget;
+const RoundRobin kRoundRobin;
+const LeastOutstanding kLeastOutstanding;
+
+Policy WithRule(std::string name, const CandidateRule& rule) {
+  return {.name = std::move(name), .options = {.path = {.rule = &rule}}};
+}
+
+/// @brief One option of the product's policy, by name.
+struct VariedOption {
+  std::string_view name;
+  void (*set)(EmulationOptions& options, double value);
+};
+
+template <double PlacementOptions::*Member>
+void SetPlacement(EmulationOptions& options, double value) {
+  options.path.placement.*Member = value;
+}
+
+template <double RequestPath::Options::*Member>
+void SetPath(EmulationOptions& options, double value) {
+  options.path.*Member = value;
+}
+
+constexpr std::array kOptions = {
+    VariedOption{"warm-when-first",
+                 &SetPlacement<&PlacementOptions::warm_when_first>},
+    VariedOption{"warm-when-second",
+                 &SetPlacement<&PlacementOptions::warm_when_second>},
+    VariedOption{"warm-otherwise",
+                 &SetPlacement<&PlacementOptions::warm_otherwise>},
+    VariedOption{"warm-when-sent",
+                 &SetPlacement<&PlacementOptions::warm_when_sent>},
+    VariedOption{"failure-penalty",
+                 &SetPlacement<&PlacementOptions::failure_penalty>},
+    VariedOption{"slots-believed-free",
+                 &SetPlacement<&PlacementOptions::slots_believed_free>},
+    VariedOption{"longest-wait", &SetPath<&RequestPath::Options::longest_wait>},
+    VariedOption{"region-move",
+                 [](EmulationOptions& options, double value) {
+                   options.path.region_plan.most_moved_per_second = value;
+                 }},
+    VariedOption{"tells-placed", [](EmulationOptions& options, double value) {
+                   options.tells_placed = value != 0;
+                 }}};
+
+std::string Format(double value, int digits) {
+  std::array<char, 32> text{};
+  const int length =
+      std::snprintf(text.data(), text.size(), "%.*f", digits, value);
+  return std::string(text.data(), static_cast<std::size_t>(length));
+}
+
+/// @brief A column of the table: a figure of one run.
+struct Column {
+  std::string_view name;
+  double (*read)(const EmulationFigures& figures);
+  int digits = 3;
+};
+
+constexpr std::array kColumns = {
+    Column{"whole", [](const EmulationFigures& run) { return run.Whole(); }},
+    Column{"worst region",
+           [](const EmulationFigures& run) { return run.WorstRegion(); }},
+    Column{"worst windows",
+           [](const EmulationFigures& run) { return run.WorstWindows(); }},
+    Column{"worst kind",
+           [](const EmulationFigures& run) { return run.WorstKind(); }},
+    Column{"served",
+           [](const EmulationFigures& run) { return run.ServedShare(); }},
+    Column{"refused",
+           [](const EmulationFigures& run) { return run.RefusedShare(); }},
+    Column{"warm", [](const EmulationFigures& run) { return run.WarmShare(); }},
+    Column{"away", [](const EmulationFigures& run) { return run.AwayShare(); }},
+    Column{"largest shift",
+           [](const EmulationFigures& run) { return run.LargestShift(); }},
+    Column{"further sends",
+           [](const EmulationFigures& run) { return run.FurtherSendShare(); }},
+    Column{"p50 ms",
+           [](const EmulationFigures& run) {
+             return ToSeconds(run.Quantile(0.5)) * 1000;
+           },
+           0},
+    Column{"p99 ms",
+           [](const EmulationFigures& run) {
+             return ToSeconds(run.Quantile(0.99)) * 1000;
+           },
+           0}};
+
+double Mean(const PolicyResult& result,
+            double (*read)(const EmulationFigures&)) {
+  double sum = 0;
+  for (const EmulationFigures& run : result.runs) {
+    sum += read(run);
+  }
+  return sum /
+         static_cast<double>(std::max<std::size_t>(1, result.runs.size()));
+}
+
+double WorthOf(const EmulationFigures& run) {
+  return run.Worth();
+}
+
+}  // namespace
+
+std::vector<Policy> KnownPolicies() {
+  const PlacementOptions without_objects{.warm_when_first = 0,
+                                         .warm_when_second = 0,
+                                         .warm_otherwise = 0,
+                                         .warm_when_sent = 0,
+                                         .warm_when_untried = 0};
+  return {
+      {.name = "product"},
+      WithRule("random", kRandomTarget),
+      WithRule("least-outstanding", kLeastOutstanding),
+      WithRule("round-robin", kRoundRobin),
+      {.name = "no-affinity",
+       .options = {.path = {.placement = without_objects}}},
+      {.name = "unbounded-queue", .options = {.path = {.longest_wait = 1e3}}}};
+}
+
+std::vector<std::string_view> OptionNames() {
+  std::vector<std::string_view> names;
+  names.reserve(kOptions.size());
+  for (const VariedOption& option : kOptions) {
+    names.push_back(option.name);
+  }
+  return names;
+}
+
+std::optional<std::vector<Policy>> VaryOption(std::string_view option,
+                                              std::span<const double> values) {
+  const auto found = std::ranges::find(kOptions, option, &VariedOption::name);
+  if (found == kOptions.end()) {
+    return std::nullopt;
+  }
+  std::vector<Policy> policies;
+  for (const double value : values) {
+    Policy policy{.name = std::string(option) + " " + Format(value, 3)};
+    found->set(policy.options, value);
+    policies.push_back(std::move(policy));
+  }
+  return policies;
+}
+
+double PolicyResult::MeanWorth() const {
+  return Mean(*this, &WorthOf);
+}
+
+double PolicyResult::Spread() const {
+  if (runs.size() < 2) {
+    return 0;
+  }
+  const double mean = MeanWorth();
+  double squares = 0;
+  for (const EmulationFigures& run : runs) {
+    squares += (run.Worth() - mean) * (run.Worth() - mean);
+  }
+  return std::sqrt(squares / static_cast<double>(runs.size() - 1));
+}
+
+std::vector<PolicyResult> RunExperiment(const EmulatedDeployment& deployment,
+                                        std::span<const Policy> policies,
+                                        std::uint32_t seeds) {
+  std::vector<PolicyResult> results;
+  for (const Policy& policy : policies) {
+    PolicyResult result{.name = policy.name};
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+      EmulationOptions options = policy.options;
+      options.seed = seed;
+      result.runs.push_back(Emulation(deployment, options).Run());
+    }
+    results.push_back(std::move(result));
+  }
+  return results;
+}
+
+std::string FormatTable(std::span<const PolicyResult> results) {
+  std::string table = "| policy | worth | spread |";
+  std::string rule = "|---|---|---|";
+  for (const Column& column : kColumns) {
+    table += " " + std::string(column.name) + " |";
+    rule += "---|";
+  }
+  table += "\n" + rule + "\n";
+  for (const PolicyResult& result : results) {
+    table += "| " + result.name + " | " + Format(result.MeanWorth(), 3) +
+             " | " + Format(result.Spread(), 3) + " |";
+    for (const Column& column : kColumns) {
+      table += " " + Format(Mean(result, column.read), column.digits) + " |";
+    }
+    table += "\n";
+  }
+  return table;
+}
+
+std::string FormatWindows(std::span<const PolicyResult> results) {
+  std::string table;
+  for (const PolicyResult& result : results) {
+    std::vector<double> sums;
+    for (const EmulationFigures& run : result.runs) {
+      const std::vector<double> shares = run.ByWindow();
+      sums.resize(std::max(sums.size(), shares.size()));
+      for (std::size_t i = 0; i < shares.size(); ++i) {
+        sums[i] += shares[i] / static_cast<double>(result.runs.size());
+      }
+    }
+    table += "| " + result.name + " |";
+    for (const double sum : sums) {
+      table.append(" ").append(Format(sum, 2)).append(" |");
+    }
+    table += "\n";
+  }
+  return table;
+}
+
+std::string FormatPlot(std::span<const PolicyResult> results) {
+  constexpr int kRowHeight = 28;
+  constexpr int kNameWidth = 220;
+  constexpr int kBarWidth = 400;
+  constexpr int kValueWidth = 120;
+  const int height = kRowHeight * static_cast<int>(results.size());
+  std::string plot = "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" +
+                     std::to_string(kNameWidth + kBarWidth + kValueWidth) +
+                     "\" height=\"" + std::to_string(height) +
+                     "\" font-family=\"sans-serif\" font-size=\"13\">\n";
+  int top = 0;
+  for (const PolicyResult& result : results) {
+    const double worth = std::clamp(result.MeanWorth(), 0.0, 1.0);
+    const std::string baseline = std::to_string(top + kRowHeight - 10);
+    plot += "<text x=\"4\" y=\"" + baseline + "\">" + result.name +
+            "</text><rect x=\"" + std::to_string(kNameWidth) + "\" y=\"" +
+            std::to_string(top + 6) + "\" width=\"" +
+            Format(worth * kBarWidth, 1) + "\" height=\"" +
+            std::to_string(kRowHeight - 12) +
+            "\" fill=\"#4878a8\"/><text x=\"" +
+            Format(kNameWidth + worth * kBarWidth + 6, 1) + "\" y=\"" +
+            baseline + "\">" + Format(result.MeanWorth(), 3) + " ± " +
+            Format(result.Spread(), 3) + "</text>\n";
+    top += kRowHeight;
+  }
+  return plot + "</svg>\n";
+}
+
+}  // namespace medlarcroft::emulation
--- a/lib/libmedlarcroft/source/request_path/placement_policy.cc
+++ b/lib/libmedlarcroft/source/request_path/placement_policy.cc
@@ -1,7 +1,7 @@
 #include "medlarcroft/request_path/placement_policy.h"
 
 #include <algorithm>
-#include <cmath>
+#include <functional>
 #include <vector>
 
 #include <xxhash.h>
@@ -10,25 +10,9 @@
 
 namespace {
 
-// How likely a target has the object, by its place in the object's order, when
-// this host did not send it there lately: other hosts follow the same order.
-constexpr double kWarmByRank[] = {0.6, 0.2};
-constexpr double kWarmOtherwise = 0.05;
-constexpr double kWarmWhenSent = 0.95;
-// A target that has just joined has nothing and would stay unused for long:
-// its first request is priced as if it were likely warm, which gives it an
-// object to keep.
-constexpr double kWarmUntried = 0.8;
-// Parts of the latency objective by which a failing target is worse.
-constexpr double kFailurePenalty = 2.0;
-// A queue is felt a little before the last slot is taken, since the estimate of
-// the others' work is late.
-constexpr double kSlotsBelievedFree = 0.85;
-
 struct Candidate {
   TargetState* target = nullptr;
   std::uint64_t hash = 0;
-  Placement placement;
 };
 
 std::uint64_t OrderOf(std::string_view object, const TargetName& target) {
@@ -80,71 +64,86 @@
 
 double WarmChance(const Placement& placement,
                   const PlacementQuestion& question) {
+  const PlacementOptions& options = question.options;
   if (!question.is_sticky || question.object.empty()) {
     return 0.0;
   }
   if (placement.is_warm) {
-    return kWarmWhenSent;
+    return options.warm_when_sent;
+  }
+  switch (placement.rank) {
+    case 0:
+      return options.warm_when_first;
+    case 1:
+      return options.warm_when_second;
+    default:
+      return options.warm_otherwise;
   }
-  return placement.rank < std::size(kWarmByRank) ? kWarmByRank[placement.rank]
-                                                 : kWarmOtherwise;
 }
 
-void Price(Candidate& candidate,
-           const PlacementQuestion& question,
-           Duration round_trip,
-           MonotonicTime now) {
-  const TargetState& target = *candidate.target;
-  Placement& placement = candidate.placement;
-  placement.target = candidate.target;
-  placement.is_warm = target.HasHandled(question.object);
-  placement.estimated_load = target.EstimatedLoad(now);
+Placement Price(TargetState& target,
+                std::uint32_t rank,
+                const PlacementQuestion& question,
+                MonotonicTime now) {
+  const Duration round_trip = question.distances.RoundTrip(target.Region());
+  Placement placement{.target = &target,
+                      .estimated_load = target.EstimatedLoad(now),
+                      .rank = rank,
+                      .is_warm = target.HasHandled(question.object)};
 
   const double slots = std::max(target.Record().slots, 1U);
-  const double ahead = std::max(
-      0.0, placement.estimated_load + 1.0 - kSlotsBelievedFree * slots);
+  const double ahead =
+      std::max(0.0, placement.estimated_load + 1.0 -
+                        question.options.slots_believed_free * slots);
   const double mean_work =
       ToSeconds(question.times.MeanWork()) * target.RelativeTime();
   const double wait = ahead / slots * mean_work;
 
   double chance = WarmChance(placement, question);
   if (!target.HasBeenUsed()) {
-    chance = std::max(chance, kWarmUntried);
+    chance = std::max(chance, question.options.warm_when_untried);
   }
   const double work = (chance * ToSeconds(question.times.Work(true)) +
                        (1.0 - chance) * ToSeconds(question.times.Work(false))) *
                       target.RelativeTime();
-  const double penalty = target.FailureRatio() * kFailurePenalty *
+  const double penalty = target.FailureRatio() *
+                         question.options.failure_penalty *
                          ToSeconds(question.latency_objective);
   const double warm_work =
       ToSeconds(question.times.Work(true)) * target.RelativeTime();
   placement.soonest = round_trip + FromSeconds(wait + warm_work);
   placement.expected_wait = FromSeconds(wait);
   placement.expected = round_trip + FromSeconds(wait + work + penalty);
+  return placement;
 }
 
 }  // namespace
 
+std::size_t SoonestAnswer::Choose(std::span<const Placement> candidates) const {
+  const auto soonest =
+      std::ranges::min_element(candidates, std::less<>(), &Placement::expected);
+  return static_cast<std::size_t>(soonest - candidates.begin());
+}
+
 std::optional<Placement> ChooseTarget(std::span<TargetState* const> targets,
                                       const PlacementQuestion& question,
-                                      MonotonicTime now) {
-  std::vector<Candidate> candidates = Collect(targets, question, now);
-  const Candidate* best = nullptr;
+                                      MonotonicTime now,
+                                      const CandidateRule& rule) {
+  const std::vector<Candidate> candidates = Collect(targets, question, now);
+  std::vector<Placement> priced;
+  priced.reserve(candidates.size());
   std::uint32_t rank = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    Candidate& candidate = candidates[i];
-    const bool is_same_region = i > 0 && candidates[i - 1].target->Region() ==
-                                             candidate.target->Region();
+    TargetState& target = *candidates[i].target;
+    const bool is_same_region =
+        i > 0 && candidates[i - 1].target->Region() == target.Region();
     rank = is_same_region ? rank + 1 : 0;
-    candidate.placement.rank = rank;
-    Price(candidate, question,
-          question.distances.RoundTrip(candidate.target->Region()), now);
-    if (best == nullptr ||
-        candidate.placement.expected < best->placement.expected) {
-      best = &candidate;
-    }
+    priced.push_back(Price(target, rank, question, now));
+  }
+  if (priced.empty()) {
+    return std::nullopt;
   }
-  return best == nullptr ? std::nullopt : std::optional(best->placement);
+  return priced[rule.Choose(priced)];
 }
 
 }  // namespace medlarcroft::request_path
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -10,9 +10,6 @@
 
 namespace {
 
-// The longest wait in a target's queue that is still accepted, of the latency
-// objective: beyond it the answer comes late and holds up what follows.
-constexpr double kLongestWait = 0.6;
 // Another target is tried beside a slow one after this many times the expected
 // time, and no sooner than the least.
 constexpr double kSlowOverExpected = 2.5;
@@ -100,8 +97,14 @@
        .latency_objective = request.route->latency_objective,
        .cold_allowance = ColdAllowance(request.service),
        .excluded = excluded,
-       .allowed_regions = regions},
-      now);
+       .allowed_regions = regions,
+       .options = options_.placement},
+      now, options_.rule == nullptr ? soonest_answer_ : *options_.rule);
+}
+
+Duration RequestPath::LongestWait(const Request& request) const {
+  return FromSeconds(options_.longest_wait *
+                     ToSeconds(request.route->latency_objective));
 }
 
 RegionSlots RequestPath::SlotsOf(const ServiceName& service) {
@@ -151,8 +154,7 @@
                   .retry_after = ReturnTime(placement->expected_wait),
                   .best = placement};
   }
-  const Duration longest_wait =
-      FromSeconds(kLongestWait * ToSeconds(request.route->latency_objective));
+  const Duration longest_wait = LongestWait(request);
   if (placement->expected_wait > longest_wait) {
     return Ending{
         .reason = EndReason::kNoRoom,
@@ -295,8 +297,7 @@
   }
   const std::optional<Placement> placement =
       Place(request, request.route->allowed_regions, now);
-  const Duration longest_wait =
-      FromSeconds(kLongestWait * ToSeconds(request.route->latency_objective));
+  const Duration longest_wait = LongestWait(request);
   if (!placement || placement->expected > request.deadline - now ||
       placement->expected_wait > longest_wait ||
       !AllowanceOf(request.service).TryTake(host_count_, now)) {
