Write the emulator's picture through a stream

Change: FormatPlot writes to a stream, with its measures named. Shown by: the linter, and ExperimentTest.

--- a/lib/libmedlarcroft/source/emulation/experiment.cc
+++ b/lib/libmedlarcroft/source/emulation/experiment.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <cmath>
 #include <cstdio>
+#include <sstream>
 
 namespace medlarcroft::emulation {
 
@@ -98,6 +99,13 @@
   return std::string(text.data(), static_cast<std::size_t>(length));
 }
 
+// The plot's measures, in pixels.
+constexpr int kRowHeight = 28;
+constexpr int kBarMargin = 12;
+constexpr int kNameWidth = 220;
+constexpr int kBarWidth = 400;
+constexpr int kValueWidth = 120;
+
 /// @brief A column of the table: a figure of one run.
 struct Column {
   std::string_view name;
@@ -262,31 +270,27 @@
 }
 
 std::string FormatPlot(std::span<const PolicyResult> results) {
-  constexpr int kRowHeight = 28;
-  constexpr int kNameWidth = 220;
-  constexpr int kBarWidth = 400;
-  constexpr int kValueWidth = 120;
   const int height = kRowHeight * static_cast<int>(results.size());
-  std::string plot = "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" +
-                     std::to_string(kNameWidth + kBarWidth + kValueWidth) +
-                     "\" height=\"" + std::to_string(height) +
-                     "\" font-family=\"sans-serif\" font-size=\"13\">\n";
+  std::ostringstream plot;
+  plot << R"(<svg xmlns="http://www.w3.org/2000/svg" width=")"
+       << kNameWidth + kBarWidth + kValueWidth << R"(" height=")" << height
+       << R"(" font-family="sans-serif" font-size="13">)"
+       << "\n";
   int top = 0;
   for (const PolicyResult& result : results) {
-    const double worth = std::clamp(result.MeanWorth(), 0.0, 1.0);
-    const std::string baseline = std::to_string(top + kRowHeight - 10);
-    plot += "<text x=\"4\" y=\"" + baseline + "\">" + result.name +
-            "</text><rect x=\"" + std::to_string(kNameWidth) + "\" y=\"" +
-            std::to_string(top + 6) + "\" width=\"" +
-            Format(worth * kBarWidth, 1) + "\" height=\"" +
-            std::to_string(kRowHeight - 12) +
-            "\" fill=\"#4878a8\"/><text x=\"" +
-            Format(kNameWidth + worth * kBarWidth + 6, 1) + "\" y=\"" +
-            baseline + "\">" + Format(result.MeanWorth(), 3) + " ± " +
-            Format(result.Spread(), 3) + "</text>\n";
+    const double bar = std::clamp(result.MeanWorth(), 0.0, 1.0) * kBarWidth;
+    const int baseline = top + kRowHeight - kBarMargin;
+    plot << R"(<text x="4" y=")" << baseline << R"(">)" << result.name
+         << R"(</text><rect x=")" << kNameWidth << R"(" y=")"
+         << top + kBarMargin / 2 << R"(" width=")" << bar << R"(" height=")"
+         << kRowHeight - kBarMargin << R"(" fill="#4878a8"/><text x=")"
+         << kNameWidth + bar + kBarMargin / 2.0 << R"(" y=")" << baseline
+         << R"(">)" << Format(result.MeanWorth(), 3) << " ± "
+         << Format(result.Spread(), 3) << "</text>\n";
     top += kRowHeight;
   }
-  return plot + "</svg>\n";
+  plot << "</svg>\n";
+  return plot.str();
 }
 
 }  // namespace medlarcroft::emulation
