Price slot time, and let reports tell of the targets beside

By joining the logs of placing and answering: hosts of musanze took huye's targets for 0.5 to 1.9 requests while those of huye saw 8, expected 920 ms and lost 229 of 366 at the 1.5 s limit. A host of 90 hears from one target every 6 s, and between reports it believed in what that target had in calm times. Beside it, objects spread to targets without them, each such run took four times as long, and that load spread the next ones. Change: between reports the load of the targets beside counts half (RegionLoad, the last second's reports by region); a candidate's price has the slot time it takes, times how busy all targets are, squared. Both are options of medlar-emulate. The emulator also knows hosts that do not hear of placed objects.

--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_deployment.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_deployment.h
@@ -60,13 +60,14 @@
   kLostAnswers,  ///< That part of the answers is lost, after the work.
   kGone,         ///< Nothing answers; connections fail.
   kMoreCallers,  ///< Demand of all regions is `strength` times as high.
+  kCutHosts,     ///< That part of the hosts neither tells nor hears of objects.
 };
 
 /// @brief Something that goes wrong for a while.
 struct EmulatedFault {
   EmulatedTrouble trouble = EmulatedTrouble::kSlow;
   std::string service;    ///< Empty: all.
-  double part = 0.3;      ///< Of the service's targets.
+  double part = 0.3;      ///< Of the service's targets, or of the hosts.
   double strength = 4.0;  ///< By kind.
   Duration from{0};       ///< After the first arrivals.
   Duration until{0};
--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
@@ -61,6 +61,8 @@
   void MakeHosts(const EmulationOptions& options);
   void PlanFaults();
   void SetFault(const EmulatedFault& fault, bool is_on);
+  void SetTargetFault(const EmulatedFault& fault, bool is_on);
+  void SetCutHosts(double part);
   void ArriveLater(std::size_t kind, std::size_t region);
   [[nodiscard]] double RateAt(std::size_t kind,
                               std::size_t region,
@@ -107,6 +109,7 @@
   std::map<TargetName, std::size_t> target_places_;
   std::vector<std::unique_ptr<EmulatedHost>> hosts_;
   std::vector<std::vector<std::size_t>> hosts_by_region_;
+  std::vector<bool> is_cut_;  ///< By host.
   double more_callers_ = 1.0;
   EmulationFigures figures_;
 };
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
@@ -8,6 +8,7 @@
 
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/request_path/region_load.h"
 #include "medlarcroft/request_path/service_times.h"
 #include "medlarcroft/request_path/target_state.h"
 
@@ -34,6 +35,16 @@
   /// A queue is felt a little before the last slot is taken, since the estimate
   /// of the others' work is late.
   double slots_believed_free = 0.85;
+  /// What the slot time that a request takes costs the others, over that time,
+  /// when all targets are full. Failure: after a burst objects spread to
+  /// targets that don't have them, each run there takes three or four times as
+  /// long, and that load spreads the next ones. Symptom: targets stay full of
+  /// work without the object long after the burst is over. Paying for the slot
+  /// keeps a request waiting a little for a target that has the object.
+  double slot_price = 1.0;
+  /// How much the load of the targets beside one counts, over its own in the
+  /// mean, as its last report grows old.
+  double region_load_part = 0.5;
 };
 
 /// @brief What placing one request depends on beside the targets.
@@ -42,6 +53,7 @@
   bool is_sticky = false;
   const ServiceTimes& times;
   const RegionDistances& distances;
+  const RegionLoad& loads;
   Duration latency_objective{0};
   /// Requests a second that this host may send one cold target; below 1 none.
   std::uint32_t cold_allowance = 0;
@@ -55,6 +67,7 @@
 struct Placement {
   TargetState* target = nullptr;
   Duration expected{0};       ///< Until the whole answer is here.
+  Duration price{0};          ///< The same with what makes it less welcome.
   Duration soonest{0};        ///< The same, if the object is there.
   Duration expected_wait{0};  ///< Part of it, in the target's queue.
   double estimated_load = 0;
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -232,6 +232,7 @@
   std::map<ServiceName, AttemptAllowance> allowances_;
   std::map<ServiceName, ServiceTimes> times_;
   std::map<ServiceName, RegionPlan> plans_;
+  std::map<ServiceName, RegionLoad> loads_;
 };
 
 }  // namespace medlarcroft::request_path
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -57,8 +57,15 @@
   void OnAbandoned();
   void OnReport(const LoadReport& report, MonotonicTime now);
 
+  /// @param usual what targets beside it have of other hosts lately, if known.
+  /// @param usual_part how much that counts, over what this one itself had in
+  /// the mean, as its last report grows old.
   /// @return requests running and waiting there, from all hosts, as estimated.
-  [[nodiscard]] double EstimatedLoad(MonotonicTime now) const;
+  [[nodiscard]] double EstimatedLoad(std::optional<double> usual,
+                                     double usual_part,
+                                     MonotonicTime now) const;
+  /// @return what other hosts had there at the last report.
+  [[nodiscard]] double OthersLoad() const { return others_load_; }
   [[nodiscard]] std::uint32_t OwnOutstanding() const { return outstanding_; }
   [[nodiscard]] std::optional<Duration> ReportAge(MonotonicTime now) const;
 
--- a/lib/libmedlarcroft/source/adapters/emulation/deployment_schema.cc
+++ b/lib/libmedlarcroft/source/adapters/emulation/deployment_schema.cc
@@ -20,8 +20,8 @@
 constexpr double kMost = 1e6;
 constexpr std::array<std::string_view, 2> kKinds = {"idempotent",
                                                     "non-idempotent"};
-constexpr std::array<std::string_view, 4> kTroubles = {"slow", "lost-answers",
-                                                       "gone", "more-callers"};
+constexpr std::array<std::string_view, 5> kTroubles = {
+    "slow", "lost-answers", "gone", "more-callers", "cut-hosts"};
 
 SettingsSchema<EmulatedRegion> MakeRegionSchema() {
   SettingsSchema<EmulatedRegion> schema;
@@ -110,7 +110,7 @@
       .Text("service", &EmulatedFault::service, kSettingName,
             {.description = "whose targets; none: all services'"})
       .Real("part", &EmulatedFault::part, {0, 1},
-            {.description = "of the service's targets"})
+            {.description = "of the service's targets, or of the hosts"})
       .Real("strength", &EmulatedFault::strength, {0, 1000},
             {.description = "times as slow, part of answers lost, or times as "
                             "many callers"})
--- a/lib/libmedlarcroft/source/emulation/emulation.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation.cc
@@ -82,6 +82,7 @@
       hosts_.back()->Register(records, events_.Now());
     }
   }
+  is_cut_.resize(hosts_.size());
 }
 
 void Emulation::PlanFaults() {
@@ -93,10 +94,28 @@
 }
 
 void Emulation::SetFault(const EmulatedFault& fault, bool is_on) {
-  if (fault.trouble == EmulatedTrouble::kMoreCallers) {
-    more_callers_ = is_on ? fault.strength : 1.0;
-    return;
+  switch (fault.trouble) {
+    case EmulatedTrouble::kMoreCallers:
+      more_callers_ = is_on ? fault.strength : 1.0;
+      break;
+    case EmulatedTrouble::kCutHosts:
+      SetCutHosts(is_on ? fault.part : 0.0);
+      break;
+    default:
+      SetTargetFault(fault, is_on);
+  }
+}
+
+void Emulation::SetCutHosts(double part) {
+  double owed = 0;
+  for (std::size_t host = 0; host < hosts_.size(); ++host) {
+    owed += part;
+    is_cut_[host] = owed >= 1.0;
+    owed -= is_cut_[host] ? 1.0 : 0.0;
   }
+}
+
+void Emulation::SetTargetFault(const EmulatedFault& fault, bool is_on) {
   std::map<std::string, double> owed;
   for (Placed& placed : targets_) {
     if (!fault.service.empty() && fault.service != placed.service) {
@@ -119,7 +138,7 @@
       case EmulatedTrouble::kGone:
         placed.is_gone = is_on;
         break;
-      case EmulatedTrouble::kMoreCallers:
+      default:
         break;
     }
   }
@@ -279,7 +298,7 @@
 
 void Emulation::TellPlaced(const Running& running, const SendAttempt& attempt) {
   for (const std::size_t other : hosts_by_region_[running.caller.region]) {
-    if (other == running.host) {
+    if (other == running.host || is_cut_[running.host] || is_cut_[other]) {
       continue;
     }
     events_.After(
--- a/lib/libmedlarcroft/source/emulation/experiment.cc
+++ b/lib/libmedlarcroft/source/emulation/experiment.cc
@@ -83,6 +83,9 @@
                  &SetPlacement<&PlacementOptions::failure_penalty>},
     VariedOption{"slots-believed-free",
                  &SetPlacement<&PlacementOptions::slots_believed_free>},
+    VariedOption{"region-load-part",
+                 &SetPlacement<&PlacementOptions::region_load_part>},
+    VariedOption{"slot-price", &SetPlacement<&PlacementOptions::slot_price>},
     VariedOption{"longest-wait", &SetPath<&RequestPath::Options::longest_wait>},
     VariedOption{"region-move",
                  [](EmulationOptions& options, double value) {
--- a/lib/libmedlarcroft/source/request_path/placement_policy.cc
+++ b/lib/libmedlarcroft/source/request_path/placement_policy.cc
@@ -81,13 +81,34 @@
   }
 }
 
+/// @return the part of all candidates' slots that is taken, 0 to 1.
+double LoadOf(const TargetState& target,
+              const PlacementQuestion& question,
+              MonotonicTime now) {
+  return target.EstimatedLoad(question.loads.MeanOf(target.Region()),
+                              question.options.region_load_part, now);
+}
+
+double BusyPart(const std::vector<Candidate>& candidates,
+                const PlacementQuestion& question,
+                MonotonicTime now) {
+  double load = 0;
+  double slots = 0;
+  for (const Candidate& candidate : candidates) {
+    load += LoadOf(*candidate.target, question, now);
+    slots += std::max(candidate.target->Record().slots, 1U);
+  }
+  return slots > 0 ? std::min(load / slots, 1.0) : 0.0;
+}
+
 Placement Price(TargetState& target,
                 std::uint32_t rank,
                 const PlacementQuestion& question,
+                double busy,
                 MonotonicTime now) {
   const Duration round_trip = question.distances.RoundTrip(target.Region());
   Placement placement{.target = &target,
-                      .estimated_load = target.EstimatedLoad(now),
+                      .estimated_load = LoadOf(target, question, now),
                       .rank = rank,
                       .is_warm = target.HasHandled(question.object)};
 
@@ -113,7 +134,11 @@
       ToSeconds(question.times.Work(true)) * target.RelativeTime();
   placement.soonest = round_trip + FromSeconds(wait + warm_work);
   placement.expected_wait = FromSeconds(wait);
-  placement.expected = round_trip + FromSeconds(wait + work + penalty);
+  const double time = ToSeconds(round_trip) + wait + work;
+  // Squared, so that half empty targets cost next to nothing.
+  const double slot_cost = question.options.slot_price * busy * busy * work;
+  placement.expected = FromSeconds(time);
+  placement.price = FromSeconds(time + penalty + slot_cost);
   return placement;
 }
 
@@ -121,7 +146,7 @@
 
 std::size_t SoonestAnswer::Choose(std::span<const Placement> candidates) const {
   const auto soonest =
-      std::ranges::min_element(candidates, std::less<>(), &Placement::expected);
+      std::ranges::min_element(candidates, std::less<>(), &Placement::price);
   return static_cast<std::size_t>(soonest - candidates.begin());
 }
 
@@ -130,6 +155,7 @@
                                       MonotonicTime now,
                                       const CandidateRule& rule) {
   const std::vector<Candidate> candidates = Collect(targets, question, now);
+  const double busy = BusyPart(candidates, question, now);
   std::vector<Placement> priced;
   priced.reserve(candidates.size());
   std::uint32_t rank = 0;
@@ -138,7 +164,7 @@
     const bool is_same_region =
         i > 0 && candidates[i - 1].target->Region() == target.Region();
     rank = is_same_region ? rank + 1 : 0;
-    priced.push_back(Price(target, rank, question, now));
+    priced.push_back(Price(target, rank, question, busy, now));
   }
   if (priced.empty()) {
     return std::nullopt;
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -94,6 +94,7 @@
        .is_sticky = request.route->is_sticky,
        .times = TimesOf(request.service, request.route->latency_objective),
        .distances = distances_,
+       .loads = loads_[request.service],
        .latency_objective = request.route->latency_objective,
        .cold_allowance = ColdAllowance(request.service),
        .excluded = excluded,
@@ -387,6 +388,8 @@
                            MonotonicTime now) {
   if (TargetState* const state = targets_.Find(target)) {
     state->OnReport(report, now);
+    loads_[state->Record().service].OnReport(state->Region(),
+                                             state->OthersLoad(), now);
   }
 }
 
--- a/lib/libmedlarcroft/source/request_path/target_state.cc
+++ b/lib/libmedlarcroft/source/request_path/target_state.cc
@@ -106,13 +106,18 @@
   reported_at_ = now;
 }
 
-double TargetState::EstimatedLoad(MonotonicTime now) const {
+double TargetState::EstimatedLoad(std::optional<double> usual,
+                                  double usual_part,
+                                  MonotonicTime now) const {
   if (!reported_at_) {
-    return outstanding_;
+    return outstanding_ + usual.value_or(0.0) * usual_part;
   }
   const double faded =
       std::exp(-ToSeconds(now - *reported_at_) / kReportFadeSeconds);
-  return outstanding_ + others_load_ * faded + others_mean_ * (1.0 - faded);
+  const double mean =
+      usual ? usual_part * *usual + (1.0 - usual_part) * others_mean_
+            : others_mean_;
+  return outstanding_ + others_load_ * faded + mean * (1.0 - faded);
 }
 
 std::optional<Duration> TargetState::ReportAge(MonotonicTime now) const {
