--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -48,7 +48,7 @@
 class Node:
     """One medlar-node with its log file."""
 
-    def __init__(self, folder, number, store_port):
+    def __init__(self, folder, number, store_port, store=None, telemetry=None):
         ip = f"{NET}.1.{number}"
         self.name, self.caller, self.lookup = f"edge-{number}", (ip, 18100), (ip, 18102)
         self.readiness, self.metrics = (ip, 18101), (ip, 18104)
@@ -57,8 +57,10 @@
         settings.write_text(json.dumps({
             "host": self.name, "failure_domain": "z1", "region": "r1", "domains": [{"domain": "z1", "region": "r1"}],
             "caller_listen": f"{ip}:18100", "readiness_listen": f"{ip}:18101", "lookup_listen": f"{ip}:18102",
-            "peer_listen": f"{ip}:18103", "metrics_listen": f"{ip}:18104", "store_address": f"{NET}.0.1:{store_port}"}))
-        self.process = subprocess.Popen([NODE, "--settings", settings], stdout=open(self.log, "wb"))
+            "peer_listen": f"{ip}:18103", "metrics_listen": f"{ip}:18104", "store_address": store or f"{NET}.0.1:{store_port}",
+            "telemetry": telemetry or {}}))
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen([NODE, "--settings", settings], stdout=log)
 
     def get(self, address, path):
         connection = http.client.HTTPConnection(*address, timeout=LIMIT_S)
