--- a/tests/unit/platform/store_watch_test.cc
+++ b/tests/unit/platform/store_watch_test.cc
@@ -480,6 +480,20 @@
   EXPECT_EQ(whole.newest_version, 7U);
 }
 
+// All hosts start before anything was ever written. Those that ask the reader
+// must hear that the empty table is the whole one: else they would never have
+// it, and never be ready.
+TEST(TableMirrorTest, AnEmptyTableIsToldAsWhole) {
+  TableMirror mirror;
+  mirror.Replace({}, 0);
+  EXPECT_TRUE(mirror.Since(0).is_whole);
+
+  mirror.Apply(std::vector<StoreRow>{{.key = "a", .version = 1}}, 1);
+  const StoreRows rows = mirror.Since(0);
+  EXPECT_TRUE(rows.is_whole);
+  EXPECT_EQ(rows.rows.size(), 1U);
+}
+
 // A row that was removed and is written again is told as written.
 TEST(TableMirrorTest, ARowThatReturnsIsNotTakenForRemoved) {
   TableMirror mirror;
