Read the host list when it is due, whatever the catalogue's head does

The list was due each 2 s, but read only in the steps of the head's reader, 0.75 to 1.25 s apart, so up to 3.25 s late, and up to 10 s while the head's calls back off.

--- a/lib/libmedlarcroft/source/adapters/steer/platform_watch.cc
+++ b/lib/libmedlarcroft/source/adapters/steer/platform_watch.cc
@@ -11,18 +11,7 @@
 
 namespace {
 
-/// Reads of the host list by all hosts together: of the platform's 2,000.
-constexpr double kHostListReadsPerSecond = 176.0;
-
-/// A leaving target gets no new work later than 3 s after the list shows it;
-/// the list is read in the first two of them wherever the platform can bear it.
-/// A host that also watches the catalogue's head once a second then makes 90 of
-/// the 100 reads a minute that it may make by default.
-constexpr Duration kShortestHostListPeriod = std::chrono::seconds(2);
-
-/// At 880 hosts. The list lags by itself, and a target's own sign and an
-/// operator's word do not come this way.
-constexpr Duration kLongestHostListPeriod = std::chrono::seconds(5);
+using catalogue::PlatformReading;
 
 /// The map changes a few times a day; 880 hosts are 15 reads a second.
 constexpr Duration kBlockMapPeriod = std::chrono::seconds(60);
@@ -36,43 +25,42 @@
 constexpr std::string_view kBlockMapHead = "blocks/head";
 constexpr std::string_view kBlockMapObjectPrefix = "blocks/map-";
 
-Duration HostListPeriodFor(std::size_t hosts) {
-  const Duration shared =
-      FromSeconds(static_cast<double>(hosts) / kHostListReadsPerSecond);
-  return std::clamp(shared, kShortestHostListPeriod, kLongestHostListPeriod);
-}
-
 }  // namespace
 
 Duration PlatformWatch::Step() {
-  const Duration pause = parts_.relay.Step(
-      parts_.core.IsRelayFor(kCatalogueDuty, kCatalogueRelays));
-  parts_.agent.Publish();
+  if (schedule_.IsDue(PlatformReading::kCatalogueHead, parts_.clock.Now())) {
+    const Duration pause = parts_.relay.Step(
+        parts_.core.IsRelayFor(kCatalogueDuty, kCatalogueRelays));
+    parts_.agent.Publish();
+    schedule_.SetDue(PlatformReading::kCatalogueHead,
+                     parts_.clock.Now() + pause);
+  }
 
   const MonotonicTime now = parts_.clock.Now();
-  if (now >= next_host_list_) {
-    next_host_list_ = now + HostListPeriodFor(listed_hosts_);
-    ReadHostList();
+  if (schedule_.IsDue(PlatformReading::kHostList, now)) {
+    schedule_.SetDue(PlatformReading::kHostList, now + ReadHostList());
   }
-  if (now >= next_block_map_) {
-    next_block_map_ = now + kBlockMapPeriod;
+  if (schedule_.IsDue(PlatformReading::kBlockMap, now)) {
+    schedule_.SetDue(PlatformReading::kBlockMap, now + kBlockMapPeriod);
     ReadBlockMap();
   }
-  return pause;
+  return schedule_.PauseFrom(parts_.clock.Now());
 }
 
-void PlatformWatch::ReadHostList() {
+Duration PlatformWatch::ReadHostList() {
   if (!parts_.budget.TakeRead()) {
-    return;
+    return host_list_pace_.AfterFailure();
   }
   auto hosts = parts_.hosts.List();
   parts_.budget.NoteOutcome(IsOk(hosts));
-  if (IsOk(hosts)) {
-    const auto& list = ValueOf(hosts);
-    listed_hosts_ = static_cast<std::size_t>(std::ranges::count(
-        list, ports::ListedRole::kEntryHost, &ports::ListedHost::role));
-    parts_.core.ApplyHostList(TakeValue(std::move(hosts)));
+  if (!IsOk(hosts)) {
+    return host_list_pace_.AfterFailure();
   }
+  const auto& list = ValueOf(hosts);
+  const auto entry_hosts = static_cast<std::size_t>(std::ranges::count(
+      list, ports::ListedRole::kEntryHost, &ports::ListedHost::role));
+  parts_.core.ApplyHostList(TakeValue(std::move(hosts)));
+  return host_list_pace_.AfterRead(entry_hosts);
 }
 
 void PlatformWatch::ReadBlockMap() {
--- a/lib/libmedlarcroft/source/adapters/steer/platform_watch.h
+++ b/lib/libmedlarcroft/source/adapters/steer/platform_watch.h
@@ -7,6 +7,7 @@
 #include "adapters/steer/steer_core.h"
 #include "medlarcroft/catalogue/catalogue_relay.h"
 #include "medlarcroft/catalogue/platform_budget.h"
+#include "medlarcroft/catalogue/platform_schedule.h"
 #include "medlarcroft/ports/clock.h"
 #include "medlarcroft/ports/host_list.h"
 #include "medlarcroft/ports/object_store.h"
@@ -37,13 +38,13 @@
   Duration Step();
 
  private:
-  void ReadHostList();
+  /// @return the pause until the list is read again.
+  [[nodiscard]] Duration ReadHostList();
   void ReadBlockMap();
 
   const Parts parts_;
-  std::size_t listed_hosts_ = 0;  ///< Entry hosts in the last list read.
-  MonotonicTime next_host_list_;
-  MonotonicTime next_block_map_;
+  catalogue::PlatformSchedule schedule_;
+  catalogue::HostListPace host_list_pace_;
 };
 
 }  // namespace medlarcroft::adapters
