Let requests that a leaving target refused go on without the retry budget

Reading shows the weakness: a planned drain's refusals draw on the same tokens, so a spent budget turns a drain into refusals. Change: AttemptRules::is_retry_free for a target that said that it leaves. It gets nothing new, so such retries end with what was in flight there. Test: RequestSchedulerTest.RequestsOfALeavingTargetNeedNoBudget, failed first.

--- a/lib/libmedlarcroft/include/medlarcroft/decision/attempt_rules.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/attempt_rules.h
@@ -20,6 +20,13 @@
   /// Another attempt may help an idempotent request.
   bool is_worth_retry = false;
   bool is_blamed_on_target = false;
+  /// Another attempt takes nothing from the retry budget.
+  ///
+  /// Failure: hedges have just spent the budget when a target begins to leave.
+  /// Symptom: a planned drain costs callers "not run" refusals. A target that
+  /// said that it leaves gets nothing new, so such retries end with what was in
+  /// flight there, at most its slots; they can't multiply the load.
+  bool is_retry_free = false;
   SlotRelease release = SlotRelease::kAtOnce;
 };
 
--- a/lib/libmedlarcroft/source/decision/attempt_rules.cc
+++ b/lib/libmedlarcroft/source/decision/attempt_rules.cc
@@ -17,6 +17,9 @@
                                   .is_blamed_on_target = true};
 constexpr AttemptRules kNotRunByTarget{.run_state = RunState::kNotRun,
                                        .is_worth_retry = true};
+constexpr AttemptRules kTargetLeaving{.run_state = RunState::kNotRun,
+                                      .is_worth_retry = true,
+                                      .is_retry_free = true};
 constexpr AttemptRules kTruncated{.is_worth_retry = true,
                                   .is_blamed_on_target = true,
                                   .release = SlotRelease::kAfterGrace};
@@ -31,7 +34,7 @@
 
 // In the order of AttemptOutcome.
 constexpr std::array kRules{
-    kAnswered,  kServerError,    kNeverSent, kNotRunByTarget,   kNotRunByTarget,
+    kAnswered,  kServerError,    kNeverSent, kNotRunByTarget,   kTargetLeaving,
     kTruncated, kConnectionLost, kTimedOut,  kSilentConnection, kCancelled};
 static_assert(kRules.size() ==
               static_cast<std::size_t>(AttemptOutcome::kCancelled) + 1);
--- a/lib/libmedlarcroft/source/decision/request_scheduler_attempts.cc
+++ b/lib/libmedlarcroft/source/decision/request_scheduler_attempts.cc
@@ -143,7 +143,7 @@
   if (request.deadline - now < service.latency.Mean()) {
     return RefusalReason::kDeadlineTooShort;
   }
-  if (!service.budget.TryTake())
+  if (!rules.is_retry_free && !service.budget.TryTake())
     return RefusalReason::kRetryBudgetSpent;
   return std::nullopt;
 }
--- a/tests/unit/decision/request_scheduler_test.cc
+++ b/tests/unit/decision/request_scheduler_test.cc
@@ -122,6 +122,41 @@
   EXPECT_EQ(retries, 10);
 }
 
+// The caller sees: an answer, though not "not run". In order: hedges and lost
+// connections spend the budget; a target with requests in flight says that it
+// leaves, and refuses them; each goes to another target. Why: a planned drain
+// must cost callers nothing, and its repeats end with what was in flight there,
+// since the target gets nothing new.
+TEST_F(RequestSchedulerTest, RequestsOfALeavingTargetNeedNoBudget) {
+  Configure(Service(Targets(8, 8)));
+  std::vector<Dispatch> at_first;
+  std::vector<Dispatch> elsewhere;
+  for (int i = 0; i < 32; ++i) {
+    const Dispatch dispatch = SubmitAndDispatch();
+    const bool is_first = dispatch.target == TargetName("t0");
+    (is_first ? at_first : elsewhere).push_back(dispatch);
+  }
+  ASSERT_GE(at_first.size(), 2U);
+  for (const Dispatch& dispatch : elsewhere) {
+    static_cast<void>(End(dispatch.attempt, AttemptOutcome::kAnswered));
+  }
+  for (bool is_spent = false; !is_spent;) {
+    NextStep step =
+        End(SubmitAndDispatch().attempt, AttemptOutcome::kNeverSent);
+    while (auto* dispatch = std::get_if<Dispatch>(&step)) {
+      step = End(dispatch->attempt, AttemptOutcome::kNeverSent);
+    }
+    is_spent =
+        std::get<Refusal>(step).reason == RefusalReason::kRetryBudgetSpent;
+  }
+
+  for (const Dispatch& dispatch : at_first) {
+    const NextStep step = End(dispatch.attempt, AttemptOutcome::kTargetLeaving);
+    ASSERT_TRUE(std::holds_alternative<Dispatch>(step));
+    EXPECT_NE(std::get<Dispatch>(step).target, TargetName("t0"));
+  }
+}
+
 // The caller sees: nothing unusual. In order: a request times out at its
 // deadline; the slot comes back only after the grace that the target needs to
 // stop. Why: a request sent at once would be one more than the target's slots.
