--- /dev/null
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/row.h
@@ -0,0 +1,47 @@
+#ifndef MEDLARCROFT_ROWS_ROW_H_
+#define MEDLARCROFT_ROWS_ROW_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "medlarcroft/core/result.h"
+
+namespace medlarcroft::rows {
+
+/// @brief One row of a versioned table.
+struct Row {
+  std::string key;
+  std::string value;
+  /// Of the transaction that wrote or removed it.
+  std::uint64_t version = 0;
+  bool is_removed = false;
+};
+
+/// @brief Rows as of one moment, or those changed up to one.
+struct RowBatch {
+  std::vector<Row> rows;
+  std::uint64_t newest_version = 0;
+  bool has_more = false;
+  /// Another host's answer holds the whole table, not only what changed.
+  bool is_whole = false;
+};
+
+/// @brief Why a call brought nothing.
+enum class RowFailure {
+  kUnreachable,      ///< No answer. A write may have been, or may yet be, done.
+  kRefused,          ///< Turned away; nothing was done.
+  kForgotten,        ///< The history that was asked for is gone.
+  kConditionFailed,  ///< A row has another version; nothing was done.
+  kBadAnswer,        ///< An answer that can't be read.
+};
+
+[[nodiscard]] std::string_view NameOf(RowFailure failure);
+
+using RowsCallback = std::function<void(Result<RowBatch, RowFailure>)>;
+
+}  // namespace medlarcroft::rows
+
+#endif  // MEDLARCROFT_ROWS_ROW_H_
--- a/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
@@ -1,5 +1,5 @@
-#ifndef MEDLARCROFT_PLATFORM_STORE_WATCH_H_
-#define MEDLARCROFT_PLATFORM_STORE_WATCH_H_
+#ifndef MEDLARCROFT_ROWS_TABLE_FOLLOWER_H_
+#define MEDLARCROFT_ROWS_TABLE_FOLLOWER_H_
 
 #include <cstdint>
 #include <functional>
@@ -7,13 +7,18 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
-#include "adapters/event/event_loop.h"
+#include "medlarcroft/core/time.h"
 #include "medlarcroft/ports/random_source.h"
-#include "platform/store_client.h"
-#include "platform/table_mirror.h"
+#include "medlarcroft/ports/timers.h"
+#include "medlarcroft/rows/follow_pace.h"
+#include "medlarcroft/rows/row.h"
+#include "medlarcroft/rows/row_source.h"
+#include "medlarcroft/rows/table_mirror.h"
+#include "medlarcroft/rows/table_teller.h"
 
-namespace medlarcroft::platform {
+namespace medlarcroft::rows {
 
 /// @brief Hears what a table holds.
 class TableListener {
@@ -21,27 +26,26 @@
   virtual ~TableListener() = default;
 
   /// The whole table.
-  virtual void OnTable(std::span<const StoreRow> rows) = 0;
+  virtual void OnTable(std::span<const Row> rows) = 0;
   /// Rows that changed since, in order; removed ones are marked.
-  virtual void OnRows(std::span<const StoreRow> rows) = 0;
+  virtual void OnRows(std::span<const Row> rows) = 0;
   /// News stopped coming.
-  virtual void OnStoreLost(StoreFailure failure) = 0;
+  virtual void OnStoreLost(RowFailure failure) = 0;
   /// News comes again, `away` after the last that came.
   virtual void OnStoreBack(Duration away) = 0;
+  /// The host that read for this one failed it: from now on this one reads the
+  /// store itself for a while.
+  virtual void OnReaderLost(RowFailure failure,
+                            std::uint64_t known_version) = 0;
 };
 
 /// @brief Keeps up with one table: reads it whole, then waits for changes, and
 /// reads it anew when the store has forgotten what came between.
-class StoreWatch {
+class TableFollower {
  public:
   struct Options {
     std::string table;
-    /// How long the store holds a call open when nothing changes. A call that
-    /// the store has lost sight of brings nothing for as long.
-    Duration wait = std::chrono::seconds(4);
-    /// Between a change and the next call: changes that come together, as when
-    /// all targets start, are heard together.
-    Duration pause_after_change = std::chrono::milliseconds(120);
+    FollowPace pace;
     /// Asks some other host while the store turns this one away; none: nobody
     /// is asked.
     std::function<void(const PeerQuestion& question, RowsCallback callback)>
@@ -55,22 +59,21 @@
         ask_reader;
   };
 
-  StoreWatch(adapters::EventLoop& loop,
-             StoreClient& store,
-             ports::RandomSource& random,
-             const Options& options,
-             TableListener& listener);
-  ~StoreWatch();
-  StoreWatch(const StoreWatch&) = delete;
-  StoreWatch& operator=(const StoreWatch&) = delete;
+  struct Parts {
+    ports::Timers& timers;
+    RowSource& store;
+    ports::RandomSource& random;
+    TableListener& listener;
+  };
+
+  TableFollower(const Parts& parts, Options options);
+  ~TableFollower();
+  TableFollower(const TableFollower&) = delete;
+  TableFollower& operator=(const TableFollower&) = delete;
 
   void Start() { Read(); }
-  /// @brief Sets how long the store holds a call, and how long changes may wait
-  /// to be heard together, from now on.
-  void SetPace(Duration wait, Duration pause_after_change) {
-    options_.wait = wait;
-    options_.pause_after_change = pause_after_change;
-  }
+  /// @brief Follows at that pace from now on.
+  void SetPace(const FollowPace& pace) { options_.pace = pace; }
 
   [[nodiscard]] const std::string& Table() const { return options_.table; }
   [[nodiscard]] bool HasTable() const { return has_table_; }
@@ -91,27 +94,24 @@
   void Read();
   void ReadTable();
   void ReadPage(const std::string& first_key);
-  void OnPage(Result<StoreRows, StoreFailure> result);
+  void OnPage(Result<RowBatch, RowFailure> result);
   void Follow();
   void FollowStore(Duration wait);
   bool FollowReader();
-  void OnReaderRows(const Result<StoreRows, StoreFailure>& result);
+  void OnReaderRows(const Result<RowBatch, RowFailure>& result);
   /// @return whether the rows are not older than what is known.
-  bool TakePeerRows(const StoreRows& rows);
-  void OnChanges(const Result<StoreRows, StoreFailure>& result);
-  void OnFailure(StoreFailure failure);
+  bool TakePeerRows(const RowBatch& rows);
+  void OnChanges(const Result<RowBatch, RowFailure>& result);
+  void OnFailure(RowFailure failure);
   void OnAnswer();
   void AskPeer();
-  void OnPeerRows(const Result<StoreRows, StoreFailure>& result);
-  void After(Duration delay, void (StoreWatch::*next)());
+  void OnPeerRows(const Result<RowBatch, RowFailure>& result);
+  void After(Duration delay, void (TableFollower::*next)());
 
-  adapters::EventLoop& loop_;
-  StoreClient& store_;
-  ports::RandomSource& random_;
+  Parts parts_;
   Options options_;
-  TableListener& listener_;
   bool has_table_ = false;
-  std::vector<StoreRow> pages_;
+  std::vector<Row> pages_;
   std::uint64_t pages_version_ = 0;
   /// Nothing older than this counts any more.
   std::uint64_t version_ = 0;
@@ -131,9 +131,10 @@
   MonotonicTime direct_until_{};
   std::uint32_t failures_ = 0;
   // Calls under way may outlive the watch.
-  std::shared_ptr<StoreWatch*> self_ = std::make_shared<StoreWatch*>(this);
+  std::shared_ptr<TableFollower*> self_ =
+      std::make_shared<TableFollower*>(this);
 };
 
-}  // namespace medlarcroft::platform
+}  // namespace medlarcroft::rows
 
-#endif  // MEDLARCROFT_PLATFORM_STORE_WATCH_H_
+#endif  // MEDLARCROFT_ROWS_TABLE_FOLLOWER_H_
--- /dev/null
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/table_mirror.h
@@ -0,0 +1,51 @@
+#ifndef MEDLARCROFT_ROWS_TABLE_MIRROR_H_
+#define MEDLARCROFT_ROWS_TABLE_MIRROR_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <utility>
+
+#include "medlarcroft/core/time.h"
+#include "medlarcroft/rows/row.h"
+
+namespace medlarcroft::rows {
+
+/// @brief The rows of one table as this host last heard them, for other hosts
+/// that the store turns away or that do not read it themselves.
+class TableMirror {
+ public:
+  void Replace(std::span<const Row> rows, std::uint64_t version);
+  void Apply(std::span<const Row> rows, std::uint64_t version);
+
+  /// @brief Runs `task` after each change.
+  void OnChange(std::function<void()> task) { on_change_ = std::move(task); }
+
+  [[nodiscard]] std::uint64_t Version() const { return version_; }
+  /// @return what changed after `known_version`, removed rows marked; the whole
+  /// table when that is older than the changes that are kept.
+  [[nodiscard]] RowBatch Since(std::uint64_t known_version) const;
+
+ private:
+  std::uint64_t version_ = 0;
+  /// From then on removals are kept.
+  std::uint64_t changes_since_ = 0;
+  std::map<std::string, Row> rows_;
+  std::map<std::string, std::uint64_t> removed_at_;
+  std::function<void()> on_change_ = [] {};
+};
+
+/// @brief A table whose reader hears from the store itself.
+struct FreshTable {
+  const TableMirror* mirror = nullptr;  ///< Null: there is none.
+  /// There is none yet, as its reader has just started.
+  bool is_awaited = false;
+  /// How long it counts as fresh unless the store answers again.
+  Duration fresh_for{0};
+};
+
+}  // namespace medlarcroft::rows
+
+#endif  // MEDLARCROFT_ROWS_TABLE_MIRROR_H_
--- a/lib/libmedlarcroft/source/adapters/event/event_loop.h
+++ b/lib/libmedlarcroft/source/adapters/event/event_loop.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <utility>
 
 #include "medlarcroft/core/time.h"
 #include "medlarcroft/ports/clock.h"
+#include "medlarcroft/ports/timers.h"
 
 namespace medlarcroft::adapters {
 
@@ -25,10 +27,10 @@
 /// @brief One thread that serves descriptors, timers and signals on an ACE
 /// reactor. Everything it calls runs on the thread of `Run`, so that parts
 /// which share a loop need no locks. Call `BlockDaemonSignals` before.
-class EventLoop {
+class EventLoop final : public ports::Timers {
  public:
   explicit EventLoop(const ports::Clock& clock);
-  ~EventLoop();
+  ~EventLoop() override;
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
@@ -42,6 +44,9 @@
   /// @brief Runs `task` once a `period`.
   void Every(Duration period, std::function<void()> task);
   void Cancel(TimerId timer);
+  void RunAfter(Duration delay, std::function<void()> task) override {
+    After(delay, std::move(task));
+  }
 
   void OnTerminate(std::function<void(int count)> task);
   void OnReload(std::function<void()> task);
@@ -52,7 +57,7 @@
   void Finish(int exit_code);
 
   /// @return the time at which the present callback began.
-  [[nodiscard]] MonotonicTime Now() const { return clock_.Now(); }
+  [[nodiscard]] MonotonicTime Now() const override { return clock_.Now(); }
   [[nodiscard]] const ports::Clock& Clock() const { return clock_; }
 
  private:
--- /dev/null
+++ b/lib/libmedlarcroft/source/rows/row.cc
@@ -0,0 +1,19 @@
+#include "medlarcroft/rows/row.h"
+
+#include <array>
+#include <cstddef>
+
+namespace medlarcroft::rows {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> kFailureNames = {
+    "unreachable", "refused", "forgotten", "condition-failed", "bad-answer"};
+
+}  // namespace
+
+std::string_view NameOf(RowFailure failure) {
+  return kFailureNames.at(static_cast<std::size_t>(failure));
+}
+
+}  // namespace medlarcroft::rows
--- a/lib/libmedlarcroft/source/rows/table_follower.cc
+++ b/lib/libmedlarcroft/source/rows/table_follower.cc
@@ -1,11 +1,9 @@
-#include "platform/store_watch.h"
+#include "medlarcroft/rows/table_follower.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "adapters/process/log.h"
-
-namespace medlarcroft::platform {
+namespace medlarcroft::rows {
 
 namespace {
 
@@ -25,59 +23,51 @@
 
 }  // namespace
 
-StoreWatch::StoreWatch(adapters::EventLoop& loop,
-                       StoreClient& store,
-                       ports::RandomSource& random,
-                       const Options& options,
-                       TableListener& listener)
-    : loop_(loop),
-      store_(store),
-      random_(random),
-      options_(options),
-      listener_(listener) {}
+TableFollower::TableFollower(const Parts& parts, Options options)
+    : parts_(parts), options_(std::move(options)) {}
 
-StoreWatch::~StoreWatch() {
+TableFollower::~TableFollower() {
   *self_ = nullptr;
 }
 
-std::optional<Duration> StoreWatch::Age() const {
-  return answered_at_ ? std::optional(loop_.Now() - *answered_at_)
+std::optional<Duration> TableFollower::Age() const {
+  return answered_at_ ? std::optional(parts_.timers.Now() - *answered_at_)
                       : std::nullopt;
 }
 
 // Hosts that start in a large region hear the table from its reader, so that a
 // start of many does not cost the store a list for each.
-void StoreWatch::Read() {
+void TableFollower::Read() {
   if (!FollowReader()) {
     ReadTable();
   }
 }
 
-void StoreWatch::ReadTable() {
+void TableFollower::ReadTable() {
   pages_.clear();
   pages_version_ = 0;
   ReadPage("");
 }
 
-void StoreWatch::ReadPage(const std::string& first_key) {
-  store_.List(options_.table, first_key,
-              [self = self_](Result<StoreRows, StoreFailure> result) {
-                if (*self != nullptr) {
-                  (*self)->OnPage(std::move(result));
-                }
-              });
+void TableFollower::ReadPage(const std::string& first_key) {
+  parts_.store.List(options_.table, first_key,
+                    [self = self_](Result<RowBatch, RowFailure> result) {
+                      if (*self != nullptr) {
+                        (*self)->OnPage(std::move(result));
+                      }
+                    });
 }
 
-void StoreWatch::OnPage(Result<StoreRows, StoreFailure> result) {
+void TableFollower::OnPage(Result<RowBatch, RowFailure> result) {
   if (!IsOk(result)) {
     OnFailure(ErrorOf(result));
     return;
   }
-  StoreRows page = TakeValue(std::move(result));
+  RowBatch page = TakeValue(std::move(result));
   // Failure: an answer from before what is known already. Symptom: targets that
   // left come back, a configuration is taken back. It is asked for again.
   if (page.newest_version < version_) {
-    OnFailure(StoreFailure::kBadAnswer);
+    OnFailure(RowFailure::kBadAnswer);
     return;
   }
   // Changes that come while the pages are read follow the first one.
@@ -91,74 +81,88 @@
     return;
   }
   OnAnswer();
+  // Failure: another host told newer rows while the pages were read. Symptom:
+  // this host goes back to the older ones, and what that host tells next is
+  // put on top of them, so that rows in between are never heard.
+  if (has_table_ && pages_version_ < version_) {
+    std::vector<Row>().swap(pages_);
+    Follow();
+    return;
+  }
   has_table_ = true;
   version_ = pages_version_;
   mirror_.Replace(pages_, version_);
-  listener_.OnTable(pages_);
-  std::vector<StoreRow>().swap(pages_);
+  parts_.listener.OnTable(pages_);
+  std::vector<Row>().swap(pages_);
   Follow();
 }
 
-void StoreWatch::Follow() {
+void TableFollower::Follow() {
   if (FollowReader()) {
     return;
   }
-  FollowStore(options_.wait);
+  FollowStore(options_.pace.wait);
 }
 
-void StoreWatch::FollowStore(Duration wait) {
-  held_for_ = std::max(wait, options_.wait);
-  store_.Follow(options_.table, version_, wait,
-                [self = self_](const Result<StoreRows, StoreFailure>& result) {
-                  if (*self != nullptr) {
-                    (*self)->OnChanges(result);
-                  }
-                });
+void TableFollower::FollowStore(Duration wait) {
+  held_for_ = std::max(wait, options_.pace.wait);
+  parts_.store.Follow(
+      options_.table, version_, wait,
+      [self = self_](const Result<RowBatch, RowFailure>& result) {
+        if (*self != nullptr) {
+          (*self)->OnChanges(result);
+        }
+      });
 }
 
-void StoreWatch::OnChanges(const Result<StoreRows, StoreFailure>& result) {
+void TableFollower::OnChanges(const Result<RowBatch, RowFailure>& result) {
   if (!IsOk(result)) {
-    if (ErrorOf(result) == StoreFailure::kForgotten) {
+    if (ErrorOf(result) == RowFailure::kForgotten) {
       ReadTable();
       return;
     }
     OnFailure(ErrorOf(result));
     return;
   }
-  const StoreRows& changes = ValueOf(result);
+  const RowBatch& changes = ValueOf(result);
   OnAnswer();
-  version_ = std::max(version_, changes.newest_version);
+  // The answer was held up, and another host has told newer rows meanwhile.
+  if (changes.newest_version < version_) {
+    After(kFirstPause, &TableFollower::Follow);
+    return;
+  }
+  version_ = changes.newest_version;
   mirror_.Apply(changes.rows, version_);
   if (changes.rows.empty()) {
     Follow();
     return;
   }
-  listener_.OnRows(changes.rows);
-  if (options_.pause_after_change > Duration(0)) {
-    After(options_.pause_after_change, &StoreWatch::Follow);
+  parts_.listener.OnRows(changes.rows);
+  if (options_.pace.pause_after_change > Duration(0)) {
+    After(options_.pace.pause_after_change, &TableFollower::Follow);
   } else {
     Follow();
   }
 }
 
-void StoreWatch::OnAnswer() {
-  const MonotonicTime now = loop_.Now();
+void TableFollower::OnAnswer() {
+  const MonotonicTime now = parts_.timers.Now();
   failures_ = 0;
   if (away_since_) {
     const Duration away = now - *away_since_;
     away_since_.reset();
-    listener_.OnStoreBack(away);
+    parts_.listener.OnStoreBack(away);
   }
   answered_at_ = now;
   read_at_ = now;
   is_catching_up_ = false;
 }
 
-void StoreWatch::OnFailure(StoreFailure failure) {
+void TableFollower::OnFailure(RowFailure failure) {
   is_catching_up_ = false;
   if (!away_since_) {
-    away_since_ = loop_.Now();
-    listener_.OnStoreLost(failure);
+    away_since_ = parts_.timers.Now();
+    parts_.listener.OnStoreLost(failure);
     AskPeer();
   }
   const std::uint32_t doublings = std::min(failures_++, kMaxDoublings);
@@ -166,9 +170,9 @@
       std::min(kFirstPause * (1U << doublings), kLongestPause);
   // Readers that lost the store together must not come back together.
   const Duration jittered =
-      FromSeconds(ToSeconds(pause) * (0.75 + 0.5 * random_.NextUnit()));
-  After(jittered, has_table_ && pages_.empty() ? &StoreWatch::Follow
-                                               : &StoreWatch::ReadTable);
+      FromSeconds(ToSeconds(pause) * (0.75 + 0.5 * parts_.random.NextUnit()));
+  After(jittered, has_table_ && pages_.empty() ? &TableFollower::Follow
+                                               : &TableFollower::ReadTable);
 }
 
 // Failure: the store turns this host away, or a cut lies between, while other
@@ -176,40 +180,39 @@
 // that are evacuated or that turned cold, and denies routes that were added. So
 // it hears from them for as long; rows that are older than its own are passed
 // over, and a host that does not hear from the store itself tells nothing.
-void StoreWatch::AskPeer() {
+void TableFollower::AskPeer() {
   if (!away_since_ || !options_.ask_peer) {
     return;
   }
-  options_.ask_peer(
-      {.table = options_.table, .known_version = version_},
-      [self = self_](const Result<StoreRows, StoreFailure>& rows) {
-        if (*self != nullptr) {
-          (*self)->OnPeerRows(rows);
-        }
-      });
+  options_.ask_peer({.table = options_.table, .known_version = version_},
+                    [self = self_](const Result<RowBatch, RowFailure>& rows) {
+                      if (*self != nullptr) {
+                        (*self)->OnPeerRows(rows);
+                      }
+                    });
 }
 
-void StoreWatch::OnPeerRows(const Result<StoreRows, StoreFailure>& result) {
-  After(kPeerPause, &StoreWatch::AskPeer);
+void TableFollower::OnPeerRows(const Result<RowBatch, RowFailure>& result) {
+  After(kPeerPause, &TableFollower::AskPeer);
   if (away_since_ && IsOk(result)) {
     (void)TakePeerRows(ValueOf(result));
   }
 }
 
-bool StoreWatch::TakePeerRows(const StoreRows& rows) {
+bool TableFollower::TakePeerRows(const RowBatch& rows) {
   if (rows.newest_version < version_) {
     return false;
   }
-  answered_at_ = loop_.Now();
+  answered_at_ = parts_.timers.Now();
   if (rows.is_whole) {
     version_ = rows.newest_version;
     has_table_ = true;
     mirror_.Replace(rows.rows, version_);
-    listener_.OnTable(rows.rows);
+    parts_.listener.OnTable(rows.rows);
   } else if (rows.newest_version > version_ && has_table_) {
     version_ = rows.newest_version;
     mirror_.Apply(rows.rows, version_);
-    listener_.OnRows(rows.rows);
+    parts_.listener.OnRows(rows.rows);
   }
   return true;
 }
@@ -220,8 +223,9 @@
 // itself for the time that a call is held and a little, and a host whose call
 // to it fails or lags reads for itself from then on, so that news is late by
 // that or by a call's timeout, whichever is longer.
-bool StoreWatch::FollowReader() {
-  if (!options_.ask_reader || away_since_ || loop_.Now() < direct_until_) {
+bool TableFollower::FollowReader() {
+  if (!options_.ask_reader || away_since_ ||
+      parts_.timers.Now() < direct_until_) {
     return false;
   }
   const std::uint64_t call = ++reader_calls_;
@@ -229,7 +233,7 @@
       {.table = options_.table,
        .known_version = version_,
        .wait = options_.reader_wait},
-      [self = self_, call](const Result<StoreRows, StoreFailure>& rows) {
+      [self = self_, call](const Result<RowBatch, RowFailure>& rows) {
         if (*self != nullptr && (*self)->reader_call_ == call) {
           (*self)->OnReaderRows(rows);
         }
@@ -240,14 +244,11 @@
   return is_asked;
 }
 
-void StoreWatch::OnReaderRows(const Result<StoreRows, StoreFailure>& result) {
+void TableFollower::OnReaderRows(const Result<RowBatch, RowFailure>& result) {
   reader_call_.reset();
   if (!IsOk(result)) {
-    direct_until_ = loop_.Now() + kDirectTime;
-    adapters::Log(adapters::LogLevel::kInfo, "reader-lost",
-                  {{"table", options_.table},
-                   {"reason", NameOf(ErrorOf(result))},
-                   {"known_version", version_}});
+    direct_until_ = parts_.timers.Now() + kDirectTime;
+    parts_.listener.OnReaderLost(ErrorOf(result), version_);
     if (has_table_) {
       Follow();
     } else {
@@ -260,11 +261,11 @@
     return;
   }
   // The reader is fresh and will be there in a moment.
-  After(kPeerPause, &StoreWatch::Follow);
+  After(kPeerPause, &TableFollower::Follow);
 }
 
-FreshTable StoreWatch::TellOthers() {
-  direct_until_ = loop_.Now() + kDirectTime;
+FreshTable TableFollower::TellOthers() {
+  direct_until_ = parts_.timers.Now() + kDirectTime;
   if (reader_call_) {
     // Hosts that come and go change who reads: the others must not wait until
     // this one's own call to the reader before has ended.
@@ -282,17 +283,18 @@
   if (away_since_ || !read_at_) {
     return {};
   }
-  const Duration left = *read_at_ + held_for_ + kFreshMargin - loop_.Now();
+  const Duration left =
+      *read_at_ + held_for_ + kFreshMargin - parts_.timers.Now();
   return left > Duration(0) ? FreshTable{.mirror = &mirror_, .fresh_for = left}
                             : FreshTable{};
 }
 
-void StoreWatch::After(Duration delay, void (StoreWatch::*next)()) {
-  loop_.After(delay, [self = self_, next] {
+void TableFollower::After(Duration delay, void (TableFollower::*next)()) {
+  parts_.timers.RunAfter(delay, [self = self_, next] {
     if (*self != nullptr) {
       ((*self)->*next)();
     }
   });
 }
 
-}  // namespace medlarcroft::platform
+}  // namespace medlarcroft::rows
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -30,19 +30,10 @@
 // meanwhile would be denied for good. After this a missing route may be news
 // that has not come.
 constexpr Duration kNewsDoubtfulAfter = std::chrono::seconds(6);
-// How long the store holds a call when nothing changes. Who reads for others
-// must see sooner that the store has lost sight of a call: all of them wait,
-// and with the margin and a call of their own must hear within 2.5 s.
-constexpr Duration kWaitAlone = std::chrono::milliseconds(4800);
-constexpr Duration kWaitForOthers = std::chrono::milliseconds(1500);
 // A host that starts looks so long for hosts that read for its region; a start
 // of all at once, when there are none yet, is held up by no more.
 constexpr Duration kReaderSearch = std::chrono::milliseconds(400);
 constexpr Duration kReaderSearchStep = std::chrono::milliseconds(20);
-// How long changes may wait to be heard together: where many hosts and targets
-// start at once, each change that is heard alone is a call of every host.
-constexpr Duration kPauseAlone = std::chrono::milliseconds(120);
-constexpr Duration kPauseInLargeRegion = std::chrono::milliseconds(400);
 // Part of the memory that callers' bodies may take.
 constexpr std::size_t kBodyMemoryPart = 16;
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
@@ -133,24 +124,24 @@
                   }}),
       operator_news_(loop, routes_, targets_, [this] { ApplyCallerLimits(); }),
       target_news_(loop, targets_),
-      operator_watch_(loop,
-                      store_,
-                      random_,
-                      WatchOptions(platform::kOperatorTableName),
-                      operator_news_),
-      target_watch_(loop,
-                    store_,
-                    random_,
-                    WatchOptions(platform::kTargetTableName),
-                    target_news_),
+      operator_watch_({.timers = loop,
+                       .store = store_,
+                       .random = random_,
+                       .listener = operator_news_},
+                      WatchOptions(platform::kOperatorTableName)),
+      target_watch_({.timers = loop,
+                     .store = store_,
+                     .random = random_,
+                     .listener = target_news_},
+                    WatchOptions(platform::kTargetTableName)),
       readiness_page_([this] { return IsReady(); }),
       lookup_page_(
           [this](const RegionName&) { return peers_.CallableAddresses(); },
           std::min(kLookupTimeToLive, settings.bounds.lookup_time_to_live)),
       metrics_page_(metrics_),
-      mirror_page_(
-          loop,
-          [this](std::string_view table) { return FindMirror(table); }),
+      teller_(loop,
+              [this](std::string_view table) { return FindMirror(table); }),
+      mirror_page_(teller_),
       stop_(StopOptions(settings)) {}
 
 std::optional<StartFailure> Node::Start() {
@@ -178,10 +169,10 @@
   if (!peers_.Start()) {
     return StartFailure::kPeerSocket;
   }
-  for (platform::StoreWatch* const watch :
+  for (rows::TableFollower* const watch :
        {&operator_watch_, &target_watch_, &peers_.Watch()}) {
     watch->Mirror().OnChange(
-        [this, watch] { mirror_page_.OnChange(watch->Table()); });
+        [this, watch] { teller_.OnChange(watch->Table()); });
   }
   StartWatches(loop_.Now() + kReaderSearch);
   RegisterGauges();
@@ -189,17 +180,17 @@
   return std::nullopt;
 }
 
-platform::StoreWatch::Options Node::WatchOptions(const std::string& table) {
+rows::TableFollower::Options Node::WatchOptions(const std::string& table) {
   return {.table = table,
-          .wait = kWaitAlone,
+          .pace = rows::kPaceAlone,
           .ask_peer =
-              [this](const platform::PeerQuestion& question,
-                     platform::RowsCallback callback) {
+              [this](const rows::PeerQuestion& question,
+                     rows::RowsCallback callback) {
                 peers_.AskSomePeer(question, std::move(callback));
               },
           .ask_reader =
-              [this](const platform::PeerQuestion& question,
-                     platform::RowsCallback callback) {
+              [this](const rows::PeerQuestion& question,
+                     rows::RowsCallback callback) {
                 return peers_.AskReader(question, std::move(callback));
               }};
 }
@@ -215,8 +206,8 @@
   target_watch_.Start();
 }
 
-platform::FreshTable Node::FindMirror(std::string_view table) {
-  for (platform::StoreWatch* const watch :
+rows::FreshTable Node::FindMirror(std::string_view table) {
+  for (rows::TableFollower* const watch :
        {&operator_watch_, &target_watch_, &peers_.Watch()}) {
     if (watch->Table() == table) {
       return watch->TellOthers();
@@ -254,10 +245,9 @@
 }
 
 void Node::SetPaceOfWatches() {
-  const bool is_large = peers_.IsLargeRegion();
-  for (platform::StoreWatch* const watch : {&operator_watch_, &target_watch_}) {
-    watch->SetPace(is_large ? kWaitForOthers : kWaitAlone,
-                   is_large ? kPauseInLargeRegion : kPauseAlone);
+  const rows::FollowPace pace = rows::PaceOf(peers_.HostsInRegion());
+  for (rows::TableFollower* const watch : {&operator_watch_, &target_watch_}) {
+    watch->SetPace(pace);
   }
 }
 
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -17,6 +17,7 @@
 #include "medlarcroft/telemetry/tracer.h"
 #include "metrics_page.h"
 #include "peer_group.h"
+#include "platform/mirror_page.h"
 #include "platform/platform_codec.h"
 #include "platform/platform_pages.h"
 #include "routing_news.h"
@@ -57,10 +58,10 @@
     StartFailure failure;
   };
 
-  [[nodiscard]] platform::StoreWatch::Options WatchOptions(
+  [[nodiscard]] rows::TableFollower::Options WatchOptions(
       const std::string& table);
   /// @return the rows of a table while this host hears from the store itself.
-  [[nodiscard]] platform::FreshTable FindMirror(std::string_view table);
+  [[nodiscard]] rows::FreshTable FindMirror(std::string_view table);
   /// @brief Begins to read once the hosts that may read for this one are known.
   void StartWatches(MonotonicTime deadline);
   [[nodiscard]] bool IsReady() const;
@@ -89,11 +90,12 @@
   PeerGroup peers_;
   OperatorNews operator_news_;
   TargetNews target_news_;
-  platform::StoreWatch operator_watch_;
-  platform::StoreWatch target_watch_;
+  rows::TableFollower operator_watch_;
+  rows::TableFollower target_watch_;
   platform::ReadinessPage readiness_page_;
   platform::LookupPage lookup_page_;
   MetricsPage metrics_page_;
+  rows::TableTeller teller_;
   platform::MirrorPage mirror_page_;
   process::StopSequence stop_;
   std::unique_ptr<adapters::HttpListener> caller_listener_;
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -1,14 +1,11 @@
 #include "peer_group.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <utility>
 
 #include "adapters/process/log.h"
 #include "platform/host_entry.h"
+#include "platform/mirror_page.h"
 
 namespace medlarcroft::node {
 
@@ -34,17 +31,11 @@
 constexpr Duration kRowWait = std::chrono::seconds(29);
 // Hosts start together, and each writes its row.
 constexpr Duration kRowPause = std::chrono::milliseconds(1000);
-// Up to so many hosts of a region each read the store for themselves; in larger
-// ones one reads each table for all. At 30 hosts reading each for itself took
-// 0.41 of a day's worth, at 3 and 4 hosts 0.02.
-constexpr std::size_t kHostsThatReadThemselves = 5;
 // Hosts join and leave slowly, and hear of each other by datagrams as well.
 constexpr Duration kReaderWait = std::chrono::seconds(5);
 constexpr Duration kWriteAgain = std::chrono::milliseconds(700);
 // A host that starts tells its whole state each time that it hears of others.
 constexpr Duration kIntroductionTime = std::chrono::seconds(3);
-// Mbit/s of a host whose row is not here yet: it may read, but rarely does.
-constexpr double kUnknownLink = 1;
 // The own row's news takes so long to come back from the store.
 constexpr Duration kRowSettles = std::chrono::seconds(5);
 // A row without a living host is taken away after this; until then the host
@@ -62,18 +53,11 @@
   return self;
 }
 
-/// @return uniform in (0, 1), the same on every host.
-double UnitOf(std::string_view table, const HostName& host) {
-  const std::uint64_t hash =
-      XXH3_64bits_withSeed(host.Value().data(), host.Value().size(),
-                           XXH3_64bits(table.data(), table.size()));
-  return (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53;
-}
-
 }  // namespace
 
 PeerGroup::PeerGroup(const adapters::NodeSettings& settings, const Parts& parts)
-    : settings_(settings),
+    : LoggedTable("hosts"),
+      settings_(settings),
       parts_(parts),
       table_({.suspect_after = kUnheardLimit,
               .dead_after = kTableLimit,
@@ -82,19 +66,17 @@
              MakeSelf(settings, parts.loop.Clock()),
              parts.loop.Clock()),
       caller_(parts.loop, {.max_idle_per_address = 1}),
-      watch_(parts.loop,
-             parts.store,
-             parts.random,
+      watch_({.timers = parts.loop,
+              .store = parts.store,
+              .random = parts.random,
+              .listener = *this},
              {.table = std::string(platform::kHostTable),
-              .wait = kRowWait,
-              .pause_after_change = kRowPause,
+              .pace = {.wait = kRowWait, .pause_after_change = kRowPause},
               .reader_wait = kReaderWait,
-              .ask_reader =
-                  [this](const platform::PeerQuestion& question,
-                         platform::RowsCallback callback) {
-                    return AskReader(question, std::move(callback));
-                  }},
-             *this) {}
+              .ask_reader = [this](const rows::PeerQuestion& question,
+                                   rows::RowsCallback callback) {
+                return AskReader(question, std::move(callback));
+              }}) {}
 
 bool PeerGroup::Start() {
   auto channel = adapters::PeerChannel::Open(
@@ -139,9 +121,17 @@
   return addresses;
 }
 
-std::map<HostName, std::string> PeerGroup::LiveHosts() const {
-  std::map<HostName, std::string> live;
-  live[table_.Self().host] = settings_.peer_listen;
+rows::ReaderCandidate PeerGroup::CandidateOf(const HostName& host,
+                                             const std::string& address) const {
+  const auto entry = entries_.find(host);
+  return {.host = host,
+          .address = address,
+          .link_mbps = entry == entries_.end() ? 0 : entry->second.link_mbps};
+}
+
+std::vector<rows::ReaderCandidate> PeerGroup::LiveHosts() const {
+  std::vector<rows::ReaderCandidate> live = {
+      CandidateOf(table_.Self().host, settings_.peer_listen)};
   for (const membership::Member& member : table_.Members()) {
     const membership::HostState& state = member.state;
     // One that is only listed has no incarnation.
@@ -150,59 +140,47 @@
                          !state.peer_address.empty() &&
                          IsInOwnRegion(state.failure_domain);
     if (is_live) {
-      live[state.host] = state.peer_address;
+      live.push_back(CandidateOf(state.host, state.peer_address));
     }
   }
   return live;
 }
 
-std::string PeerGroup::ReaderOf(
-    std::string_view table,
-    const std::map<HostName, std::string>& live) const {
-  std::string reader = settings_.peer_listen;
-  double least = std::numeric_limits<double>::infinity();
-  for (const auto& [name, address] : live) {
-    const auto entry = entries_.find(name);
-    const double link =
-        entry == entries_.end() ? kUnknownLink : entry->second.link_mbps;
-    const double cost = -std::log(UnitOf(table, name)) / link;
-    if (cost < least) {
-      least = cost;
-      reader = address;
-    }
-  }
-  return reader;
+std::size_t PeerGroup::HostsInRegion() const {
+  return RegionPeers().size() + 1;
 }
 
 bool PeerGroup::IsLargeRegion() const {
-  return RegionPeers().size() + 1 > kHostsThatReadThemselves;
+  return HostsInRegion() > rows::kHostsThatReadThemselves;
 }
 
 bool PeerGroup::HasFoundReaders() const {
   return watch_.HasTable() &&
-         (!IsLargeRegion() || LiveHosts().size() > kHostsThatReadThemselves);
+         (!IsLargeRegion() ||
+          LiveHosts().size() > rows::kHostsThatReadThemselves);
 }
 
-bool PeerGroup::AskReader(const platform::PeerQuestion& question,
-                          platform::RowsCallback callback) {
-  const std::map<HostName, std::string> live = LiveHosts();
-  if (live.size() <= kHostsThatReadThemselves) {
+bool PeerGroup::AskReader(const rows::PeerQuestion& question,
+                          rows::RowsCallback callback) {
+  const std::vector<rows::ReaderCandidate> live = LiveHosts();
+  if (live.size() <= rows::kHostsThatReadThemselves) {
     return false;
   }
-  const std::string reader = ReaderOf(question.table, live);
-  if (reader == settings_.peer_listen) {
+  const rows::ReaderCandidate* const reader =
+      rows::ChooseReader(question.table, live);
+  if (reader == nullptr || reader->host == table_.Self().host) {
     return false;
   }
-  platform::AskPeer(caller_, reader, question, std::move(callback));
+  platform::AskPeer(caller_, reader->address, question, std::move(callback));
   return true;
 }
 
-void PeerGroup::AskSomePeer(const platform::PeerQuestion& question,
-                            platform::RowsCallback callback) {
+void PeerGroup::AskSomePeer(const rows::PeerQuestion& question,
+                            rows::RowsCallback callback) {
   std::vector<std::string> addresses;
-  for (const auto& [name, address] : LiveHosts()) {
-    if (name.Value() != settings_.host) {
-      addresses.push_back(address);
+  for (const rows::ReaderCandidate& peer : LiveHosts()) {
+    if (peer.host.Value() != settings_.host) {
+      addresses.push_back(peer.address);
     }
   }
   // A store that turns away a whole region may serve another one.
@@ -217,7 +195,7 @@
   }
   if (addresses.empty()) {
     parts_.loop.After(Duration(0), [callback = std::move(callback)] {
-      callback(platform::StoreFailure::kUnreachable);
+      callback(rows::RowFailure::kUnreachable);
     });
     return;
   }
@@ -231,9 +209,9 @@
   return static_cast<std::uint32_t>(entries_.size()) + (is_listed ? 0 : 1);
 }
 
-void PeerGroup::OnTable(std::span<const platform::StoreRow> rows) {
+void PeerGroup::OnTable(std::span<const rows::Row> rows) {
   entries_.clear();
-  for (const platform::StoreRow& row : rows) {
+  for (const rows::Row& row : rows) {
     Apply(row);
   }
   PublishList();
@@ -241,8 +219,8 @@
   Introduce();
 }
 
-void PeerGroup::OnRows(std::span<const platform::StoreRow> rows) {
-  for (const platform::StoreRow& row : rows) {
+void PeerGroup::OnRows(std::span<const rows::Row> rows) {
+  for (const rows::Row& row : rows) {
     Apply(row);
   }
   PublishList();
@@ -259,7 +237,7 @@
   }
 }
 
-void PeerGroup::Apply(const platform::StoreRow& row) {
+void PeerGroup::Apply(const rows::Row& row) {
   const HostName name(row.key);
   if (row.is_removed) {
     entries_.erase(name);
@@ -287,16 +265,6 @@
   table_.ApplyHostList(hosts);
 }
 
-void PeerGroup::OnStoreLost(platform::StoreFailure failure) {
-  Log(LogLevel::kWarning, "store-lost",
-      {{"table", "hosts"}, {"reason", platform::NameOf(failure)}});
-}
-
-void PeerGroup::OnStoreBack(Duration away) {
-  Log(LogLevel::kInfo, "store-back",
-      {{"table", "hosts"}, {"away_ms", ToMilliseconds(away)}});
-}
-
 // A host that starts again finds its row and leaves it: each row that is
 // written wakes all who follow the table.
 void PeerGroup::KeepOwnRow() {
@@ -317,19 +285,19 @@
                .failure_domain = FailureDomainName(settings_.failure_domain),
                .address = settings_.peer_listen},
       .link_mbps = settings_.link_mbps};
-  parts_.store.Write(
-      {.table = std::string(platform::kHostTable),
-       .key = settings_.host,
-       .value = platform::EncodeHostEntry(self)},
-      [this](const Result<Success, platform::StoreFailure>& result) {
-        // Writing it twice does no harm.
-        if (!IsOk(result)) {
-          parts_.loop.After(kWriteAgain, [this] { WriteOwnRow(); });
-          return;
-        }
-        is_writing_ = false;
-        written_at_ = parts_.loop.Now();
-      });
+  parts_.store.Write({.table = std::string(platform::kHostTable),
+                      .key = settings_.host,
+                      .value = platform::EncodeHostEntry(self)},
+                     [this](const Result<Success, rows::RowFailure>& result) {
+                       // Writing it twice does no harm.
+                       if (!IsOk(result)) {
+                         parts_.loop.After(kWriteAgain,
+                                           [this] { WriteOwnRow(); });
+                         return;
+                       }
+                       is_writing_ = false;
+                       written_at_ = parts_.loop.Now();
+                     });
 }
 
 void PeerGroup::SendBeats() {
@@ -416,7 +384,7 @@
     parts_.store.Write({.table = std::string(platform::kHostTable),
                         .key = name.Value(),
                         .expected_version = entry.row_version},
-                       [](const Result<Success, platform::StoreFailure>&) {});
+                       [](const Result<Success, rows::RowFailure>&) {});
   }
 }
 
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -11,18 +11,19 @@
 #include "adapters/event/event_loop.h"
 #include "adapters/peer/peer_channel.h"
 #include "adapters/process/node_settings.h"
+#include "logged_table.h"
 #include "medlarcroft/membership/membership_table.h"
 #include "medlarcroft/ports/host_list.h"
 #include "medlarcroft/ports/random_source.h"
 #include "medlarcroft/request_path/target_book.h"
+#include "medlarcroft/rows/reader_choice.h"
 #include "platform/store_client.h"
-#include "platform/store_watch.h"
 
 namespace medlarcroft::node {
 
 /// @brief The other hosts: found through rows of the system's own table, heard
 /// through datagrams within the region.
-class PeerGroup final : public platform::TableListener {
+class PeerGroup final : public LoggedTable {
  public:
   struct Parts {
     adapters::EventLoop& loop;
@@ -48,23 +49,23 @@
   /// @return all hosts that have a row, this one included.
   [[nodiscard]] std::uint32_t KnownHosts() const;
   /// @brief Asks some live host for rows.
-  void AskSomePeer(const platform::PeerQuestion& question,
-                   platform::RowsCallback callback);
+  void AskSomePeer(const rows::PeerQuestion& question,
+                   rows::RowsCallback callback);
   /// @brief Asks a host that reads the store for the region.
   /// @return false when this host is to read for itself.
-  bool AskReader(const platform::PeerQuestion& question,
-                 platform::RowsCallback callback);
+  bool AskReader(const rows::PeerQuestion& question,
+                 rows::RowsCallback callback);
+  /// @return how many hosts of the region have a row, this one included.
+  [[nodiscard]] std::size_t HostsInRegion() const;
   /// @return whether one host reads each table for all of the region, as soon
   /// as they have found each other.
   [[nodiscard]] bool IsLargeRegion() const;
   /// @return whether the hosts that may read for this one are known.
   [[nodiscard]] bool HasFoundReaders() const;
-  [[nodiscard]] platform::StoreWatch& Watch() { return watch_; }
+  [[nodiscard]] rows::TableFollower& Watch() { return watch_; }
 
-  void OnTable(std::span<const platform::StoreRow> rows) override;
-  void OnRows(std::span<const platform::StoreRow> rows) override;
-  void OnStoreLost(platform::StoreFailure failure) override;
-  void OnStoreBack(Duration away) override;
+  void OnTable(std::span<const rows::Row> rows) override;
+  void OnRows(std::span<const rows::Row> rows) override;
 
  private:
   struct Entry {
@@ -74,7 +75,7 @@
     MonotonicTime seen_at;
   };
 
-  void Apply(const platform::StoreRow& row);
+  void Apply(const rows::Row& row);
   void PublishList();
   /// @brief Writes this host's row unless it stands there as it would be.
   void KeepOwnRow();
@@ -90,15 +91,11 @@
   [[nodiscard]] std::vector<std::string> RegionPeers() const;
   void OnNews(const adapters::PeerNews& news);
   void RemoveLostHosts();
-  /// @return peer addresses of the region's live hosts that do not leave, by
-  /// name, this one's included.
-  [[nodiscard]] std::map<HostName, std::string> LiveHosts() const;
-  /// @return the peer address of the host that reads that table for all: the
-  /// same on all hosts that know of the same ones, a host with twice the link
-  /// twice as likely.
-  [[nodiscard]] std::string ReaderOf(
-      std::string_view table,
-      const std::map<HostName, std::string>& live) const;
+  /// @return the region's live hosts that do not leave, this one included.
+  [[nodiscard]] std::vector<rows::ReaderCandidate> LiveHosts() const;
+  [[nodiscard]] rows::ReaderCandidate CandidateOf(
+      const HostName& host,
+      const std::string& address) const;
   [[nodiscard]] bool IsInOwnRegion(const FailureDomainName& domain) const;
 
   const adapters::NodeSettings& settings_;
@@ -106,7 +103,7 @@
   membership::MembershipTable table_;
   adapters::HttpCaller caller_;
   std::unique_ptr<adapters::PeerChannel> channel_;
-  platform::StoreWatch watch_;
+  rows::TableFollower watch_;
   std::map<HostName, Entry> entries_;
   std::uint32_t beats_ = 0;
   MonotonicTime started_at_{};
--- a/programs/node/routing_news.cc
+++ b/programs/node/routing_news.cc
@@ -28,34 +28,24 @@
        {"problem", platform::NameOf(fault.problem)}});
 }
 
-void LogStoreLost(std::string_view table, platform::StoreFailure failure) {
-  Log(LogLevel::kWarning, "store-lost",
-      {{"table", table}, {"reason", platform::NameOf(failure)}});
-}
-
-void LogStoreBack(std::string_view table, Duration away) {
-  Log(LogLevel::kInfo, "store-back",
-      {{"table", table}, {"away_ms", ToMilliseconds(away)}});
-}
-
 }  // namespace
 
-void OperatorNews::OnTable(std::span<const platform::StoreRow> rows) {
+void OperatorNews::OnTable(std::span<const rows::Row> rows) {
   evacuated_.clear();
-  for (const platform::StoreRow& row : rows) {
+  for (const rows::Row& row : rows) {
     Apply(row);
   }
   PublishEvacuated();
 }
 
-void OperatorNews::OnRows(std::span<const platform::StoreRow> rows) {
-  for (const platform::StoreRow& row : rows) {
+void OperatorNews::OnRows(std::span<const rows::Row> rows) {
+  for (const rows::Row& row : rows) {
     Apply(row);
   }
   PublishEvacuated();
 }
 
-void OperatorNews::Apply(const platform::StoreRow& row) {
+void OperatorNews::Apply(const rows::Row& row) {
   if (platform::IsConfigurationKey(row.key)) {
     ApplyConfiguration(row);
     return;
@@ -73,7 +63,7 @@
   }
 }
 
-void OperatorNews::ApplyConfiguration(const platform::StoreRow& row) {
+void OperatorNews::ApplyConfiguration(const rows::Row& row) {
   // Nobody takes a configuration away: what is in force stays.
   if (row.is_removed) {
     return;
@@ -100,17 +90,9 @@
   targets_.SetEvacuated(evacuated_, loop_.Now());
 }
 
-void OperatorNews::OnStoreLost(platform::StoreFailure failure) {
-  LogStoreLost("operator", failure);
-}
-
-void OperatorNews::OnStoreBack(Duration away) {
-  LogStoreBack("operator", away);
-}
-
-void TargetNews::OnTable(std::span<const platform::StoreRow> rows) {
+void TargetNews::OnTable(std::span<const rows::Row> rows) {
   std::vector<request_path::TargetRecord> targets;
-  for (const platform::StoreRow& row : rows) {
+  for (const rows::Row& row : rows) {
     auto target = platform::DecodeTargetEntry(row.key, row.value);
     if (!IsOk(target)) {
       LogUnreadable("target-entry-unreadable", row.key, ErrorOf(target));
@@ -121,9 +103,9 @@
   targets_.ReplaceAll(targets, DoubtedUntil(), loop_.Now());
 }
 
-void TargetNews::OnRows(std::span<const platform::StoreRow> rows) {
+void TargetNews::OnRows(std::span<const rows::Row> rows) {
   const MonotonicTime now = loop_.Now();
-  for (const platform::StoreRow& row : rows) {
+  for (const rows::Row& row : rows) {
     if (row.is_removed) {
       targets_.Remove(TargetName(row.key), DoubtedUntil());
       continue;
@@ -144,13 +126,9 @@
   return *back_at_ + kRegisteredAgain;
 }
 
-void TargetNews::OnStoreLost(platform::StoreFailure failure) {
-  LogStoreLost("targets", failure);
-}
-
 void TargetNews::OnStoreBack(Duration away) {
   back_at_ = loop_.Now();
-  LogStoreBack("targets", away);
+  LoggedTable::OnStoreBack(away);
 }
 
 }  // namespace medlarcroft::node
--- a/programs/node/routing_news.h
+++ b/programs/node/routing_news.h
@@ -5,33 +5,32 @@
 #include <set>
 
 #include "adapters/event/event_loop.h"
+#include "logged_table.h"
 #include "medlarcroft/request_path/target_book.h"
 #include "medlarcroft/routing/route_table.h"
-#include "platform/store_watch.h"
 
 namespace medlarcroft::node {
 
 /// @brief Brings the operator's rows into force: the configuration and the
 /// domains that are evacuated.
-class OperatorNews final : public platform::TableListener {
+class OperatorNews final : public LoggedTable {
  public:
   OperatorNews(adapters::EventLoop& loop,
                routing::RouteTable& routes,
                request_path::TargetBook& targets,
                std::function<void()> on_configuration)
-      : loop_(loop),
+      : LoggedTable("operator"),
+        loop_(loop),
         routes_(routes),
         targets_(targets),
         on_configuration_(std::move(on_configuration)) {}
 
-  void OnTable(std::span<const platform::StoreRow> rows) override;
-  void OnRows(std::span<const platform::StoreRow> rows) override;
-  void OnStoreLost(platform::StoreFailure failure) override;
-  void OnStoreBack(Duration away) override;
+  void OnTable(std::span<const rows::Row> rows) override;
+  void OnRows(std::span<const rows::Row> rows) override;
 
  private:
-  void Apply(const platform::StoreRow& row);
-  void ApplyConfiguration(const platform::StoreRow& row);
+  void Apply(const rows::Row& row);
+  void ApplyConfiguration(const rows::Row& row);
   void PublishEvacuated();
 
   adapters::EventLoop& loop_;
@@ -42,14 +41,13 @@
 };
 
 /// @brief Brings the targets' registry into the book.
-class TargetNews final : public platform::TableListener {
+class TargetNews final : public LoggedTable {
  public:
   TargetNews(adapters::EventLoop& loop, request_path::TargetBook& targets)
-      : loop_(loop), targets_(targets) {}
+      : LoggedTable("targets"), loop_(loop), targets_(targets) {}
 
-  void OnTable(std::span<const platform::StoreRow> rows) override;
-  void OnRows(std::span<const platform::StoreRow> rows) override;
-  void OnStoreLost(platform::StoreFailure failure) override;
+  void OnTable(std::span<const rows::Row> rows) override;
+  void OnRows(std::span<const rows::Row> rows) override;
   void OnStoreBack(Duration away) override;
 
  private:
--- /dev/null
+++ b/tests/property/table_following_property_test.cc
@@ -0,0 +1,206 @@
+#include <gtest/gtest.h>
+
+#include <array>
+#include <set>
+
+#include "table_following_world.h"
+
+namespace medlarcroft::rows {
+namespace {
+
+// A leaving target and a configuration must be known 2.5 s after the store has
+// acknowledged them, by hosts that were in touch with it for 4 s.
+constexpr Duration kKnownWithin = milliseconds(2500);
+constexpr Duration kInTouchAfter = seconds(4);
+constexpr Duration kTroubles = seconds(24);
+constexpr Duration kQuiet = seconds(10);
+
+/// @brief One schedule: changes of the table, and faults of hosts and store.
+class Schedule {
+ public:
+  Schedule(std::uint64_t seed, int hosts)
+      : random_(seed),
+        network_(time_, store_, seed + 1),
+        region_(time_, store_, network_, hosts, seed + 2) {
+    troubled_until_.resize(static_cast<std::size_t>(hosts), time_.Now());
+    const MonotonicTime end = time_.Now() + kTroubles;
+    PlanChanges(end);
+    PlanFaults(end);
+  }
+
+  void Run() {
+    time_.RunUntil(time_.Now() + kTroubles + kQuiet);
+    for (int host = 0; host < region_.Size(); ++host) {
+      CheckHost(host, store_.Newest());
+    }
+  }
+
+ private:
+  static constexpr std::uint64_t kKeys = 14;
+
+  void Plan(MonotonicTime at, std::function<void()> task) {
+    time_.At(VirtualTime::kNobody, at, std::move(task));
+  }
+  Duration Between(double least, double most) {
+    return FromSeconds(least + (most - least) * random_.NextUnit());
+  }
+  int SomeHost() {
+    return static_cast<int>(
+        random_.NextBelow(static_cast<std::uint64_t>(region_.Size())));
+  }
+
+  void PlanChanges(MonotonicTime end) {
+    for (MonotonicTime at = time_.Now(); at < end; at += Between(0.05, 1.5)) {
+      const std::uint64_t key = random_.NextBelow(kKeys);
+      const bool is_removal = random_.NextUnit() < 0.3;
+      Plan(at, [this, key, is_removal] { Change(key, is_removal); });
+    }
+  }
+
+  void Change(std::uint64_t number, bool is_removal) {
+    const std::string key = "k" + std::to_string(number);
+    is_removal ? store_.Remove(key) : store_.Put(key);
+    network_.OnCommit();
+    const std::uint64_t version = store_.Newest();
+    const MonotonicTime changed_at = time_.Now();
+    Plan(changed_at + kKnownWithin, [this, version, changed_at] {
+      for (int host = 0; host < region_.Size(); ++host) {
+        if (IsInTouch(host)) {
+          CheckHost(host, version);
+        }
+      }
+    });
+  }
+
+  bool IsInTouch(int host) const {
+    return region_.IsAlive(host) &&
+           time_.Now() - troubled_until_[static_cast<std::size_t>(host)] >=
+               kInTouchAfter &&
+           time_.Now() - store_troubled_until_ >= kInTouchAfter;
+  }
+
+  /// What a host knows of each row is as it was at `version` or later, and its
+  /// knowledge never went back.
+  void CheckHost(int host, std::uint64_t version) {
+    const HeardRows& heard = region_.HeardBy(host);
+    EXPECT_FALSE(heard.went_back) << "host " << host;
+    EXPECT_GE(region_.FollowerOf(host).Mirror().Version(), version)
+        << "host " << host << " at " << ToSeconds(time_.Now() - kStart);
+    for (const std::string& key : store_.Keys()) {
+      const Row then = store_.LastChange(key, version);
+      const Row last = store_.LastChange(key, store_.Newest());
+      const auto known = heard.versions.find(key);
+      if (known == heard.versions.end()) {
+        EXPECT_TRUE(then.is_removed || last.version > then.version)
+            << "host " << host << " lacks " << key;
+      } else {
+        EXPECT_GE(known->second, then.version)
+            << "host " << host << " believes in an old " << key;
+      }
+    }
+  }
+
+  void PlanFaults(MonotonicTime end) {
+    using Fault = void (Schedule::*)(MonotonicTime);
+    constexpr std::array<Fault, 6> kFaults = {
+        &Schedule::PauseHost,  &Schedule::KillHost,    &Schedule::RefuseHost,
+        &Schedule::CutOffHost, &Schedule::CutOffStore, &Schedule::Compact};
+    const std::uint64_t faults = 2 + random_.NextBelow(9);
+    for (std::uint64_t i = 0; i < faults; ++i) {
+      const MonotonicTime at =
+          time_.Now() + Between(0, ToSeconds(end - time_.Now()) - 6);
+      (this->*kFaults.at(random_.NextBelow(kFaults.size())))(at);
+    }
+  }
+
+  void Trouble(int host, MonotonicTime from, Duration time) {
+    Plan(from, [this, host, time] {
+      MonotonicTime& until = troubled_until_[static_cast<std::size_t>(host)];
+      until = std::max(until, time_.Now() + time);
+    });
+  }
+
+  void PauseHost(MonotonicTime at) {
+    const int host = SomeHost();
+    const Duration time = Between(0.2, 5);
+    Trouble(host, at, time);
+    Plan(at, [this, host, time] { time_.Pause(host, time_.Now() + time); });
+  }
+  void KillHost(MonotonicTime at) {
+    const int host = SomeHost();
+    const Duration time = Between(0.2, 3);
+    Trouble(host, at, time);
+    Plan(at, [this, host] {
+      if (region_.IsAlive(host)) {
+        region_.Kill(host);
+      }
+    });
+    Plan(at + time, [this, host] {
+      if (!region_.IsAlive(host)) {
+        region_.Start(host);
+      }
+    });
+  }
+  void TreatHost(MonotonicTime at, Treatment treatment) {
+    const int host = SomeHost();
+    const Duration time = Between(0.5, 6);
+    Trouble(host, at, time);
+    Plan(at, [this, host, treatment] { network_.Treat(host, treatment); });
+    Plan(at + time, [this, host] { network_.Treat(host, Treatment::kServed); });
+  }
+  void RefuseHost(MonotonicTime at) { TreatHost(at, Treatment::kRefused); }
+  void CutOffHost(MonotonicTime at) { TreatHost(at, Treatment::kSilent); }
+  void CutOffStore(MonotonicTime at) {
+    const Duration time = Between(0.3, 4);
+    const Treatment treatment =
+        random_.NextUnit() < 0.5 ? Treatment::kSilent : Treatment::kRefused;
+    for (int host = 0; host < region_.Size(); ++host) {
+      Plan(at, [this, host, treatment] { network_.Treat(host, treatment); });
+      Plan(at + time,
+           [this, host] { network_.Treat(host, Treatment::kServed); });
+    }
+    Plan(at, [this, time] {
+      store_troubled_until_ =
+          std::max(store_troubled_until_, time_.Now() + time);
+    });
+  }
+  void Compact(MonotonicTime at) {
+    Plan(at, [this] { store_.Forget(); });
+  }
+
+  VirtualTime time_;
+  const MonotonicTime kStart = time_.Now();
+  fakes::SeededRandom random_;
+  ModelStore store_;
+  ModelNetwork network_;
+  Region region_;
+  std::vector<MonotonicTime> troubled_until_;
+  MonotonicTime store_troubled_until_ = time_.Now();
+};
+
+class TableFollowing : public testing::TestWithParam<int> {};
+
+// Callers see a route denied that was added, or an answer of a target that
+// left, when a host does not hear what the store acknowledged. Hosts that read
+// for others are paused, killed, turned away and cut off, with and without the
+// store itself, and it forgets its history; each schedule is one seed.
+TEST_P(TableFollowing, HostsInTouchKnowWhatTheStoreAcknowledged) {
+  constexpr std::uint64_t kSchedules = 1000;
+  for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    Schedule(seed, GetParam()).Run();
+    if (HasFailure()) {
+      return;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Hosts,
+                         TableFollowing,
+                         testing::Values(2, 4, 7, 12),
+                         [](const auto& info) {
+                           return "of_" + std::to_string(info.param);
+                         });
+
+}  // namespace
+}  // namespace medlarcroft::rows
--- a/tests/unit/node/peer_group_test.cc
+++ b/tests/unit/node/peer_group_test.cc
@@ -70,7 +70,7 @@
 
   [[nodiscard]] int Writes() { return server_.calls["/medlarcroft/rows-tx"]; }
 
-  static platform::PeerQuestion Question() { return {.table = "t"}; }
+  static rows::PeerQuestion Question() { return {.table = "t"}; }
 
   adapters::SystemClock clock_;
   adapters::EventLoop loop_{clock_};
--- a/tests/unit/node/routing_news_test.cc
+++ b/tests/unit/node/routing_news_test.cc
@@ -18,11 +18,11 @@
     R"({"address":"10.0.0.9:80","info":{"service":"desk","zone":"z","slots":3},)"
     R"("status":{"state":"in_service","sequence":4,"cold_remaining":"0ms"}})";
 
-platform::StoreRow Registered(const std::string& target) {
+rows::Row Registered(const std::string& target) {
   return {.key = target, .value = std::string(kEntry), .version = 5};
 }
 
-platform::StoreRow Gone(const std::string& target) {
+rows::Row Gone(const std::string& target) {
   return {.key = target, .version = 6, .is_removed = true};
 }
 
@@ -51,7 +51,7 @@
 // again within two seconds or so is gone and gets nothing more.
 TEST_F(TargetNewsTest, LapsedTargetsServeUntilTheyHadTimeToRegister) {
   news_.OnTable(std::vector{Registered("a"), Registered("b")});
-  news_.OnStoreLost(platform::StoreFailure::kUnreachable);
+  news_.OnStoreLost(rows::RowFailure::kUnreachable);
   clock_.Advance(seconds(9));
   news_.OnStoreBack(seconds(9));
   news_.OnRows(std::vector{Gone("a"), Gone("b")});
@@ -69,9 +69,9 @@
 // which nobody is registered yet.
 TEST_F(TargetNewsTest, AnEmptyTableAfterAnOutageLeavesTimeToRegister) {
   news_.OnTable(std::vector{Registered("a")});
-  news_.OnStoreLost(platform::StoreFailure::kForgotten);
+  news_.OnStoreLost(rows::RowFailure::kForgotten);
   news_.OnStoreBack(seconds(5));
-  news_.OnTable(std::vector<platform::StoreRow>{});
+  news_.OnTable(std::vector<rows::Row>{});
   EXPECT_EQ(Usable(), 1U);
 
   clock_.Advance(seconds(3));
@@ -89,7 +89,7 @@
 // An entry that can't be read takes nothing away from what is known.
 TEST_F(TargetNewsTest, AnUnreadableEntryLeavesTheTargetAsItWas) {
   news_.OnTable(std::vector{Registered("a")});
-  platform::StoreRow broken = Registered("a");
+  rows::Row broken = Registered("a");
   broken.value = "{";
   news_.OnRows(std::vector{broken});
   EXPECT_EQ(Usable(), 1U);
--- a/tests/unit/platform/json_reader_test.cc
+++ b/tests/unit/platform/json_reader_test.cc
@@ -33,7 +33,7 @@
   EXPECT_FALSE(DecodeBase64("b*9k"));
 }
 
-TEST(StoreRowsTest, OneUnreadableRowDoesNotHideTheOthers) {
+TEST(DecodeRowsTest, OneUnreadableRowDoesNotHideTheOthers) {
   const auto rows = DecodeRows(
       R"({"rows":[{"key":"a","value":"bm9k","schema_version":3},{"key":"b","value":"*"},7,)"
       R"({"key":"c","removed":true,"schema_version":4}],"schema_version":9,"has_more":true})");
@@ -50,7 +50,7 @@
 TEST_P(BadRowsTable, AreABadAnswer) {
   const auto rows = DecodeRows(GetParam());
   ASSERT_FALSE(IsOk(rows));
-  EXPECT_EQ(ErrorOf(rows), StoreFailure::kBadAnswer);
+  EXPECT_EQ(ErrorOf(rows), rows::RowFailure::kBadAnswer);
 }
 
 INSTANTIATE_TEST_SUITE_P(All,
--- a/tests/unit/platform/table_follower_test.cc
+++ b/tests/unit/platform/table_follower_test.cc
@@ -1,4 +1,4 @@
-#include "platform/store_watch.h"
+#include "medlarcroft/rows/table_follower.h"
 
 #include <gtest/gtest.h>
 
@@ -9,8 +9,10 @@
 #include "adapters/process/system_clock.h"
 #include "fakes/fake_store_server.h"
 #include "fakes/seeded_random.h"
+#include "platform/mirror_page.h"
+#include "platform/store_client.h"
 
-namespace medlarcroft::platform {
+namespace medlarcroft::rows {
 namespace {
 
 using std::chrono::milliseconds;
@@ -19,13 +21,13 @@
 /// @brief What a table holds, as heard.
 class HeardTable final : public TableListener {
  public:
-  void OnTable(std::span<const StoreRow> table) override {
+  void OnTable(std::span<const Row> table) override {
     ++tables;
     rows.clear();
     OnRows(table);
   }
-  void OnRows(std::span<const StoreRow> changed) override {
-    for (const StoreRow& row : changed) {
+  void OnRows(std::span<const Row> changed) override {
+    for (const Row& row : changed) {
       if (row.is_removed) {
         rows.erase(row.key);
       } else {
@@ -33,18 +35,20 @@
       }
     }
   }
-  void OnStoreLost(StoreFailure failure) override { lost = failure; }
+  void OnStoreLost(RowFailure failure) override { lost = failure; }
   void OnStoreBack(Duration) override { ++returns; }
+  void OnReaderLost(RowFailure, std::uint64_t) override { ++readers_lost; }
 
   std::map<std::string, std::string> rows;
   int tables = 0;
-  std::optional<StoreFailure> lost;
+  std::optional<RowFailure> lost;
   int returns = 0;
+  int readers_lost = 0;
 };
 
 using Rows = std::map<std::string, std::string>;
 
-class StoreWatchTest : public testing::Test {
+class TableFollowerTest : public testing::Test {
  protected:
   /// Runs the loop until `is_done`, or fails after a generous while.
   void RunUntil(const std::function<bool()>& is_done) {
@@ -73,22 +77,22 @@
   telemetry::MetricsRegistry metrics_;
   fakes::FakeStoreServer server_{loop_};
   fakes::SeededRandom random_{5};
-  StoreClient store_{
+  platform::StoreClient store_{
       loop_,
       {.address = server_.Address(), .call_timeout = milliseconds(100)},
       metrics_};
   HeardTable heard_;
-  StoreWatch watch_{loop_,
-                    store_,
-                    random_,
-                    {.table = "t", .wait = milliseconds(200)},
-                    heard_};
+  TableFollower watch_{
+      {.timers = loop_, .store = store_, .random = random_, .listener = heard_},
+      {.table = "t",
+       .pace = {.wait = milliseconds(200),
+                .pause_after_change = milliseconds(120)}}};
   std::vector<std::function<bool()>> steps_;
   std::vector<adapters::TimerId> limits_;
   std::size_t at_ = 0;
 };
 
-TEST_F(StoreWatchTest, HearsTheTableAndThenWhatChanges) {
+TEST_F(TableFollowerTest, HearsTheTableAndThenWhatChanges) {
   server_.Put("a", "1");
   watch_.Start();
   RunUntil([this] {
@@ -105,7 +109,7 @@
   EXPECT_EQ(heard_.tables, 1);
 }
 
-TEST_F(StoreWatchTest, ReadsATableOfSeveralPages) {
+TEST_F(TableFollowerTest, ReadsATableOfSeveralPages) {
   server_.page_rows = 3;
   for (int i = 0; i < 10; ++i) {
     server_.Put("k" + std::to_string(i), "v");
@@ -119,7 +123,7 @@
 
 // The store drops its history while this host waits for changes, and a row is
 // removed in the gap. The host must not go on believing in it.
-TEST_F(StoreWatchTest, ReadsTheTableAnewWhenTheHistoryIsGone) {
+TEST_F(TableFollowerTest, ReadsTheTableAnewWhenTheHistoryIsGone) {
   server_.Put("a", "1");
   server_.Put("b", "2");
   watch_.Start();
@@ -144,7 +148,7 @@
 struct OutageCase {
   std::string name;
   Outage outage;
-  StoreFailure failure;
+  RowFailure failure;
   int refuse_with = 0;
 };
 
@@ -175,7 +179,7 @@
   }
 }
 
-class OutageTable : public StoreWatchTest,
+class OutageTable : public TableFollowerTest,
                     public testing::WithParamInterface<OutageCase> {};
 
 // The store is away for a while; what changed meanwhile is heard afterwards,
@@ -211,17 +215,17 @@
     All,
     OutageTable,
     testing::Values(
-        OutageCase{"Busy", Outage::kRefusing, StoreFailure::kRefused, 503},
-        OutageCase{"Many", Outage::kRefusing, StoreFailure::kRefused, 429},
-        OutageCase{"Odd", Outage::kRefusing, StoreFailure::kBadAnswer, 500},
-        OutageCase{"Silent", Outage::kSilent, StoreFailure::kUnreachable},
-        OutageCase{"Slow", Outage::kSlow, StoreFailure::kUnreachable},
-        OutageCase{"Reset", Outage::kStopped, StoreFailure::kUnreachable}),
+        OutageCase{"Busy", Outage::kRefusing, RowFailure::kRefused, 503},
+        OutageCase{"Many", Outage::kRefusing, RowFailure::kRefused, 429},
+        OutageCase{"Odd", Outage::kRefusing, RowFailure::kBadAnswer, 500},
+        OutageCase{"Silent", Outage::kSilent, RowFailure::kUnreachable},
+        OutageCase{"Slow", Outage::kSlow, RowFailure::kUnreachable},
+        OutageCase{"Reset", Outage::kStopped, RowFailure::kUnreachable}),
     [](const auto& tested) { return tested.param.name; });
 
 // A list comes from before what this host knows. Taking it would bring back
 // targets that left.
-TEST_F(StoreWatchTest, AnOlderListIsNotTaken) {
+TEST_F(TableFollowerTest, AnOlderListIsNotTaken) {
   server_.Put("a", "1");
   watch_.Start();
   RunUntil([this] {
@@ -248,10 +252,10 @@
   loop_.Run();
 }
 
-TEST_F(StoreWatchTest, AWriteUnderAConditionIsRefusedWhenTheRowMoved) {
+TEST_F(TableFollowerTest, AWriteUnderAConditionIsRefusedWhenTheRowMoved) {
   server_.Put("a", "1");
-  std::vector<Result<Success, StoreFailure>> results;
-  const auto keep = [&](const Result<Success, StoreFailure>& result) {
+  std::vector<Result<Success, RowFailure>> results;
+  const auto keep = [&](const Result<Success, RowFailure>& result) {
     results.push_back(result);
     if (results.size() == 2) {
       loop_.Finish(0);
@@ -272,62 +276,73 @@
 
 // The write is done and its answer lost: whoever wrote must not take it for
 // refused.
-TEST_F(StoreWatchTest, ALostAnswerIsNotARefusal) {
+TEST_F(TableFollowerTest, ALostAnswerIsNotARefusal) {
   server_.loses_answers = true;
-  std::optional<StoreFailure> failure;
+  std::optional<RowFailure> failure;
   store_.Write({.table = "t", .key = "c", .value = "3"},
-               [&](const Result<Success, StoreFailure>& result) {
+               [&](const Result<Success, RowFailure>& result) {
                  failure = ErrorOf(result);
                  loop_.Finish(0);
                });
   loop_.Run();
 
-  EXPECT_EQ(failure, StoreFailure::kUnreachable);
+  EXPECT_EQ(failure, RowFailure::kUnreachable);
   EXPECT_EQ(server_.version, 1U);
 }
 
 // A write gets no answer and is done afterwards. Whoever wrote may take it
 // neither for done nor for refused: its condition may still come to hold.
-TEST_F(StoreWatchTest, AWriteThatIsDoneLateIsNotARefusal) {
+TEST_F(TableFollowerTest, AWriteThatIsDoneLateIsNotARefusal) {
   server_.writes_late_by = milliseconds(300);
-  std::optional<StoreFailure> failure;
+  std::optional<RowFailure> failure;
   store_.Write({.table = "t", .key = "c", .value = "3", .expected_version = 0},
-               [&](const Result<Success, StoreFailure>& result) {
+               [&](const Result<Success, RowFailure>& result) {
                  failure = ErrorOf(result);
                });
   RunUntil([&] { return failure.has_value(); });
   RunUntil([this] { return server_.version == 1; });
   loop_.Run();
 
-  EXPECT_EQ(failure, StoreFailure::kUnreachable);
+  EXPECT_EQ(failure, RowFailure::kUnreachable);
 }
 
 // The store turns this host away and serves another one, to which a domain's
 // evacuation was told. This host hears of it from there, well before the store
 // takes it back.
-TEST_F(StoreWatchTest, AHostThatIsTurnedAwayHearsFromAnother) {
+TEST_F(TableFollowerTest, AHostThatIsTurnedAwayHearsFromAnother) {
   HeardTable other_heard;
-  StoreWatch other(loop_, store_, random_,
-                   {.table = "t", .wait = milliseconds(200)}, other_heard);
-  MirrorPage page(loop_, [&](std::string_view) { return other.TellOthers(); });
+  TableFollower other({.timers = loop_,
+                       .store = store_,
+                       .random = random_,
+                       .listener = other_heard},
+                      {.table = "t",
+                       .pace = {.wait = milliseconds(200),
+                                .pause_after_change = milliseconds(120)}});
+  TableTeller teller(loop_,
+                     [&](std::string_view) { return other.TellOthers(); });
+  platform::MirrorPage page(teller);
   const auto listener =
       TakeValue(adapters::HttpListener::Open(loop_, "127.0.0.1:0", page));
   adapters::HttpCaller caller(loop_, {});
 
   fakes::FakeStoreServer refusing(loop_);
   refusing.refuse_with = 503;
-  StoreClient refused_store(loop_, {.address = refusing.Address()}, metrics_);
+  platform::StoreClient refused_store(loop_, {.address = refusing.Address()},
+                                      metrics_);
   HeardTable heard;
-  StoreWatch turned_away(
-      loop_, refused_store, random_,
+  TableFollower turned_away(
+      {.timers = loop_,
+       .store = refused_store,
+       .random = random_,
+       .listener = heard},
       {.table = "t",
-       .wait = milliseconds(200),
-       .ask_peer =
-           [&](const PeerQuestion& question, RowsCallback callback) {
-             AskPeer(caller, "127.0.0.1:" + std::to_string(listener->Port()),
-                     question, std::move(callback));
-           }},
-      heard);
+       .pace = {.wait = milliseconds(200),
+                .pause_after_change = milliseconds(120)},
+       .ask_peer = [&](const PeerQuestion& question, RowsCallback callback) {
+         platform::AskPeer(caller,
+                           "127.0.0.1:" + std::to_string(listener->Port()),
+                           question, std::move(callback));
+       }});
   server_.Put("evacuate/a", "{}");
   other.Start();
   turned_away.Start();
@@ -349,32 +364,38 @@
 // In a large region two hosts read the store for all. One of them can't tell:
 // it is itself turned away. Those that follow it must hear the news all the
 // same, from the store.
-TEST_F(StoreWatchTest, AHostWhoseReaderIsLostReadsForItself) {
+TEST_F(TableFollowerTest, AHostWhoseReaderIsLostReadsForItself) {
   bool is_reader_fresh = true;
   HeardTable reader_heard;
-  StoreWatch reader(loop_, store_, random_,
-                    {.table = "t", .wait = milliseconds(200)}, reader_heard);
-  MirrorPage page(loop_, [&](std::string_view) {
+  TableFollower reader({.timers = loop_,
+                        .store = store_,
+                        .random = random_,
+                        .listener = reader_heard},
+                       {.table = "t",
+                        .pace = {.wait = milliseconds(200),
+                                 .pause_after_change = milliseconds(120)}});
+  TableTeller teller(loop_, [&](std::string_view) {
     return is_reader_fresh ? reader.TellOthers() : FreshTable{};
   });
-  reader.Mirror().OnChange([&] { page.OnChange("t"); });
+  platform::MirrorPage page(teller);
+  reader.Mirror().OnChange([&] { teller.OnChange("t"); });
   const auto listener =
       TakeValue(adapters::HttpListener::Open(loop_, "127.0.0.1:0", page));
   adapters::HttpCaller caller(loop_, {});
   int asked = 0;
   HeardTable heard;
-  StoreWatch follower(
-      loop_, store_, random_,
+  TableFollower follower(
+      {.timers = loop_, .store = store_, .random = random_, .listener = heard},
       {.table = "t",
-       .wait = milliseconds(200),
-       .ask_reader =
-           [&](const PeerQuestion& question, RowsCallback callback) {
-             ++asked;
-             AskPeer(caller, "127.0.0.1:" + std::to_string(listener->Port()),
-                     question, std::move(callback));
-             return true;
-           }},
-      heard);
+       .pace = {.wait = milliseconds(200),
+                .pause_after_change = milliseconds(120)},
+       .ask_reader = [&](const PeerQuestion& question, RowsCallback callback) {
+         ++asked;
+         platform::AskPeer(caller,
+                           "127.0.0.1:" + std::to_string(listener->Port()),
+                           question, std::move(callback));
+         return true;
+       }});
   server_.Put("a", "1");
   reader.Start();
   follower.Start();
@@ -400,28 +421,35 @@
 // Hosts of a large region start together. Each of them asks the one that reads
 // for all, which has nothing yet either; it hears the table all the same, and
 // the store is asked for it once.
-TEST_F(StoreWatchTest, AHostThatStartsHearsTheTableFromItsReader) {
+TEST_F(TableFollowerTest, AHostThatStartsHearsTheTableFromItsReader) {
   server_.Put("a", "1");
   HeardTable reader_heard;
-  StoreWatch reader(loop_, store_, random_,
-                    {.table = "t", .wait = milliseconds(200)}, reader_heard);
-  MirrorPage page(loop_, [&](std::string_view) { return reader.TellOthers(); });
-  reader.Mirror().OnChange([&] { page.OnChange("t"); });
+  TableFollower reader({.timers = loop_,
+                        .store = store_,
+                        .random = random_,
+                        .listener = reader_heard},
+                       {.table = "t",
+                        .pace = {.wait = milliseconds(200),
+                                 .pause_after_change = milliseconds(120)}});
+  TableTeller teller(loop_,
+                     [&](std::string_view) { return reader.TellOthers(); });
+  platform::MirrorPage page(teller);
+  reader.Mirror().OnChange([&] { teller.OnChange("t"); });
   const auto listener =
       TakeValue(adapters::HttpListener::Open(loop_, "127.0.0.1:0", page));
   adapters::HttpCaller caller(loop_, {});
   HeardTable heard;
-  StoreWatch follower(
-      loop_, store_, random_,
+  TableFollower follower(
+      {.timers = loop_, .store = store_, .random = random_, .listener = heard},
       {.table = "t",
-       .wait = milliseconds(200),
-       .ask_reader =
-           [&](const PeerQuestion& question, RowsCallback callback) {
-             AskPeer(caller, "127.0.0.1:" + std::to_string(listener->Port()),
-                     question, std::move(callback));
-             return true;
-           }},
-      heard);
+       .pace = {.wait = milliseconds(200),
+                .pause_after_change = milliseconds(120)},
+       .ask_reader = [&](const PeerQuestion& question, RowsCallback callback) {
+         platform::AskPeer(caller,
+                           "127.0.0.1:" + std::to_string(listener->Port()),
+                           question, std::move(callback));
+         return true;
+       }});
   follower.Start();
   loop_.After(milliseconds(50), [&] { reader.Start(); });
   RunUntil([&] { return heard.rows == Rows{{"a", "1"}}; });
@@ -433,20 +461,20 @@
 // Hosts come and go, and another host takes this one for the reader while it
 // still waits on the reader before. It must not be refused, nor wait until that
 // call has ended: this host asks the store at once.
-TEST_F(StoreWatchTest, AHostThatIsTakenForTheReaderReadsAtOnce) {
+TEST_F(TableFollowerTest, AHostThatIsTakenForTheReaderReadsAtOnce) {
   server_.Put("a", "1");
   int asked = 0;
   RowsCallback held;
   HeardTable heard;
-  StoreWatch watch(loop_, store_, random_,
-                   {.table = "t",
-                    .wait = milliseconds(200),
-                    .ask_reader =
-                        [&](const PeerQuestion&, RowsCallback callback) {
-                          held = std::move(callback);
-                          return ++asked > 0;
-                        }},
-                   heard);
+  TableFollower watch(
+      {.timers = loop_, .store = store_, .random = random_, .listener = heard},
+      {.table = "t",
+       .pace = {.wait = milliseconds(200),
+                .pause_after_change = milliseconds(120)},
+       .ask_reader = [&](const PeerQuestion&, RowsCallback callback) {
+         held = std::move(callback);
+         return ++asked > 0;
+       }});
   watch.Start();
   EXPECT_EQ(asked, 1);
   EXPECT_TRUE(watch.TellOthers().is_awaited);
@@ -455,26 +483,26 @@
   EXPECT_EQ(heard.rows, (Rows{{"a", "1"}}));
 
   // What the reader before says now is old news.
-  held(StoreRows{.newest_version = 9, .is_whole = true});
+  held(RowBatch{.newest_version = 9, .is_whole = true});
   EXPECT_EQ(heard.rows, (Rows{{"a", "1"}}));
 }
 
 TEST(TableMirrorTest, TellsWhatChangedAndToWhoIsFarBehindTheWholeTable) {
   TableMirror mirror;
-  mirror.Replace(std::vector<StoreRow>{{.key = "a", .version = 3},
-                                       {.key = "c", .version = 4}},
-                 5);
-  mirror.Apply(std::vector<StoreRow>{{.key = "b", .version = 6}}, 6);
-  mirror.Apply(std::vector<StoreRow>{{.key = "a", .is_removed = true}}, 7);
+  mirror.Replace(
+      std::vector<Row>{{.key = "a", .version = 3}, {.key = "c", .version = 4}},
+      5);
+  mirror.Apply(std::vector<Row>{{.key = "b", .version = 6}}, 6);
+  mirror.Apply(std::vector<Row>{{.key = "a", .is_removed = true}}, 7);
 
   EXPECT_TRUE(mirror.Since(7).rows.empty());
-  const StoreRows last = mirror.Since(6);
+  const RowBatch last = mirror.Since(6);
   ASSERT_EQ(last.rows.size(), 1U);
   EXPECT_TRUE(last.rows[0].is_removed);
   EXPECT_EQ(last.rows[0].key, "a");
   EXPECT_FALSE(last.is_whole);
   EXPECT_EQ(mirror.Since(5).rows.size(), 2U);
-  const StoreRows whole = mirror.Since(4);
+  const RowBatch whole = mirror.Since(4);
   EXPECT_TRUE(whole.is_whole);
   EXPECT_EQ(whole.rows.size(), 2U);
   EXPECT_EQ(whole.newest_version, 7U);
@@ -488,8 +516,8 @@
   mirror.Replace({}, 0);
   EXPECT_TRUE(mirror.Since(0).is_whole);
 
-  mirror.Apply(std::vector<StoreRow>{{.key = "a", .version = 1}}, 1);
-  const StoreRows rows = mirror.Since(0);
+  mirror.Apply(std::vector<Row>{{.key = "a", .version = 1}}, 1);
+  const RowBatch rows = mirror.Since(0);
   EXPECT_TRUE(rows.is_whole);
   EXPECT_EQ(rows.rows.size(), 1U);
 }
@@ -498,10 +526,10 @@
 TEST(TableMirrorTest, ARowThatReturnsIsNotTakenForRemoved) {
   TableMirror mirror;
   mirror.Replace({}, 1);
-  mirror.Apply(std::vector<StoreRow>{{.key = "a", .is_removed = true}}, 2);
-  mirror.Apply(std::vector<StoreRow>{{.key = "a", .version = 3}}, 3);
+  mirror.Apply(std::vector<Row>{{.key = "a", .is_removed = true}}, 2);
+  mirror.Apply(std::vector<Row>{{.key = "a", .version = 3}}, 3);
 
-  const StoreRows rows = mirror.Since(1);
+  const RowBatch rows = mirror.Since(1);
   ASSERT_EQ(rows.rows.size(), 1U);
   EXPECT_FALSE(rows.rows[0].is_removed);
 }
@@ -512,12 +540,12 @@
   TableMirror mirror;
   mirror.Replace({}, 1);
   for (std::uint64_t i = 0; i < 600; ++i) {
-    mirror.Apply(std::vector<StoreRow>{{.key = "k" + std::to_string(i),
-                                        .is_removed = true}},
-                 2 + i);
+    mirror.Apply(
+        std::vector<Row>{{.key = "k" + std::to_string(i), .is_removed = true}},
+        2 + i);
   }
   EXPECT_TRUE(mirror.Since(1).is_whole);
 }
 
 }  // namespace
-}  // namespace medlarcroft::platform
+}  // namespace medlarcroft::rows
