Age a reader's news by the store's clock, and bound it below 2.5 s when the reader is lost twice

Change: StoreClock tells from the store's own steady clock when an answer was given; a reader whose history was forgotten lets others wait. Holds and margins for readers are shorter and stand in one place (FollowPace): 0.9 + 0.5 s, then 0.6 + 0.4 s, where it was 1.5 + 0.6 and 1.0 + 0.7.

--- a/lib/libmedlarcroft/include/medlarcroft/rows/follow_pace.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/follow_pace.h
@@ -7,7 +7,7 @@
 
 namespace medlarcroft::rows {
 
-/// @brief How a host follows a table that must be known within seconds.
+/// @brief How a host follows a table.
 struct FollowPace {
   /// How long the store holds a call when nothing changes.
   Duration wait{0};
@@ -15,19 +15,38 @@
   /// targets start at once, each change that is heard alone is a call of every
   /// host.
   Duration pause_after_change{0};
+  /// How long a host that reads for the region holds a call when nothing
+  /// changes.
+  Duration reader_wait = std::chrono::milliseconds(600);
 };
 
+/// How much later than the hold an answer of the store may come, a pause after
+/// a change and the way to another region included, before a reader's news
+/// counts as old: 250 ms of pause and 110 ms of way are usual.
+inline constexpr Duration kFreshMargin = std::chrono::milliseconds(500);
+
+/// How much later than its hold a host's answer may come: it lies in the same
+/// region, and one lost packet is sent again within 300 ms.
+inline constexpr Duration kPeerAnswerMargin = std::chrono::milliseconds(400);
+
 /// Each host reads for itself: 394 calls of 8 hosts in a calm day of 40 s.
 inline constexpr FollowPace kPaceAlone{
     .wait = std::chrono::milliseconds(4800),
     .pause_after_change = std::chrono::milliseconds(120)};
 
-/// One host reads for a region. It must see sooner that the store has lost
-/// sight of a call: all of them wait, and with the margin and a call of their
-/// own must hear within 2.5 s.
+/// One host reads for a region.
+///
+/// Failure: the reader is cut off from the store, and dies before its news
+/// counts as old. Symptom: all who follow it act on old news, for the sum of
+/// both times: 900 + 500 ms until it says so, 600 + 400 ms until a call to a
+/// dead one is given up. The sum and a call of their own stay below 2.5 s, the
+/// shortest bound that is known for leaving targets and configurations. With
+/// holds of 1500 and 1000 ms and margins of 600 and 700 ms a schedule of the
+/// property test was late; the shorter ones cost 0.004 of a calm day's worth
+/// at 90 hosts, 977 calls of the store in place of 812.
 inline constexpr FollowPace kPaceForOthers{
-    .wait = std::chrono::milliseconds(1500),
-    .pause_after_change = std::chrono::milliseconds(400)};
+    .wait = std::chrono::milliseconds(900),
+    .pause_after_change = std::chrono::milliseconds(250)};
 
 /// Up to so many hosts of a region each read the store for themselves; in
 /// larger ones one reads each table for all. At 30 hosts reading each for
--- a/lib/libmedlarcroft/include/medlarcroft/rows/row.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/row.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "medlarcroft/core/result.h"
+#include "medlarcroft/core/time.h"
 
 namespace medlarcroft::rows {
 
@@ -27,6 +29,8 @@
   bool has_more = false;
   /// Another host's answer holds the whole table, not only what changed.
   bool is_whole = false;
+  /// The store's steady clock when it answered; absent in other hosts' answers.
+  std::optional<Duration> told_at;
 };
 
 /// @brief Why a call brought nothing.
--- a/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
@@ -15,6 +15,7 @@
 #include "medlarcroft/rows/follow_pace.h"
 #include "medlarcroft/rows/row.h"
 #include "medlarcroft/rows/row_source.h"
+#include "medlarcroft/rows/store_clock.h"
 #include "medlarcroft/rows/table_mirror.h"
 #include "medlarcroft/rows/table_teller.h"
 
@@ -50,9 +51,6 @@
     /// is asked.
     std::function<void(const PeerQuestion& question, RowsCallback callback)>
         ask_peer;
-    /// How long a host that reads for the region holds a call when nothing
-    /// changes.
-    Duration reader_wait = std::chrono::milliseconds(1000);
     /// Asks a host that reads for the region.
     /// @return false when this host is to read the store itself.
     std::function<bool(const PeerQuestion& question, RowsCallback callback)>
@@ -103,7 +101,7 @@
   bool TakePeerRows(const RowBatch& rows);
   void OnChanges(const Result<RowBatch, RowFailure>& result);
   void OnFailure(RowFailure failure);
-  void OnAnswer();
+  void OnAnswer(std::optional<Duration> told_at);
   void AskPeer();
   void OnPeerRows(const Result<RowBatch, RowFailure>& result);
   void After(Duration delay, void (TableFollower::*next)());
@@ -113,15 +111,15 @@
   bool has_table_ = false;
   std::vector<Row> pages_;
   std::uint64_t pages_version_ = 0;
+  std::optional<Duration> pages_told_at_;
   /// Nothing older than this counts any more.
   std::uint64_t version_ = 0;
   TableMirror mirror_;
   std::optional<MonotonicTime> answered_at_;
   std::optional<MonotonicTime> away_since_;
-  /// The store's own last answer.
+  StoreClock store_clock_;
+  /// When the store gave its own last answer.
   std::optional<MonotonicTime> read_at_;
-  /// How long the store holds the call that is under way.
-  Duration held_for_{0};
   /// The call to a reader that is under way; others that end bring nothing.
   std::optional<std::uint64_t> reader_call_;
   std::uint64_t reader_calls_ = 0;
--- a/lib/libmedlarcroft/include/medlarcroft/rows/table_teller.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/table_teller.h
@@ -10,6 +10,7 @@
 
 #include "medlarcroft/core/time.h"
 #include "medlarcroft/ports/timers.h"
+#include "medlarcroft/rows/follow_pace.h"
 #include "medlarcroft/rows/row.h"
 #include "medlarcroft/rows/table_mirror.h"
 
@@ -22,6 +23,8 @@
   /// How long the other one may wait for newer rows. None come when it has
   /// nothing newer then.
   Duration wait{0};
+  /// How much later than that its answer may come.
+  Duration answer_margin = kPeerAnswerMargin;
 };
 
 /// @brief Answers other hosts that ask for a table's rows: at once when there
--- a/lib/libmedlarcroft/source/rows/table_follower.cc
+++ b/lib/libmedlarcroft/source/rows/table_follower.cc
@@ -14,8 +14,6 @@
 constexpr std::uint32_t kMaxDoublings = 4;
 // After a reader failed: long enough for a paused one to be taken for dead.
 constexpr Duration kDirectTime = std::chrono::seconds(3);
-// Over the time that the store holds a call, for the way there and back.
-constexpr Duration kFreshMargin = std::chrono::milliseconds(600);
 // For a call that only asks what there is; 0 is not told from no wait given.
 constexpr Duration kCatchUpWait = std::chrono::milliseconds(1);
 // Between questions to other hosts.
@@ -73,6 +71,7 @@
   // Changes that come while the pages are read follow the first one.
   if (pages_.empty()) {
     pages_version_ = page.newest_version;
+    pages_told_at_ = page.told_at;
   }
   std::move(page.rows.begin(), page.rows.end(), std::back_inserter(pages_));
   if (page.has_more && !pages_.empty()) {
@@ -80,7 +79,7 @@
     ReadPage(pages_.back().key + '\0');
     return;
   }
-  OnAnswer();
+  OnAnswer(pages_told_at_);
   // Failure: another host told newer rows while the pages were read. Symptom:
   // this host goes back to the older ones, and what that host tells next is
   // put on top of them, so that rows in between are never heard.
@@ -105,7 +104,6 @@
 }
 
 void TableFollower::FollowStore(Duration wait) {
-  held_for_ = std::max(wait, options_.pace.wait);
   parts_.store.Follow(
       options_.table, version_, wait,
       [self = self_](const Result<RowBatch, RowFailure>& result) {
@@ -118,6 +116,8 @@
 void TableFollower::OnChanges(const Result<RowBatch, RowFailure>& result) {
   if (!IsOk(result)) {
     if (ErrorOf(result) == RowFailure::kForgotten) {
+      // There are rows that this host does not know: others wait for them.
+      is_catching_up_ = true;
       ReadTable();
       return;
     }
@@ -125,7 +125,7 @@
     return;
   }
   const RowBatch& changes = ValueOf(result);
-  OnAnswer();
+  OnAnswer(changes.told_at);
   // The answer was held up, and another host has told newer rows meanwhile.
   if (changes.newest_version < version_) {
     After(kFirstPause, &TableFollower::Follow);
@@ -145,7 +145,7 @@
   }
 }
 
-void TableFollower::OnAnswer() {
+void TableFollower::OnAnswer(std::optional<Duration> told_at) {
   const MonotonicTime now = parts_.timers.Now();
   failures_ = 0;
   if (away_since_) {
@@ -154,7 +154,7 @@
     parts_.listener.OnStoreBack(away);
   }
   answered_at_ = now;
-  read_at_ = now;
+  read_at_ = told_at ? store_clock_.GivenAt(*told_at, now) : now;
   is_catching_up_ = false;
 }
 
@@ -232,7 +232,7 @@
   const bool is_asked = options_.ask_reader(
       {.table = options_.table,
        .known_version = version_,
-       .wait = options_.reader_wait},
+       .wait = options_.pace.reader_wait},
       [self = self_, call](const Result<RowBatch, RowFailure>& rows) {
         if (*self != nullptr && (*self)->reader_call_ == call) {
           (*self)->OnReaderRows(rows);
@@ -284,7 +284,7 @@
     return {};
   }
   const Duration left =
-      *read_at_ + held_for_ + kFreshMargin - parts_.timers.Now();
+      *read_at_ + options_.pace.wait + kFreshMargin - parts_.timers.Now();
   return left > Duration(0) ? FreshTable{.mirror = &mirror_, .fresh_for = left}
                             : FreshTable{};
 }
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -71,8 +71,9 @@
               .random = parts.random,
               .listener = *this},
              {.table = std::string(platform::kHostTable),
-              .pace = {.wait = kRowWait, .pause_after_change = kRowPause},
-              .reader_wait = kReaderWait,
+              .pace = {.wait = kRowWait,
+                       .pause_after_change = kRowPause,
+                       .reader_wait = kReaderWait},
               .ask_reader = [this](const rows::PeerQuestion& question,
                                    rows::RowsCallback callback) {
                 return AskReader(question, std::move(callback));
--- a/tests/fakes/fake_store_server.h
+++ b/tests/fakes/fake_store_server.h
@@ -114,7 +114,9 @@
                        std::string(platform::FindParameter(target, name)));
   }
 
-  void Answer(adapters::HttpExchange& exchange, const nlohmann::json& body) {
+  void Answer(adapters::HttpExchange& exchange, nlohmann::json body) {
+    const auto now = ToMilliseconds(loop_.Now().time_since_epoch());
+    body["now"] = std::to_string(now) + "ms";
     exchange.Answer({.status = 200, .body = body.dump()});
   }
 
--- a/tests/property/table_following_property_test.cc
+++ b/tests/property/table_following_property_test.cc
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 
 #include <array>
-#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
 
 #include "table_following_world.h"
 
@@ -28,6 +30,9 @@
     PlanFaults(end);
   }
 
+  /// What is planned, for whoever traces a seed.
+  [[nodiscard]] std::string Story() const { return story_.str(); }
+
   void Run() {
     time_.RunUntil(time_.Now() + kTroubles + kQuiet);
     for (int host = 0; host < region_.Size(); ++host) {
@@ -41,6 +46,10 @@
   void Plan(MonotonicTime at, std::function<void()> task) {
     time_.At(VirtualTime::kNobody, at, std::move(task));
   }
+  void Tell(const char* what, int host, MonotonicTime at, Duration time) {
+    story_ << ToSeconds(at - start_) << " s: " << what << ' ' << host << " for "
+           << ToSeconds(time) << " s\n";
+  }
   Duration Between(double least, double most) {
     return FromSeconds(least + (most - least) * random_.NextUnit());
   }
@@ -53,6 +62,8 @@
     for (MonotonicTime at = time_.Now(); at < end; at += Between(0.05, 1.5)) {
       const std::uint64_t key = random_.NextBelow(kKeys);
       const bool is_removal = random_.NextUnit() < 0.3;
+      Tell(is_removal ? "removes" : "writes", static_cast<int>(key), at,
+           Duration(0));
       Plan(at, [this, key, is_removal] { Change(key, is_removal); });
     }
   }
@@ -85,7 +96,7 @@
     const HeardRows& heard = region_.HeardBy(host);
     EXPECT_FALSE(heard.went_back) << "host " << host;
     EXPECT_GE(region_.FollowerOf(host).Mirror().Version(), version)
-        << "host " << host << " at " << ToSeconds(time_.Now() - kStart);
+        << "host " << host << " at " << ToSeconds(time_.Now() - start_);
     for (const std::string& key : store_.Keys()) {
       const Row then = store_.LastChange(key, version);
       const Row last = store_.LastChange(key, store_.Newest());
@@ -123,12 +134,14 @@
   void PauseHost(MonotonicTime at) {
     const int host = SomeHost();
     const Duration time = Between(0.2, 5);
+    Tell("paused", host, at, time);
     Trouble(host, at, time);
     Plan(at, [this, host, time] { time_.Pause(host, time_.Now() + time); });
   }
   void KillHost(MonotonicTime at) {
     const int host = SomeHost();
     const Duration time = Between(0.2, 3);
+    Tell("killed", host, at, time);
     Trouble(host, at, time);
     Plan(at, [this, host] {
       if (region_.IsAlive(host)) {
@@ -144,6 +157,8 @@
   void TreatHost(MonotonicTime at, Treatment treatment) {
     const int host = SomeHost();
     const Duration time = Between(0.5, 6);
+    Tell(treatment == Treatment::kSilent ? "cut off" : "refused", host, at,
+         time);
     Trouble(host, at, time);
     Plan(at, [this, host, treatment] { network_.Treat(host, treatment); });
     Plan(at + time, [this, host] { network_.Treat(host, Treatment::kServed); });
@@ -154,6 +169,8 @@
     const Duration time = Between(0.3, 4);
     const Treatment treatment =
         random_.NextUnit() < 0.5 ? Treatment::kSilent : Treatment::kRefused;
+    Tell(treatment == Treatment::kSilent ? "store silent" : "store refuses",
+         VirtualTime::kNobody, at, time);
     for (int host = 0; host < region_.Size(); ++host) {
       Plan(at, [this, host, treatment] { network_.Treat(host, treatment); });
       Plan(at + time,
@@ -165,11 +182,13 @@
     });
   }
   void Compact(MonotonicTime at) {
+    Tell("history forgotten", VirtualTime::kNobody, at, Duration(0));
     Plan(at, [this] { store_.Forget(); });
   }
 
+  std::ostringstream story_;
   VirtualTime time_;
-  const MonotonicTime kStart = time_.Now();
+  const MonotonicTime start_ = time_.Now();
   fakes::SeededRandom random_;
   ModelStore store_;
   ModelNetwork network_;
@@ -178,7 +197,16 @@
   MonotonicTime store_troubled_until_ = time_.Now();
 };
 
-class TableFollowing : public testing::TestWithParam<int> {};
+class TableFollowing : public testing::TestWithParam<int> {
+ protected:
+  /// @return whether the schedule of that seed held.
+  static bool Holds(std::uint64_t seed) {
+    Schedule schedule(seed, GetParam());
+    schedule.Run();
+    EXPECT_FALSE(HasFailure()) << "seed " << seed << '\n' << schedule.Story();
+    return !HasFailure();
+  }
+};
 
 // Callers see a route denied that was added, or an answer of a target that
 // left, when a host does not hear what the store acknowledged. Hosts that read
@@ -186,10 +214,14 @@
 // store itself, and it forgets its history; each schedule is one seed.
 TEST_P(TableFollowing, HostsInTouchKnowWhatTheStoreAcknowledged) {
   constexpr std::uint64_t kSchedules = 1000;
-  for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
-    SCOPED_TRACE("seed " + std::to_string(seed));
-    Schedule(seed, GetParam()).Run();
-    if (HasFailure()) {
+  for (std::uint64_t seed = 1; seed <= kSchedules && Holds(seed); ++seed) {
+  }
+}
+
+// Seeds that failed once, beyond the range above.
+TEST_P(TableFollowing, SeedsThatFailedOnceHold) {
+  for (const std::uint64_t seed : {5919, 3986}) {
+    if (!Holds(seed)) {
       return;
     }
   }
--- a/tests/property/table_following_world.h
+++ b/tests/property/table_following_world.h
@@ -246,8 +246,8 @@
       const PeerQuestion& question,
       const std::function<void(const PeerQuestion&, RowsCallback)>& ask,
       RowsCallback callback) {
-    const auto call =
-        Begin(from, question.wait + kPeerMargin, std::move(callback));
+    const auto call = Begin(from, question.wait + question.answer_margin,
+                            std::move(callback));
     time_.At(
         to, time_.Now() + kBetweenHosts, [this, from, question, ask, call] {
           ask(question,
@@ -272,7 +272,6 @@
 
   static constexpr Duration kListTimeout = milliseconds(1500);
   static constexpr Duration kFollowMargin = milliseconds(1200);
-  static constexpr Duration kPeerMargin = milliseconds(700);
   static constexpr Duration kBetweenHosts = milliseconds(1);
   static constexpr std::size_t kPageRows = 5;
   // Two probes of a second without an answer, see adapters/event/tcp_stream.
@@ -312,8 +311,14 @@
               const std::shared_ptr<Call>& call,
               const Result<RowBatch, RowFailure>& result) {
     call->is_answered = true;
-    Carry(host, call, time_.Now() + kProbedFor, [this, host, call, result] {
-      time_.At(host, time_.Now(), [call, result] { End(*call, result); });
+    Result<RowBatch, RowFailure> told = result;
+    if (IsOk(told)) {
+      RowBatch batch = TakeValue(std::move(told));
+      batch.told_at = time_.Now().time_since_epoch();
+      told = std::move(batch);
+    }
+    Carry(host, call, time_.Now() + kProbedFor, [this, host, call, told] {
+      time_.At(host, time_.Now(), [call, told] { End(*call, told); });
     });
   }
 
