Drop what a test of followed tables does not use

Cause: the linter's word on the new property test (an unused capture and member) and a vector that grew in a loop.

--- a/tests/property/table_following_property_test.cc
+++ b/tests/property/table_following_property_test.cc
@@ -23,7 +23,7 @@
   Schedule(std::uint64_t seed, int hosts)
       : random_(seed),
         network_(time_, store_, seed + 1),
-        region_(time_, store_, network_, hosts, seed + 2) {
+        region_(time_, network_, hosts, seed + 2) {
     troubled_until_.resize(static_cast<std::size_t>(hosts), time_.Now());
     const MonotonicTime end = time_.Now() + kTroubles;
     PlanChanges(end);
@@ -73,8 +73,7 @@
     is_removal ? store_.Remove(key) : store_.Put(key);
     network_.OnCommit();
     const std::uint64_t version = store_.Newest();
-    const MonotonicTime changed_at = time_.Now();
-    Plan(changed_at + kKnownWithin, [this, version, changed_at] {
+    Plan(time_.Now() + kKnownWithin, [this, version] {
       for (int host = 0; host < region_.Size(); ++host) {
         if (IsInTouch(host)) {
           CheckHost(host, version);
--- a/tests/property/table_following_world.h
+++ b/tests/property/table_following_world.h
@@ -417,11 +417,10 @@
 class Region {
  public:
   Region(VirtualTime& time,
-         ModelStore& store,
          ModelNetwork& network,
          int hosts,
          std::uint64_t seed)
-      : time_(time), store_(store), network_(network), random_(seed) {
+      : time_(time), network_(network), random_(seed) {
     hosts_.resize(static_cast<std::size_t>(hosts));
     for (int host = 0; host < hosts; ++host) {
       Start(host);
@@ -553,7 +552,6 @@
   }
 
   VirtualTime& time_;
-  ModelStore& store_;
   ModelNetwork& network_;
   fakes::SeededRandom random_;
   std::vector<std::unique_ptr<Life>> hosts_;
--- a/tests/unit/node/peer_group_test.cc
+++ b/tests/unit/node/peer_group_test.cc
@@ -133,6 +133,7 @@
     Add(number);
   }
   std::vector<std::string> expected;
+  expected.reserve(kObjects);
   for (int object = 0; object < kObjects; ++object) {
     expected.push_back("o" + std::to_string(object));
   }
