Ask other hosts in one series, however often the store comes and goes

Cause: listed as open, read in the code: each time that the store turned a host away began one more series of questions to other hosts, and the ones before went on. Change: TableFollower keeps one series.

--- a/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
@@ -123,6 +123,8 @@
   /// The call to a reader that is under way; others that end bring nothing.
   std::optional<std::uint64_t> reader_call_;
   std::uint64_t reader_calls_ = 0;
+  /// Other hosts are being asked, one question after the other.
+  bool is_asking_peers_ = false;
   /// The store is being asked for what changed, so as to tell others.
   bool is_catching_up_ = false;
   /// Until then this host reads for itself: a reader failed it.
--- a/lib/libmedlarcroft/source/rows/table_follower.cc
+++ b/lib/libmedlarcroft/source/rows/table_follower.cc
@@ -163,7 +163,10 @@
   if (!away_since_) {
     away_since_ = parts_.timers.Now();
     parts_.listener.OnStoreLost(failure);
-    AskPeer();
+    // A store that comes and goes finds the questions of before still running.
+    if (!is_asking_peers_) {
+      AskPeer();
+    }
   }
   const std::uint32_t doublings = std::min(failures_++, kMaxDoublings);
   const Duration pause =
@@ -181,7 +184,8 @@
 // it hears from them for as long; rows that are older than its own are passed
 // over, and a host that does not hear from the store itself tells nothing.
 void TableFollower::AskPeer() {
-  if (!away_since_ || !options_.ask_peer) {
+  is_asking_peers_ = away_since_ && options_.ask_peer;
+  if (!is_asking_peers_) {
     return;
   }
   options_.ask_peer({.table = options_.table, .known_version = version_},
