Give the tests of a follower beside another host one fixture

Change: FollowerBesideAnother; the tests ask what they asked, and one more thing: that the lost reader was noticed.

--- a/tests/unit/platform/table_follower_test.cc
+++ b/tests/unit/platform/table_follower_test.cc
@@ -48,6 +48,9 @@
 
 using Rows = std::map<std::string, std::string>;
 
+constexpr FollowPace kTestPace{.wait = milliseconds(200),
+                               .pause_after_change = milliseconds(120)};
+
 class TableFollowerTest : public testing::Test {
  protected:
   /// Runs the loop until `is_done`, or fails after a generous while.
@@ -84,9 +87,7 @@
   HeardTable heard_;
   TableFollower watch_{
       {.timers = loop_, .store = store_, .random = random_, .listener = heard_},
-      {.table = "t",
-       .pace = {.wait = milliseconds(200),
-                .pause_after_change = milliseconds(120)}}};
+      {.table = "t", .pace = kTestPace}};
   std::vector<std::function<bool()>> steps_;
   std::vector<adapters::TimerId> limits_;
   std::size_t at_ = 0;
@@ -306,153 +307,126 @@
   EXPECT_EQ(failure, RowFailure::kUnreachable);
 }
 
+/// @brief Another host, which hears from the store and tells what it heard.
+class FollowerBesideAnother : public TableFollowerTest {
+ protected:
+  /// @return options of a follower that may ask the other host.
+  [[nodiscard]] TableFollower::Options Options() const {
+    return {.table = "t", .pace = kTestPace};
+  }
+  void AskOther(const PeerQuestion& question, RowsCallback callback) {
+    ++asked_;
+    platform::AskPeer(caller_, "127.0.0.1:" + std::to_string(listener_->Port()),
+                      question, std::move(callback));
+  }
+  [[nodiscard]] TableFollower::Options OptionsOfReaders() {
+    TableFollower::Options options = Options();
+    options.ask_reader = [this](const PeerQuestion& question,
+                                RowsCallback callback) {
+      AskOther(question, std::move(callback));
+      return true;
+    };
+    return options;
+  }
+
+  HeardTable other_heard_;
+  TableFollower other_{{.timers = loop_,
+                        .store = store_,
+                        .random = random_,
+                        .listener = other_heard_},
+                       Options()};
+  bool is_other_fresh_ = true;
+  TableTeller teller_{loop_, [this](std::string_view) {
+                        return is_other_fresh_ ? other_.TellOthers()
+                                               : FreshTable{};
+                      }};
+  platform::MirrorPage page_{teller_};
+  std::unique_ptr<adapters::HttpListener> listener_ =
+      TakeValue(adapters::HttpListener::Open(loop_, "127.0.0.1:0", page_));
+  adapters::HttpCaller caller_{loop_, {}};
+  int asked_ = 0;
+};
+
 // The store turns this host away and serves another one, to which a domain's
 // evacuation was told. This host hears of it from there, well before the store
 // takes it back.
-TEST_F(TableFollowerTest, AHostThatIsTurnedAwayHearsFromAnother) {
-  HeardTable other_heard;
-  TableFollower other({.timers = loop_,
-                       .store = store_,
-                       .random = random_,
-                       .listener = other_heard},
-                      {.table = "t",
-                       .pace = {.wait = milliseconds(200),
-                                .pause_after_change = milliseconds(120)}});
-  TableTeller teller(loop_,
-                     [&](std::string_view) { return other.TellOthers(); });
-  platform::MirrorPage page(teller);
-  const auto listener =
-      TakeValue(adapters::HttpListener::Open(loop_, "127.0.0.1:0", page));
-  adapters::HttpCaller caller(loop_, {});
-
+TEST_F(FollowerBesideAnother, AHostThatIsTurnedAwayHearsFromIt) {
   fakes::FakeStoreServer refusing(loop_);
   refusing.refuse_with = 503;
   platform::StoreClient refused_store(loop_, {.address = refusing.Address()},
                                       metrics_);
-  HeardTable heard;
-  TableFollower turned_away(
-      {.timers = loop_,
-       .store = refused_store,
-       .random = random_,
-       .listener = heard},
-      {.table = "t",
-       .pace = {.wait = milliseconds(200),
-                .pause_after_change = milliseconds(120)},
-       .ask_peer = [&](const PeerQuestion& question, RowsCallback callback) {
-         platform::AskPeer(caller,
-                           "127.0.0.1:" + std::to_string(listener->Port()),
-                           question, std::move(callback));
-       }});
+  TableFollower::Options options = Options();
+  options.ask_peer = [this](const PeerQuestion& question,
+                            RowsCallback callback) {
+    AskOther(question, std::move(callback));
+  };
+  TableFollower turned_away({.timers = loop_,
+                             .store = refused_store,
+                             .random = random_,
+                             .listener = heard_},
+                            options);
   server_.Put("evacuate/a", "{}");
-  other.Start();
+  other_.Start();
   turned_away.Start();
-  RunUntil([&] {
-    if (heard.rows != Rows{{"evacuate/a", "{}"}}) {
+  RunUntil([this] {
+    if (heard_.rows != Rows{{"evacuate/a", "{}"}}) {
       return false;
     }
     server_.Remove("evacuate/a");
     server_.Put("evacuate/b", "{}");
     return true;
   });
-  RunUntil([&] { return heard.rows == Rows{{"evacuate/b", "{}"}}; });
+  RunUntil([this] { return heard_.rows == Rows{{"evacuate/b", "{}"}}; });
   loop_.Run();
 
   EXPECT_TRUE(turned_away.IsAway());
-  EXPECT_EQ(heard.returns, 0);
+  EXPECT_EQ(heard_.returns, 0);
 }
 
-// In a large region two hosts read the store for all. One of them can't tell:
-// it is itself turned away. Those that follow it must hear the news all the
-// same, from the store.
-TEST_F(TableFollowerTest, AHostWhoseReaderIsLostReadsForItself) {
-  bool is_reader_fresh = true;
-  HeardTable reader_heard;
-  TableFollower reader({.timers = loop_,
-                        .store = store_,
-                        .random = random_,
-                        .listener = reader_heard},
-                       {.table = "t",
-                        .pace = {.wait = milliseconds(200),
-                                 .pause_after_change = milliseconds(120)}});
-  TableTeller teller(loop_, [&](std::string_view) {
-    return is_reader_fresh ? reader.TellOthers() : FreshTable{};
-  });
-  platform::MirrorPage page(teller);
-  reader.Mirror().OnChange([&] { teller.OnChange("t"); });
-  const auto listener =
-      TakeValue(adapters::HttpListener::Open(loop_, "127.0.0.1:0", page));
-  adapters::HttpCaller caller(loop_, {});
-  int asked = 0;
-  HeardTable heard;
+// In a large region one host reads the store for all. It can't tell: it is
+// itself turned away. Those that follow it must hear the news all the same,
+// from the store.
+TEST_F(FollowerBesideAnother, AHostWhoseReaderIsLostReadsForItself) {
+  other_.Mirror().OnChange([this] { teller_.OnChange("t"); });
   TableFollower follower(
-      {.timers = loop_, .store = store_, .random = random_, .listener = heard},
-      {.table = "t",
-       .pace = {.wait = milliseconds(200),
-                .pause_after_change = milliseconds(120)},
-       .ask_reader = [&](const PeerQuestion& question, RowsCallback callback) {
-         ++asked;
-         platform::AskPeer(caller,
-                           "127.0.0.1:" + std::to_string(listener->Port()),
-                           question, std::move(callback));
-         return true;
-       }});
+      {.timers = loop_, .store = store_, .random = random_, .listener = heard_},
+      OptionsOfReaders());
   server_.Put("a", "1");
-  reader.Start();
+  other_.Start();
   follower.Start();
-  RunUntil([&] {
-    if (heard.rows != Rows{{"a", "1"}} || asked == 0) {
+  RunUntil([this] {
+    if (heard_.rows != Rows{{"a", "1"}} || asked_ == 0) {
       return false;
     }
     server_.Put("b", "2");
     return true;
   });
-  RunUntil([&] {
-    if (heard.rows.size() != 2) {
+  RunUntil([this] {
+    if (heard_.rows.size() != 2) {
       return false;
     }
-    is_reader_fresh = false;
+    is_other_fresh_ = false;
     server_.Put("c", "3");
     return true;
   });
-  RunUntil([&] { return heard.rows.size() == 3; });
+  RunUntil([this] { return heard_.rows.size() == 3; });
   loop_.Run();
+
+  EXPECT_GE(heard_.readers_lost, 1);
 }
 
 // Hosts of a large region start together. Each of them asks the one that reads
 // for all, which has nothing yet either; it hears the table all the same, and
 // the store is asked for it once.
-TEST_F(TableFollowerTest, AHostThatStartsHearsTheTableFromItsReader) {
+TEST_F(FollowerBesideAnother, AHostThatStartsHearsTheTableFromItsReader) {
   server_.Put("a", "1");
-  HeardTable reader_heard;
-  TableFollower reader({.timers = loop_,
-                        .store = store_,
-                        .random = random_,
-                        .listener = reader_heard},
-                       {.table = "t",
-                        .pace = {.wait = milliseconds(200),
-                                 .pause_after_change = milliseconds(120)}});
-  TableTeller teller(loop_,
-                     [&](std::string_view) { return reader.TellOthers(); });
-  platform::MirrorPage page(teller);
-  reader.Mirror().OnChange([&] { teller.OnChange("t"); });
-  const auto listener =
-      TakeValue(adapters::HttpListener::Open(loop_, "127.0.0.1:0", page));
-  adapters::HttpCaller caller(loop_, {});
-  HeardTable heard;
+  other_.Mirror().OnChange([this] { teller_.OnChange("t"); });
   TableFollower follower(
-      {.timers = loop_, .store = store_, .random = random_, .listener = heard},
-      {.table = "t",
-       .pace = {.wait = milliseconds(200),
-                .pause_after_change = milliseconds(120)},
-       .ask_reader = [&](const PeerQuestion& question, RowsCallback callback) {
-         platform::AskPeer(caller,
-                           "127.0.0.1:" + std::to_string(listener->Port()),
-                           question, std::move(callback));
-         return true;
-       }});
+      {.timers = loop_, .store = store_, .random = random_, .listener = heard_},
+      OptionsOfReaders());
   follower.Start();
-  loop_.After(milliseconds(50), [&] { reader.Start(); });
-  RunUntil([&] { return heard.rows == Rows{{"a", "1"}}; });
+  loop_.After(milliseconds(50), [this] { other_.Start(); });
+  RunUntil([this] { return heard_.rows == Rows{{"a", "1"}}; });
   loop_.Run();
 
   EXPECT_EQ(server_.calls["/medlarcroft/rows-get"], 1);
@@ -469,8 +443,7 @@
   TableFollower watch(
       {.timers = loop_, .store = store_, .random = random_, .listener = heard},
       {.table = "t",
-       .pace = {.wait = milliseconds(200),
-                .pause_after_change = milliseconds(120)},
+       .pace = kTestPace,
        .ask_reader = [&](const PeerQuestion&, RowsCallback callback) {
          held = std::move(callback);
          return ++asked > 0;
