--- a/lib/libmedlarcroft/source/adapters/steer/steer_core.cc
+++ b/lib/libmedlarcroft/source/adapters/steer/steer_core.cc
@@ -5,6 +5,7 @@
 
 #include "adapters/peer/wire_conversion.h"
 #include "adapters/steer/snapshot_builder.h"
+#include "adapters/steer/steering_view.h"
 #include "medlarcroft/membership/relays.h"
 
 namespace medlarcroft::adapters {
@@ -31,46 +32,6 @@
 /// Weight of the newest tick in the rate of answers.
 constexpr double kRateSmoothing = 0.2;
 
-steering::EntryHostLiveness ToLiveness(membership::Liveness liveness) {
-  switch (liveness) {
-    case membership::Liveness::kAlive:
-      return steering::EntryHostLiveness::kAlive;
-    case membership::Liveness::kSuspect:
-      return steering::EntryHostLiveness::kSuspect;
-    case membership::Liveness::kDead:
-      return steering::EntryHostLiveness::kDead;
-    default:
-      return steering::EntryHostLiveness::kUnknown;
-  }
-}
-
-steering::ServiceLoad ToSteering(const membership::ServiceLoad& load) {
-  return {.service = load.service,
-          .demand_per_second = load.demand_per_second,
-          .outstanding = static_cast<double>(load.outstanding),
-          .queued = static_cast<double>(load.queued),
-          .usable_slots = static_cast<double>(load.usable_slots),
-          .refused_per_second = load.refused_per_second,
-          .shifted_in_per_second = load.shifted_in_per_second};
-}
-
-std::vector<steering::ServiceLoad> ToSteering(
-    const std::vector<membership::ServiceLoad>& loads) {
-  std::vector<steering::ServiceLoad> converted;
-  converted.reserve(loads.size());
-  for (const membership::ServiceLoad& load : loads) {
-    converted.push_back(ToSteering(load));
-  }
-  return converted;
-}
-
-steering::DomainLoad ToSteering(const membership::DomainSummary& summary) {
-  return {.failure_domain = summary.failure_domain,
-          .live_hosts = summary.live_hosts,
-          .age = summary.age,
-          .loads = ToSteering(summary.loads)};
-}
-
 membership::HostState FirstState(const SteerIdentity& identity,
                                  const ports::Clock& clock) {
   membership::HostState state;
@@ -307,61 +268,17 @@
     ticked_at_ = now;
   }
 
-  const std::vector<steering::DomainLoad> domains = DomainLoadsLocked();
+  const std::vector<steering::DomainLoad> domains = DomainLoadsOf(members_);
   const std::vector<steering::PendingDemand> pending = handed_out_.All(now);
   plan_ = shifts_.Plan(
       {.catalogue = catalogue_.get(), .domains = domains, .pending = pending});
   lookups_.Update({.catalogue = catalogue_,
-                   .hosts = EntryHosts(),
+                   .hosts = EntryHostsOf(members_, *catalogue_),
                    .domains = domains,
                    .plan = plan_,
                    .own_domain = identity_.failure_domain});
 }
 
-std::vector<steering::EntryHost> SteerCore::EntryHosts() const {
-  std::vector<steering::EntryHost> hosts;
-  const auto add = [&](const membership::HostState& state,
-                       steering::EntryHostLiveness liveness, bool is_leaving) {
-    if (state.entry_address.empty()) {
-      return;
-    }
-    const bool is_drained = catalogue_->IsDrained(
-        catalogue::DrainSubject::kHost, state.host.Value());
-    steering::EntryHostPhase phase = steering::EntryHostPhase::kStarting;
-    if (is_leaving || is_drained) {
-      phase = steering::EntryHostPhase::kLeaving;
-    } else if (state.phase == membership::HostPhase::kReady) {
-      phase = steering::EntryHostPhase::kReady;
-    }
-    hosts.push_back({.host = state.host,
-                     .address = state.entry_address,
-                     .failure_domain = state.failure_domain,
-                     .phase = phase,
-                     .liveness = liveness,
-                     .loads = ToSteering(state.loads)});
-  };
-
-  const membership::HostState& self = members_.Self();
-  add(self, steering::EntryHostLiveness::kAlive,
-      self.phase == membership::HostPhase::kLeaving);
-  for (const membership::Member& member : members_.Members()) {
-    const bool is_leaving =
-        member.liveness == membership::Liveness::kLeaving ||
-        member.state.phase == membership::HostPhase::kLeaving;
-    add(member.state, ToLiveness(member.liveness), is_leaving);
-  }
-  return hosts;
-}
-
-std::vector<steering::DomainLoad> SteerCore::DomainLoadsLocked() const {
-  std::vector<steering::DomainLoad> loads;
-  loads.push_back(ToSteering(members_.Summarise()));
-  for (const membership::DomainSummary& summary : members_.Summaries()) {
-    loads.push_back(ToSteering(summary));
-  }
-  return loads;
-}
-
 std::set<FailureDomainName> SteerCore::SiblingDomains() const {
   std::set<FailureDomainName> siblings;
   const auto* own = catalogue_->FindFailureDomain(identity_.failure_domain);
@@ -432,7 +349,7 @@
 
 std::vector<steering::DomainLoad> SteerCore::DomainLoads() const {
   const std::lock_guard lock(mutex_);
-  return DomainLoadsLocked();
+  return DomainLoadsOf(members_);
 }
 
 bool SteerCore::IsEntryConnected() const {
--- a/lib/libmedlarcroft/source/adapters/steer/steer_core.h
+++ b/lib/libmedlarcroft/source/adapters/steer/steer_core.h
@@ -102,8 +102,6 @@
   // These need `mutex_`.
   [[nodiscard]] membership::HostPhase PhaseNow() const;
   [[nodiscard]] bool IsEntryConnectedLocked() const;
-  [[nodiscard]] std::vector<steering::DomainLoad> DomainLoadsLocked() const;
-  [[nodiscard]] std::vector<steering::EntryHost> EntryHosts() const;
   [[nodiscard]] std::set<FailureDomainName> SiblingDomains() const;
   void UpdateSelf();
   void UpdatePlans();
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/steer/steering_view.h
@@ -0,0 +1,28 @@
+#ifndef MEDLARCROFT_ADAPTERS_STEER_STEERING_VIEW_H_
+#define MEDLARCROFT_ADAPTERS_STEER_STEERING_VIEW_H_
+
+#include <vector>
+
+#include "medlarcroft/catalogue/catalogue_view.h"
+#include "medlarcroft/membership/membership_table.h"
+#include "medlarcroft/steering/lookup_planner.h"
+#include "medlarcroft/steering/shift_planner.h"
+
+/// @file
+/// @brief What membership knows, as look-ups and shifts are planned with it.
+
+namespace medlarcroft::adapters {
+
+/// @return this host and all members that callers could be sent to. Drained
+/// ones and those that say or are said to leave are marked as leaving.
+[[nodiscard]] std::vector<steering::EntryHost> EntryHostsOf(
+    const membership::MembershipTable& members,
+    const catalogue::CatalogueView& catalogue);
+
+/// @return the loads of all failure domains, this host's own first.
+[[nodiscard]] std::vector<steering::DomainLoad> DomainLoadsOf(
+    const membership::MembershipTable& members);
+
+}  // namespace medlarcroft::adapters
+
+#endif  // MEDLARCROFT_ADAPTERS_STEER_STEERING_VIEW_H_
