--- a/lib/libmedlarcroft/source/adapters/steer/steering_view.cc
+++ b/lib/libmedlarcroft/source/adapters/steer/steering_view.cc
@@ -47,8 +47,8 @@
 steering::EntryHostPhase PhaseOf(const membership::HostState& state,
                                  bool is_leaving,
                                  const catalogue::CatalogueView& catalogue) {
-  if (is_leaving || catalogue.IsDrained(catalogue::DrainSubject::kHost,
-                                        state.host.Value())) {
+  if (is_leaving ||
+      catalogue.IsDrained(catalogue::DrainSubject::kHost, state.host.Value())) {
     return steering::EntryHostPhase::kLeaving;
   }
   return state.phase == membership::HostPhase::kReady
