Wait for hosts to know each other in the test of placed objects

Cause: read again: the test told objects after 1.5 s, which a loaded machine may not keep. Change: it waits until the three hosts know of each other, and ends when all is heard; what it asks is the same.

--- a/tests/unit/node/peer_group_test.cc
+++ b/tests/unit/node/peer_group_test.cc
@@ -128,22 +128,31 @@
 // send it there too. Each of them hears of every object once, also of more than
 // one datagram takes.
 TEST_F(PeerGroupTest, PlacedObjectsAreToldToAllOthersOnce) {
-  constexpr int kObjects = 60;
+  constexpr std::size_t kObjects = 60;
   for (int number = 1; number <= 3; ++number) {
     Add(number);
   }
   std::vector<std::string> expected;
   expected.reserve(kObjects);
-  for (int object = 0; object < kObjects; ++object) {
+  for (std::size_t object = 0; object < kObjects; ++object) {
     expected.push_back("o" + std::to_string(object));
   }
-  loop_.After(milliseconds(1500), [&] {
-    for (const std::string& object : expected) {
-      hosts_[0]->group->TellPlaced(
-          {.target = TargetName("t"), .object = object});
+  bool is_told = false;
+  loop_.Every(milliseconds(10), [&] {
+    if (!is_told && hosts_[0]->group->HostsInRegion() == 3) {
+      is_told = true;
+      for (const std::string& object : expected) {
+        hosts_[0]->group->TellPlaced(
+            {.target = TargetName("t"), .object = object});
+      }
+    }
+    const bool is_heard = hosts_[1]->placed.size() >= kObjects &&
+                          hosts_[2]->placed.size() >= kObjects;
+    if (is_heard) {
+      loop_.Finish(0);
     }
   });
-  RunFor(milliseconds(2200));
+  RunFor(seconds(20));
 
   EXPECT_TRUE(hosts_[0]->placed.empty());
   EXPECT_EQ(hosts_[1]->placed, expected);
