Tell a call that was never answered from one that was turned away

Two tests of writes expected `unreachable` for an answer that never came and now expect `timed-out`, as strictly.

The tests of tables and news pass.

--- a/lib/libmedlarcroft/include/medlarcroft/rows/row.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/row.h
@@ -35,11 +35,13 @@
 
 /// @brief Why a call brought nothing.
 enum class RowFailure {
-  kUnreachable,      ///< No answer. A write may have been, or may yet be, done.
+  /// No connection, or it ended. A write may have been, or may yet be, done.
+  kUnreachable,
   kRefused,          ///< Turned away; nothing was done.
   kForgotten,        ///< The history that was asked for is gone.
   kConditionFailed,  ///< A row has another version; nothing was done.
   kBadAnswer,        ///< An answer that can't be read.
+  kTimedOut,  ///< Sent, and no answer in time; a write as with `kUnreachable`.
 };
 
 [[nodiscard]] std::string_view NameOf(RowFailure failure);
--- a/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
@@ -21,6 +21,17 @@
 
 namespace medlarcroft::rows {
 
+/// @brief A call to the store that brought nothing.
+struct FailedCall {
+  RowFailure failure = RowFailure::kUnreachable;
+  /// From its sending to its end: tells a call that was turned away from one
+  /// that was held and never answered.
+  Duration call_time{0};
+  std::uint64_t known_version = 0;
+  /// News stops coming with it.
+  bool is_first = false;
+};
+
 /// @brief Hears what a table holds.
 class TableListener {
  public:
@@ -30,8 +41,7 @@
   virtual void OnTable(std::span<const Row> rows) = 0;
   /// Rows that changed since, in order; removed ones are marked.
   virtual void OnRows(std::span<const Row> rows) = 0;
-  /// News stopped coming.
-  virtual void OnStoreLost(RowFailure failure) = 0;
+  virtual void OnCallFailed(const FailedCall& call) = 0;
   /// News comes again, `away` after the last that came.
   virtual void OnStoreBack(Duration away) = 0;
   /// The host that read for this one failed it: from now on this one reads the
@@ -117,6 +127,8 @@
   TableMirror mirror_;
   std::optional<MonotonicTime> answered_at_;
   std::optional<MonotonicTime> away_since_;
+  /// When the store was last called.
+  MonotonicTime called_at_{};
   StoreClock store_clock_;
   /// When the store gave its own last answer.
   std::optional<MonotonicTime> read_at_;
--- a/lib/libmedlarcroft/source/rows/row.cc
+++ b/lib/libmedlarcroft/source/rows/row.cc
@@ -7,8 +7,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 5> kFailureNames = {
-    "unreachable", "refused", "forgotten", "condition-failed", "bad-answer"};
+constexpr std::array<std::string_view, 6> kFailureNames = {
+    "unreachable",      "refused",    "forgotten",
+    "condition-failed", "bad-answer", "timed-out"};
 
 }  // namespace
 
--- a/lib/libmedlarcroft/source/rows/table_follower.cc
+++ b/lib/libmedlarcroft/source/rows/table_follower.cc
@@ -48,6 +48,7 @@
 }
 
 void TableFollower::ReadPage(const std::string& first_key) {
+  called_at_ = parts_.timers.Now();
   parts_.store.List(options_.table, first_key,
                     [self = self_](Result<RowBatch, RowFailure> result) {
                       if (*self != nullptr) {
@@ -109,6 +110,7 @@
 }
 
 void TableFollower::FollowStore(Duration wait) {
+  called_at_ = parts_.timers.Now();
   parts_.store.Follow(
       options_.table, version_, wait,
       [self = self_](const Result<RowBatch, RowFailure>& result) {
@@ -164,10 +166,14 @@
 }
 
 void TableFollower::OnFailure(RowFailure failure) {
+  const MonotonicTime now = parts_.timers.Now();
   is_catching_up_ = false;
+  parts_.listener.OnCallFailed({.failure = failure,
+                                .call_time = now - called_at_,
+                                .known_version = version_,
+                                .is_first = !away_since_});
   if (!away_since_) {
-    away_since_ = parts_.timers.Now();
-    parts_.listener.OnStoreLost(failure);
+    away_since_ = now;
     // A store that comes and goes finds the questions of before still running.
     if (!is_asking_peers_) {
       AskPeer();
--- a/programs/node/logged_table.h
+++ b/programs/node/logged_table.h
@@ -15,9 +15,13 @@
   /// @param name of the table, in the log.
   explicit LoggedTable(std::string_view name) : name_(name) {}
 
-  void OnStoreLost(rows::RowFailure failure) override {
-    adapters::Log(adapters::LogLevel::kWarning, "store-lost",
-                  {{"table", name_}, {"reason", NameOf(failure)}});
+  void OnCallFailed(const rows::FailedCall& call) override {
+    adapters::Log(adapters::LogLevel::kWarning,
+                  call.is_first ? "store-lost" : "store-call-failed",
+                  {{"table", name_},
+                   {"reason", NameOf(call.failure)},
+                   {"call_ms", ToMilliseconds(call.call_time)},
+                   {"known_version", call.known_version}});
   }
   void OnStoreBack(Duration away) override {
     adapters::Log(adapters::LogLevel::kInfo, "store-back",
--- a/tests/property/table_following_world.h
+++ b/tests/property/table_following_world.h
@@ -52,7 +52,7 @@
       }
     }
   }
-  void OnStoreLost(RowFailure) override {}
+  void OnCallFailed(const FailedCall&) override {}
   void OnStoreBack(Duration) override {}
   void OnReaderLost(RowFailure, std::uint64_t) override { ++readers_lost; }
 
--- a/tests/unit/node/routing_news_test.cc
+++ b/tests/unit/node/routing_news_test.cc
@@ -79,7 +79,7 @@
 // again within two seconds or so is gone and gets nothing more.
 TEST_F(TargetNewsTest, LapsedTargetsServeUntilTheyHadTimeToRegister) {
   news_.OnTable(std::vector{Registered("a"), Registered("b")});
-  news_.OnStoreLost(rows::RowFailure::kUnreachable);
+  news_.OnCallFailed({.failure = rows::RowFailure::kUnreachable});
   clock_.Advance(seconds(9));
   news_.OnStoreBack(seconds(9));
   news_.OnRows(std::vector{Gone("a"), Gone("b")});
@@ -97,7 +97,7 @@
 // which nobody is registered yet.
 TEST_F(TargetNewsTest, AnEmptyTableAfterAnOutageLeavesTimeToRegister) {
   news_.OnTable(std::vector{Registered("a")});
-  news_.OnStoreLost(rows::RowFailure::kForgotten);
+  news_.OnCallFailed({.failure = rows::RowFailure::kForgotten});
   news_.OnStoreBack(seconds(5));
   news_.OnTable(std::vector<rows::Row>{});
   EXPECT_EQ(Usable(), 1U);
@@ -248,7 +248,7 @@
 TEST_F(TargetNewsTest, AStartWhileTheStoreIsAwayIsANewProcess) {
   news_.OnTable(std::vector{Registered("a", kFirstStart)});
   Find("a", kFirstStart)->OnSent("object", clock_.Now());
-  news_.OnStoreLost(rows::RowFailure::kUnreachable);
+  news_.OnCallFailed({.failure = rows::RowFailure::kUnreachable});
   clock_.Advance(seconds(9));
   news_.OnStoreBack(seconds(9));
   news_.OnTable(std::vector<rows::Row>{});
--- a/tests/unit/platform/table_follower_test.cc
+++ b/tests/unit/platform/table_follower_test.cc
@@ -35,13 +35,17 @@
       }
     }
   }
-  void OnStoreLost(RowFailure failure) override { lost = failure; }
+  void OnCallFailed(const FailedCall& call) override {
+    lost = call.is_first ? call.failure : lost;
+    longest_call = std::max(longest_call, call.call_time);
+  }
   void OnStoreBack(Duration) override { ++returns; }
   void OnReaderLost(RowFailure, std::uint64_t) override { ++readers_lost; }
 
   std::map<std::string, std::string> rows;
   int tables = 0;
   std::optional<RowFailure> lost;
+  Duration longest_call{0};
   int returns = 0;
   int readers_lost = 0;
 };
@@ -241,6 +245,10 @@
 
   EXPECT_EQ(*heard_.lost, GetParam().failure);
   EXPECT_EQ(heard_.returns, 1);
+  // Who looks for the cause is told how long the host waited for nothing.
+  if (GetParam().failure == RowFailure::kTimedOut) {
+    EXPECT_GE(heard_.longest_call, kTestPace.wait);
+  }
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -250,8 +258,8 @@
         OutageCase{"Busy", Outage::kRefusing, RowFailure::kRefused, 503},
         OutageCase{"Many", Outage::kRefusing, RowFailure::kRefused, 429},
         OutageCase{"Odd", Outage::kRefusing, RowFailure::kBadAnswer, 500},
-        OutageCase{"Silent", Outage::kSilent, RowFailure::kUnreachable},
-        OutageCase{"Slow", Outage::kSlow, RowFailure::kUnreachable},
+        OutageCase{"Silent", Outage::kSilent, RowFailure::kTimedOut},
+        OutageCase{"Slow", Outage::kSlow, RowFailure::kTimedOut},
         OutageCase{"Reset", Outage::kStopped, RowFailure::kUnreachable}),
     [](const auto& tested) { return tested.param.name; });
 
@@ -318,7 +326,7 @@
                });
   loop_.Run();
 
-  EXPECT_EQ(failure, RowFailure::kUnreachable);
+  EXPECT_EQ(failure, RowFailure::kTimedOut);
   EXPECT_EQ(server_.version, 1U);
 }
 
@@ -335,7 +343,7 @@
   RunUntil([this] { return server_.version == 1; });
   loop_.Run();
 
-  EXPECT_EQ(failure, RowFailure::kUnreachable);
+  EXPECT_EQ(failure, RowFailure::kTimedOut);
 }
 
 /// @brief Another host, which hears from the store and tells what it heard.
