--- a/lib/libmedlarcroft/include/medlarcroft/rows/follow_pace.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/follow_pace.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/rows/row_source.h"
 
 namespace medlarcroft::rows {
 
@@ -21,11 +22,6 @@
   Duration reader_wait = std::chrono::milliseconds(600);
 };
 
-/// How much later than its hold an answer of the store may come before the call
-/// is given up: a packet that is lost between regions is sent again within a
-/// second.
-inline constexpr Duration kStoreAnswerMargin = std::chrono::milliseconds(1200);
-
 /// From a call that is given up to the answer of the next one: a pause, and a
 /// new connection to another region.
 inline constexpr Duration kAskAgainTime = std::chrono::milliseconds(450);
--- a/lib/libmedlarcroft/include/medlarcroft/rows/row_source.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/row_source.h
@@ -9,6 +9,11 @@
 
 namespace medlarcroft::rows {
 
+/// How much later than its hold an answer of the store may come before the call
+/// is given up: a packet that is lost between regions is sent again within a
+/// second.
+inline constexpr Duration kStoreAnswerMargin = std::chrono::milliseconds(1200);
+
 /// @brief Where rows come from: one call a method, no retries. Callbacks run
 /// once each, never before the call has returned, and on one thread.
 class RowSource {
@@ -19,7 +24,8 @@
   virtual void List(std::string_view table,
                     std::string_view first_key,
                     RowsCallback callback) = 0;
-  /// @brief Waits up to `wait` for rows changed after `version`.
+  /// @brief Waits up to `wait` for rows changed after `version`; it fails with
+  /// `kTimedOut` when no answer has come `kStoreAnswerMargin` after that.
   virtual void Follow(std::string_view table,
                       std::uint64_t version,
                       Duration wait,
