Doubt a missing route as soon as the store's answer is overdue

What callers saw: 404 for a route that had been accepted three seconds before. Callers do not ask again after that.

Cause: a host took its own news for whole until they were 6 s old, a time of its own beside the hold of calls; since holds are shorter a host knows after the hold and 0.5 s that an answer is due and has not come.

Change: `TableFollower::IsOverdue` from hold and margin; a missing route is then 503 with a time to come back.

--- a/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
@@ -89,6 +89,9 @@
   /// nullopt: never.
   [[nodiscard]] std::optional<Duration> Age() const;
   [[nodiscard]] bool IsAway() const { return away_since_.has_value(); }
+  /// @return whether an answer is due and has not come, so that there may be
+  /// changes that this host has not heard of.
+  [[nodiscard]] bool IsOverdue() const;
   /// @brief Another host takes this one for the reader of its region: from now
   /// on it reads the store itself.
   /// @return the rows while it has heard from the store itself within the time
--- a/lib/libmedlarcroft/source/rows/table_follower.cc
+++ b/lib/libmedlarcroft/source/rows/table_follower.cc
@@ -33,6 +33,11 @@
                       : std::nullopt;
 }
 
+bool TableFollower::IsOverdue() const {
+  const auto age = Age();
+  return !age || *age >= options_.pace.wait + kFreshMargin;
+}
+
 // Hosts that start in a large region hear the table from its reader, so that a
 // start of many does not cost the store a list for each.
 void TableFollower::Read() {
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -26,10 +26,6 @@
 constexpr Duration kAnnounceTime = std::chrono::milliseconds(2800);
 // Before the end of the stop's time limit, to leave in order.
 constexpr Duration kStopReserve = std::chrono::milliseconds(350);
-// Failure: news of the operator stops coming. Symptom: a route that was added
-// meanwhile would be denied for good. After this a missing route may be news
-// that has not come.
-constexpr Duration kNewsDoubtfulAfter = std::chrono::seconds(6);
 // A host that starts looks so long for hosts that read for its region; a start
 // of all at once, when there are none yet, is held up by no more.
 constexpr Duration kReaderSearch = std::chrono::milliseconds(400);
@@ -253,8 +249,10 @@
 void Node::Tick() {
   targets_.Advance(loop_.Now());
   path_.SetHostCount(peers_.KnownHosts());
-  path_.SetNewsDoubtful(operator_watch_.Age().value_or(kNewsDoubtfulAfter) >=
-                        kNewsDoubtfulAfter);
+  // Failure: news of the operator stops coming. Symptom: a route that was added
+  // meanwhile is denied, and callers do not ask again after that. While an
+  // answer of the store is due, a missing route may be news that has not come.
+  path_.SetNewsDoubtful(operator_watch_.IsOverdue());
   SetPaceOfWatches();
   UpdatePhase();
   AdvanceStop();
