--- a/tests/property/hung_store_property_test.cc
+++ b/tests/property/hung_store_property_test.cc
@@ -23,10 +23,12 @@
     HungStore,
     testing::Values(ScheduleOptions{.hosts = 2, .has_hangs = true},
                     ScheduleOptions{.hosts = 4,
+                                    .known_within = seconds(2),
                                     .in_touch_after = seconds(3),
                                     .has_hangs = true},
                     ScheduleOptions{.hosts = 7, .has_hangs = true},
                     ScheduleOptions{.hosts = 12,
+                                    .known_within = seconds(2),
                                     .in_touch_after = seconds(3),
                                     .has_hangs = true}),
     [](const auto& info) {
--- a/tests/property/table_following_schedule.h
+++ b/tests/property/table_following_schedule.h
@@ -20,15 +20,15 @@
 
 namespace medlarcroft::rows {
 
-// A leaving target and a configuration must be known 2.5 s after the store has
-// acknowledged them, by hosts that were in touch with it for 4 s.
-inline constexpr Duration kKnownWithin = milliseconds(2500);
 inline constexpr Duration kTroubles = seconds(24);
 inline constexpr Duration kQuiet = seconds(10);
 
 /// @brief What a schedule is played with.
 struct ScheduleOptions {
   int hosts = 2;
+  /// A leaving target and a configuration must be known so long after the store
+  /// has acknowledged them, by hosts in touch with it.
+  Duration known_within = milliseconds(2500);
   /// After so long without trouble a host is in touch with the store.
   Duration in_touch_after = seconds(4);
   /// The store also hangs.
@@ -103,7 +103,7 @@
     is_removal ? store_.Remove(key) : store_.Put(key);
     network_.OnCommit();
     const std::uint64_t version = store_.Newest();
-    Plan(time_.Now() + kKnownWithin, [this, version] {
+    Plan(time_.Now() + options_.known_within, [this, version] {
       for (int host = 0; host < region_.Size(); ++host) {
         if (IsInTouch(host)) {
           CheckHost(host, version);
