Soak nodes beside a store that hangs and goes on

Cause: the soak harmed the link to the store, which ends its connections, or had the store refuse; a store that takes calls on live connections and never answers them was in none of its plans, and no plan asked how soon a change is in force.

Change: after half of the rounds the store hangs for 0.3 to 1.2 s as hosts ask what comes next, and a route is added right after it; all hosts must serve it 5 s after the store went on. Hangs are drawn apart, so the plans of seeds stay.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,7 +6,7 @@
 
 While it runs, callers and targets keep accounts. Broken promises are printed and make it fail:
 an order that ran twice; an order that was told "not run" and ran; an answer that is not the caller's own or not
-whole; a route denied that was in force; a leaving target that gets new work; a request that a planned stop cut.
+whole; a route denied that was in force, or not in force in time after the store hung; a leaving target that gets new work; a request that a planned stop cut.
 Times are generous: a promise is never broken by a slow machine.
 """
 
@@ -40,6 +40,7 @@
 NODES = 3
 CALLERS = 6
 LEFT_S = 4.0  # A leaving target gets nothing new after this.
+IN_FORCE_S = 5.0  # Hosts are in step 4 s after the store hung; and a second.
 
 
 class Account:
@@ -94,6 +95,10 @@
     def of_service(self, service):
         return [target for target in self.targets.values() if target.entry["info"]["service"] == service]
 
+    def change(self):
+        self.version += 1
+        self.store.put_json("op", "config", configuration(self.version, self.routes))
+
     def add_route(self):
         self.version += 1
         added = route(f"added-{self.version}", f"/added-{self.version}/", "idempotent", "desk")
@@ -184,6 +189,7 @@
     def __init__(self, deployment, account, seed):
         self.deployment, self.account = deployment, account
         self.random = random.Random(seed)
+        self.hang_random = random.Random(f"hangs of {seed}")  # The other faults of a seed stay as they are.
         self.log = []
 
     def round(self, index):
@@ -200,6 +206,9 @@
         planned = [self.stop, self.leave, self.deployment.add_route][index % 3]
         self.log.append(f"round {index}: {planned.__name__}")
         planned()
+        if self.hang_random.random() < 0.5:
+            self.log.append(f"round {index}: hang")
+            self.hang()
 
     def kill(self):
         number = self.random.randint(1, NODES)
@@ -231,6 +240,20 @@
             self.deployment.store.refuse_with = None
         return heal
 
+    def hang(self):
+        """The store hangs just as hosts ask what comes next, and accepts a change right after it."""
+        store = self.deployment.store
+        self.deployment.change()
+        time.sleep(0.05)
+        store.is_hung = True
+        time.sleep(self.hang_random.uniform(0.3, 1.2))
+        store.is_hung = False
+        ended = time.monotonic()
+        self.deployment.add_route()
+        took = time.monotonic() - ended
+        if took > IN_FORCE_S:
+            self.account.fault(f"a route was in force {took:.1f} s after the store hung")
+
     def stop(self):
         """A planned stop, with nothing else wrong: what was passed on is answered."""
         time.sleep(LEFT_S)
--- a/tests/system/platform_standins.py
+++ b/tests/system/platform_standins.py
@@ -39,10 +39,12 @@
 
 
 class Store:
-    """Rows, conditions and feed. `refuse_with` is the status of every answer while it is set."""
+    """Rows, conditions and feed. `refuse_with` is the status of every answer while it is set. While it `is_hung`,
+    connections stay up and calls are taken; those that arrive then are never answered, those held before are later."""
 
     def __init__(self, address):
         self.refuse_with = None
+        self.is_hung = False
         self.version = 0
         self.rows = {}  # (table, key) -> (value, version)
         self.removed = {}
@@ -83,9 +85,21 @@
                     for (name, key), version in self.removed.items() if name == table and version > after]
         return [row for _, row in sorted(changed, key=lambda item: item[0])]
 
+    def _is_swallowed(self, handler):
+        if not self.is_hung:
+            return False
+        handler.close_connection = True
+        try:
+            handler.rfile.read(1)  # Until the caller gives the call up.
+        except OSError:
+            pass
+        return True
+
     def _get(self, handler):
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if self._is_swallowed(handler):
+            return
         if self.refuse_with:
             handler.answer(self.refuse_with)
             return
@@ -96,6 +110,8 @@
                 end = time.monotonic() + int(query["wait_ms"]) / 1000
                 while not self._changes(query["table"], after) and time.monotonic() < end:
                     self.changed.wait(end - time.monotonic())
+                while self.is_hung:
+                    self.changed.wait(0.01)
             rows = self._changes(query["table"], after)
             if after == 0:
                 rows = [row for row in rows if not row.get("removed")]
@@ -107,6 +123,8 @@
 
     def _post(self, handler):
         transaction = json.loads(handler.body())
+        if self._is_swallowed(handler):
+            return
         if self.refuse_with:
             handler.answer(self.refuse_with)
             return
