Log all lines of a request or none

Cause: of each event's name 20 lines a second were written, so that under load an id was found with its end and without its sends, or the other way round, and the few orders of a second that may have run were lost among hundreds of refusals.

Change: `RequestLineBudget` chooses requests: 20 a second by a hash of their id, and up to 20 at their end, of which half are kept for orders that were refused or failed. What was sent is kept with the request until then, and written with its own time. A counter tells what was left out, by outcome.

--- a/benchmarks/request_lines.cc
+++ b/benchmarks/request_lines.cc
@@ -7,6 +7,7 @@
 
 #include "adapters/forward/request_telemetry.h"
 #include "adapters/process/log.h"
+#include "adapters/process/system_clock.h"
 
 namespace medlarcroft::adapters {
 namespace {
@@ -30,10 +31,7 @@
   int kept_;
 };
 
-constexpr std::uint32_t kUsualLimit = 20;
-constexpr std::uint32_t kNoLimit = 1'000'000'000;
-
-/// @param range(0) lines of one name a second; 0: the level lets none through.
+/// @param range(0) whether the level lets lines of good requests through.
 void LinesOfOneRequest(benchmark::State& state) {
   const DiscardedOutput discarded;
   StartLogging(
@@ -41,10 +39,10 @@
        .host = "h",
        .failure_domain = "z",
        .level = state.range(0) == 0 ? LogLevel::kError : LogLevel::kInfo,
-       .output = LogOutput::kStandardOutput,
-       .events_per_second = static_cast<std::uint32_t>(state.range(0))});
+       .output = LogOutput::kStandardOutput});
   telemetry::MetricsRegistry metrics;
-  RequestTelemetry telemetry(metrics);
+  const SystemClock clock;
+  RequestTelemetry telemetry(metrics, clock);
   const routing::Route route{.name = "lookups"};
   const request_path::SendAttempt attempt{
       .attempt = 1,
@@ -53,15 +51,16 @@
       .region = RegionName("kigali"),
       .report_age = std::chrono::milliseconds(120)};
   for (auto _ : state) {
-    telemetry.OnSend("9c41d07be2a35f68", route, attempt);
-    telemetry.OnAttemptEnd("9c41d07be2a35f68", attempt,
+    RequestLines lines;
+    telemetry.OnSend(lines, "9c41d07be2a35f68", route, attempt);
+    telemetry.OnAttemptEnd(lines, "9c41d07be2a35f68", attempt,
                            request_path::AttemptEnd::kAnswered,
                            std::chrono::milliseconds(300));
-    telemetry.OnAnswer("9c41d07be2a35f68", route, 200,
+    telemetry.OnAnswer(lines, "9c41d07be2a35f68", route, 200,
                        std::chrono::milliseconds(300));
   }
 }
-BENCHMARK(LinesOfOneRequest)->Arg(0)->Arg(kUsualLimit)->Arg(kNoLimit);
+BENCHMARK(LinesOfOneRequest)->Arg(0)->Arg(1);
 
 /// One line made and handed to the pipe's writer.
 void OneWrittenLine(benchmark::State& state) {
--- /dev/null
+++ b/lib/libmedlarcroft/include/medlarcroft/telemetry/request_line_budget.h
@@ -0,0 +1,61 @@
+#ifndef MEDLARCROFT_TELEMETRY_REQUEST_LINE_BUDGET_H_
+#define MEDLARCROFT_TELEMETRY_REQUEST_LINE_BUDGET_H_
+
+#include <cstdint>
+#include <string_view>
+#include <utility>
+
+#include "medlarcroft/core/time.h"
+
+namespace medlarcroft::telemetry {
+
+/// @brief How a request ended, for whoever may have to explain it.
+enum class RequestOutcome {
+  kServed,
+  kLate,         ///< Answered past its objective, or its caller left.
+  kFailed,       ///< Refused or failed by this host.
+  kOrderFailed,  ///< The same, of a request that is not idempotent.
+};
+
+[[nodiscard]] std::string_view NameOf(RequestOutcome outcome);
+
+/// @brief Chooses the requests that are logged, each with all its lines or with
+/// none.
+///
+/// Load: thousands of requests a second, of which many may fail at once. Harm
+/// prevented: a limit on lines alone lets parts of requests through, so that an
+/// id that is found can't be explained; and without a limit lines cost more
+/// than the requests. Some are chosen by a hash of their id, whatever becomes
+/// of them; more at their end, those that failed first.
+class RequestLineBudget {
+ public:
+  /// Requests chosen by id in a second.
+  static constexpr std::uint32_t kById = 20;
+  /// Requests chosen at their end in a second. A part of it is kept for the
+  /// graver outcomes: an order that may have run has to be found.
+  static constexpr std::uint32_t kAtEnd = 20;
+
+  /// @brief Asked once a request, at its first line.
+  [[nodiscard]] bool ChooseById(std::string_view id, MonotonicTime now);
+  /// @brief Asked at the end of a request that was not chosen by its id.
+  [[nodiscard]] bool ChooseAtEnd(RequestOutcome outcome, MonotonicTime now);
+  /// @return how many requests were left out since it was last asked.
+  [[nodiscard]] std::uint64_t TakeLeftOut() {
+    return std::exchange(left_out_, 0);
+  }
+
+ private:
+  void Advance(MonotonicTime now);
+
+  MonotonicTime began_{};
+  std::uint32_t arrived_ = 0;
+  std::uint32_t chosen_by_id_ = 0;
+  std::uint32_t chosen_at_end_ = 0;
+  /// Hashes below it are chosen.
+  std::uint64_t chosen_below_ = UINT64_MAX;
+  std::uint64_t left_out_ = 0;
+};
+
+}  // namespace medlarcroft::telemetry
+
+#endif  // MEDLARCROFT_TELEMETRY_REQUEST_LINE_BUDGET_H_
--- a/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
@@ -100,7 +100,8 @@
 void RequestRunner::Send(RequestTicket ticket,
                          Running& running,
                          const SendAttempt& attempt) {
-  parts_.telemetry.OnSend(running.decoded.id, *running.begun.route, attempt);
+  parts_.telemetry.OnSend(running.lines, running.decoded.id,
+                          *running.begun.route, attempt);
   if (attempt.is_news && parts_.on_placed) {
     parts_.on_placed(attempt.target, running.decoded.request.object);
   }
@@ -158,7 +159,7 @@
     parts_.caller.RetireIdle(attempt.address);
   }
   running.trace->OnAttemptEnd(attempt.attempt, end);
-  parts_.telemetry.OnAttemptEnd(running.decoded.id, attempt, end,
+  parts_.telemetry.OnAttemptEnd(running.lines, running.decoded.id, attempt, end,
                                 now - running.started_at);
   Carry(ticket, parts_.path.OnAttemptEnd(ticket, attempt.attempt, end, now));
 }
@@ -188,7 +189,8 @@
     return;
   }
   const MonotonicTime now = parts_.loop.Now();
-  parts_.telemetry.OnCallerGone(found->second->decoded.id,
+  parts_.telemetry.OnCallerGone(found->second->lines, found->second->decoded.id,
+                                *found->second->begun.route,
                                 now - found->second->started_at);
   parts_.path.OnCallerGone(ticket);
   Forget(ticket);
@@ -198,15 +200,16 @@
                            const request_path::PassOn& pass_on) {
   HttpResponse& answer = running.answers.at(pass_on.attempt);
   running.trace->OnAnswer(answer.status);
-  parts_.telemetry.OnAnswer(running.decoded.id, *running.begun.route,
-                            answer.status,
+  parts_.telemetry.OnAnswer(running.lines, running.decoded.id,
+                            *running.begun.route, answer.status,
                             parts_.loop.Now() - running.started_at);
   running.exchange->Answer(parts_.codec.PassOn(std::move(answer)));
 }
 
 void RequestRunner::End(Running& running, const Ending& ending) {
   running.trace->OnEnding(ending);
-  parts_.telemetry.OnEnding(running.decoded, running.begun.route.get(), ending,
+  parts_.telemetry.OnEnding(running.lines, running.decoded,
+                            running.begun.route.get(), ending,
                             parts_.path.ConfigurationVersion(),
                             parts_.loop.Now() - running.started_at);
   running.exchange->Answer(
--- a/lib/libmedlarcroft/source/adapters/forward/request_runner.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.h
@@ -56,6 +56,7 @@
     DecodedCall decoded;
     HttpRequest call;
     std::optional<RequestTrace> trace;
+    RequestLines lines;
     std::shared_ptr<HttpExchange> exchange;
     request_path::Begun begun;
     MonotonicTime started_at;
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -1,8 +1,7 @@
 #include "adapters/forward/request_telemetry.h"
 
 #include <array>
-
-#include "adapters/process/log.h"
+#include <utility>
 
 namespace medlarcroft::adapters {
 
@@ -12,6 +11,7 @@
 using request_path::EndReason;
 using telemetry::Label;
 using telemetry::MetricDescription;
+using telemetry::RequestOutcome;
 
 constexpr MetricDescription kAnswers = {"medlar_requests_answered_total",
                                         "Requests that got a target's answer."};
@@ -24,6 +24,9 @@
                                       "Sends to targets, first or further."};
 constexpr MetricDescription kEnds = {"medlar_attempt_ends_total",
                                      "Ends of sends, by what was seen."};
+constexpr MetricDescription kLeftOut = {
+    "medlar_requests_not_logged_total",
+    "Requests of which no line was written, by how they ended."};
 constexpr MetricDescription kAnswerTime = {
     "medlar_answer_seconds", "From a request's arrival to its whole answer."};
 
@@ -35,6 +38,53 @@
     "answered",   "target-failed", "not-run",  "other-target",
     "never-sent", "lost",          "timed-out"};
 
+RequestOutcome OutcomeOfEnding(const routing::Route* route) {
+  const bool is_order =
+      route != nullptr && route->kind == routing::RequestKind::kNonIdempotent;
+  return is_order ? RequestOutcome::kOrderFailed : RequestOutcome::kFailed;
+}
+
+void WriteSend(WallTime at,
+               std::string_view id,
+               const routing::Route& route,
+               const request_path::SendAttempt& attempt) {
+  const request_path::Placement& placement = attempt.placement;
+  LogChosen(
+      {.time = at,
+       .level = LogLevel::kInfo,
+       .event = attempt.attempt == 1 ? "request-placed" : "request-sent-again"},
+      {{"request", id},
+       {"route", route.name},
+       {"attempt", attempt.attempt},
+       {"target", attempt.target.name.Value()},
+       {"incarnation", attempt.target.incarnation},
+       {"region", attempt.region.Value()},
+       {"time_left_ms", ToMilliseconds(attempt.time_left)},
+       {"expected_ms", ToMilliseconds(placement.expected)},
+       {"expected_wait_ms", ToMilliseconds(placement.expected_wait)},
+       {"estimated_load", placement.estimated_load},
+       {"report_age_ms",
+        attempt.report_age ? ToMilliseconds(*attempt.report_age) : -1},
+       {"rank", placement.rank},
+       {"is_warm", placement.is_warm}});
+}
+
+void WriteAttemptEnd(WallTime at,
+                     std::string_view id,
+                     const request_path::SendAttempt& attempt,
+                     AttemptEnd end,
+                     Duration since_arrival) {
+  LogChosen(
+      {.time = at, .level = LogLevel::kWarning, .event = "attempt-failed"},
+      {{"request", id},
+       {"attempt", attempt.attempt},
+       {"target", attempt.target.name.Value()},
+       {"incarnation", attempt.target.incarnation},
+       {"address", attempt.address},
+       {"end", NameOf(end)},
+       {"since_arrival_ms", ToMilliseconds(since_arrival)}});
+}
+
 }  // namespace
 
 std::string_view NameOf(EndReason reason) {
@@ -45,8 +95,10 @@
   return kEndNames.at(static_cast<std::size_t>(end));
 }
 
-RequestTelemetry::RequestTelemetry(telemetry::MetricsRegistry& metrics)
+RequestTelemetry::RequestTelemetry(telemetry::MetricsRegistry& metrics,
+                                   const ports::Clock& clock)
     : metrics_(metrics),
+      clock_(clock),
       answered_(metrics.CounterOf(kAnswers)),
       caller_gone_(metrics.CounterOf(kGone)),
       first_sends_(
@@ -55,64 +107,97 @@
           metrics.CounterOf(kSends, {Label::OfConstant("attempt", "further")})),
       answer_time_(metrics.HistogramOf(kAnswerTime)) {}
 
-void RequestTelemetry::OnSend(std::string_view id,
+bool RequestTelemetry::IsChosenById(RequestLines& lines, std::string_view id) {
+  if (!lines.is_chosen) {
+    lines.is_chosen = budget_.ChooseById(id, clock_.Now());
+  }
+  return *lines.is_chosen;
+}
+
+bool RequestTelemetry::ChooseAtEnd(RequestLines& lines,
+                                   std::string_view id,
+                                   const routing::Route* route,
+                                   RequestOutcome outcome) {
+  if (IsChosenById(lines, id)) {
+    return true;
+  }
+  if (!budget_.ChooseAtEnd(outcome, clock_.Now())) {
+    metrics_
+        .CounterOf(kLeftOut, {Label::OfConstant("outcome", NameOf(outcome))})
+        .Add();
+    return false;
+  }
+  for (const KeptAttempt& kept : lines.kept) {
+    if (kept.end) {
+      WriteAttemptEnd(kept.at, id, kept.attempt, *kept.end, kept.since_arrival);
+    } else {
+      WriteSend(kept.at, id, *route, kept.attempt);
+    }
+  }
+  return true;
+}
+
+LogLine RequestTelemetry::LastLine(LogLevel level, std::string_view event) {
+  return {.time = clock_.WallNow(),
+          .level = level,
+          .event = event,
+          .held_back = budget_.TakeLeftOut()};
+}
+
+void RequestTelemetry::OnSend(RequestLines& lines,
+                              std::string_view id,
                               const routing::Route& route,
                               const request_path::SendAttempt& attempt) {
   (attempt.attempt == 1 ? first_sends_ : further_sends_).Add();
-  const request_path::Placement& placement = attempt.placement;
-  Log(LogLevel::kInfo,
-      attempt.attempt == 1 ? "request-placed" : "request-sent-again",
-      {{"request", id},
-       {"route", route.name},
-       {"attempt", attempt.attempt},
-       {"target", attempt.target.name.Value()},
-       {"incarnation", attempt.target.incarnation},
-       {"region", attempt.region.Value()},
-       {"time_left_ms", ToMilliseconds(attempt.time_left)},
-       {"expected_ms", ToMilliseconds(placement.expected)},
-       {"expected_wait_ms", ToMilliseconds(placement.expected_wait)},
-       {"estimated_load", placement.estimated_load},
-       {"report_age_ms",
-        attempt.report_age ? ToMilliseconds(*attempt.report_age) : -1},
-       {"rank", placement.rank},
-       {"is_warm", placement.is_warm}});
+  if (IsChosenById(lines, id)) {
+    WriteSend(clock_.WallNow(), id, route, attempt);
+  } else {
+    lines.kept.push_back({.at = clock_.WallNow(), .attempt = attempt});
+  }
 }
 
-void RequestTelemetry::OnAttemptEnd(std::string_view id,
+void RequestTelemetry::OnAttemptEnd(RequestLines& lines,
+                                    std::string_view id,
                                     const request_path::SendAttempt& attempt,
                                     AttemptEnd end,
                                     Duration since_arrival) {
-  const std::string_view name = NameOf(end);
-  metrics_.CounterOf(kEnds, {Label::OfConstant("end", name)}).Add();
+  metrics_.CounterOf(kEnds, {Label::OfConstant("end", NameOf(end))}).Add();
   if (end == AttemptEnd::kAnswered) {
     return;
   }
-  Log(LogLevel::kWarning, "attempt-failed",
-      {{"request", id},
-       {"attempt", attempt.attempt},
-       {"target", attempt.target.name.Value()},
-       {"incarnation", attempt.target.incarnation},
-       {"address", attempt.address},
-       {"end", name},
-       {"since_arrival_ms", ToMilliseconds(since_arrival)}});
+  if (IsChosenById(lines, id)) {
+    WriteAttemptEnd(clock_.WallNow(), id, attempt, end, since_arrival);
+  } else {
+    lines.kept.push_back({.at = clock_.WallNow(),
+                          .attempt = attempt,
+                          .end = end,
+                          .since_arrival = since_arrival});
+  }
 }
 
-void RequestTelemetry::OnAnswer(std::string_view id,
+void RequestTelemetry::OnAnswer(RequestLines& lines,
+                                std::string_view id,
                                 const routing::Route& route,
                                 int status,
                                 Duration since_arrival) {
   answered_.Add();
   answer_time_.Record(since_arrival);
   const bool is_late = since_arrival > route.latency_objective;
-  Log(LogLevel::kInfo, is_late ? "request-answered-late" : "request-answered",
-      {{"request", id},
-       {"route", route.name},
-       {"status", status},
-       {"since_arrival_ms", ToMilliseconds(since_arrival)},
-       {"objective_ms", ToMilliseconds(route.latency_objective)}});
+  if (!ChooseAtEnd(lines, id, &route,
+                   is_late ? RequestOutcome::kLate : RequestOutcome::kServed)) {
+    return;
+  }
+  LogChosen(LastLine(LogLevel::kInfo,
+                     is_late ? "request-answered-late" : "request-answered"),
+            {{"request", id},
+             {"route", route.name},
+             {"status", status},
+             {"since_arrival_ms", ToMilliseconds(since_arrival)},
+             {"objective_ms", ToMilliseconds(route.latency_objective)}});
 }
 
-void RequestTelemetry::OnEnding(const DecodedCall& call,
+void RequestTelemetry::OnEnding(RequestLines& lines,
+                                const DecodedCall& call,
                                 const routing::Route* route,
                                 const request_path::Ending& ending,
                                 std::uint64_t configuration_version,
@@ -120,8 +205,12 @@
   const std::string_view name = NameOf(ending.reason);
   const auto& best = ending.best;
   metrics_.CounterOf(kEndings, {Label::OfConstant("reason", name)}).Add();
-  Log(LogLevel::kWarning,
-      ending.is_not_run ? "request-refused" : "request-failed",
+  if (!ChooseAtEnd(lines, call.id, route, OutcomeOfEnding(route))) {
+    return;
+  }
+  LogChosen(
+      LastLine(LogLevel::kWarning,
+               ending.is_not_run ? "request-refused" : "request-failed"),
       {{"request", call.id},
        {"route", route == nullptr ? std::string_view{} : route->name},
        {"path", call.request.target},
@@ -138,13 +227,18 @@
        {"since_arrival_ms", ToMilliseconds(since_arrival)}});
 }
 
-void RequestTelemetry::OnCallerGone(std::string_view id,
+void RequestTelemetry::OnCallerGone(RequestLines& lines,
+                                    std::string_view id,
+                                    const routing::Route& route,
                                     Duration since_arrival) {
   caller_gone_.Add();
-  Log(LogLevel::kInfo, "request-cancelled",
-      {{"request", id},
-       {"reason", "caller-gone"},
-       {"since_arrival_ms", ToMilliseconds(since_arrival)}});
+  if (!ChooseAtEnd(lines, id, &route, RequestOutcome::kLate)) {
+    return;
+  }
+  LogChosen(LastLine(LogLevel::kInfo, "request-cancelled"),
+            {{"request", id},
+             {"reason", "caller-gone"},
+             {"since_arrival_ms", ToMilliseconds(since_arrival)}});
 }
 
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.h
@@ -2,47 +2,88 @@
 #define MEDLARCROFT_ADAPTERS_FORWARD_REQUEST_TELEMETRY_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "adapters/forward/request_codec.h"
+#include "adapters/process/log.h"
+#include "medlarcroft/ports/clock.h"
 #include "medlarcroft/request_path/request_path.h"
 #include "medlarcroft/routing/routing_configuration.h"
 #include "medlarcroft/telemetry/metrics.h"
+#include "medlarcroft/telemetry/request_line_budget.h"
 
 namespace medlarcroft::adapters {
 
 [[nodiscard]] std::string_view NameOf(request_path::EndReason reason);
 [[nodiscard]] std::string_view NameOf(request_path::AttemptEnd end);
 
-/// @brief Logs and counts what is decided on requests. Good requests share an
-/// allowance of lines a second and the next line says how many were held back;
-/// each failure and refusal has a line or is counted the same way.
+/// @brief A send or its end, kept until it is known whether the request is
+/// logged.
+struct KeptAttempt {
+  WallTime at;
+  request_path::SendAttempt attempt;
+  std::optional<request_path::AttemptEnd> end;  ///< None: it was sent.
+  Duration since_arrival{0};
+};
+
+/// @brief What is known of one request's lines.
+struct RequestLines {
+  /// Whether its id chose it; nothing before its first line.
+  std::optional<bool> is_chosen;
+  std::vector<KeptAttempt> kept;
+};
+
+/// @brief Counts what is decided on requests, and logs all lines of some of
+/// them: see `RequestLineBudget`. The last line says how many requests were
+/// left out since.
 class RequestTelemetry {
  public:
-  explicit RequestTelemetry(telemetry::MetricsRegistry& metrics);
+  RequestTelemetry(telemetry::MetricsRegistry& metrics,
+                   const ports::Clock& clock);
 
-  void OnSend(std::string_view id,
+  void OnSend(RequestLines& lines,
+              std::string_view id,
               const routing::Route& route,
               const request_path::SendAttempt& attempt);
-  void OnAttemptEnd(std::string_view id,
+  void OnAttemptEnd(RequestLines& lines,
+                    std::string_view id,
                     const request_path::SendAttempt& attempt,
                     request_path::AttemptEnd end,
                     Duration since_arrival);
-  void OnAnswer(std::string_view id,
+  void OnAnswer(RequestLines& lines,
+                std::string_view id,
                 const routing::Route& route,
                 int status,
                 Duration since_arrival);
   /// @param route null when none was found.
-  void OnEnding(const DecodedCall& call,
+  void OnEnding(RequestLines& lines,
+                const DecodedCall& call,
                 const routing::Route* route,
                 const request_path::Ending& ending,
                 std::uint64_t configuration_version,
                 Duration since_arrival);
-  void OnCallerGone(std::string_view id, Duration since_arrival);
+  void OnCallerGone(RequestLines& lines,
+                    std::string_view id,
+                    const routing::Route& route,
+                    Duration since_arrival);
 
  private:
+  [[nodiscard]] bool IsChosenById(RequestLines& lines, std::string_view id);
+  /// @brief Writes what was kept of a request that is logged after all.
+  /// @param route null when none was found.
+  /// @return whether its last line is to be written.
+  [[nodiscard]] bool ChooseAtEnd(RequestLines& lines,
+                                 std::string_view id,
+                                 const routing::Route* route,
+                                 telemetry::RequestOutcome outcome);
+  [[nodiscard]] LogLine LastLine(LogLevel level, std::string_view event);
+
   telemetry::MetricsRegistry& metrics_;
+  const ports::Clock& clock_;
+  telemetry::RequestLineBudget budget_;
   telemetry::Counter& answered_;
   telemetry::Counter& caller_gone_;
   telemetry::Counter& first_sends_;
--- a/lib/libmedlarcroft/source/adapters/process/log.cc
+++ b/lib/libmedlarcroft/source/adapters/process/log.cc
@@ -145,4 +145,14 @@
                       FormatLogLine(logging->options, line, fields));
 }
 
+void LogChosen(const LogLine& line, std::initializer_list<LogField> fields) {
+  Logging* const logging = Current().get();
+  if (logging == nullptr ||
+      !logging->logger.isEnabledFor(ToLibraryLevel(line.level))) {
+    return;
+  }
+  logging->logger.log(ToLibraryLevel(line.level),
+                      FormatLogLine(logging->options, line, fields));
+}
+
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/process/log.h
+++ b/lib/libmedlarcroft/source/adapters/process/log.h
@@ -84,6 +84,10 @@
   std::uint64_t held_back = 0;
 };
 
+/// @brief Logs one line as it is, past the limit on events of one name: its
+/// caller bounds such lines.
+void LogChosen(const LogLine& line, std::initializer_list<LogField> fields);
+
 /// @return the JSON object of one line, without a line end. Text that is no
 /// UTF-8 is replaced, so that a hostile header can't break the line.
 [[nodiscard]] std::string FormatLogLine(const LogOptions& options,
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -92,7 +92,7 @@
       targets_(regions_, *this),
       path_(PathOptions(settings), routes_, targets_, random_),
       caller_(loop, {}),
-      telemetry_(metrics_),
+      telemetry_(metrics_, loop.Clock()),
       spans_(settings_.telemetry,
              {.program = "medlar-node",
               .host = settings_.host,
