Sum what became of requests over several hosts' logs

Cause: whoever asks what binds in a bad second had to read lines one by one.

Change: `medlarctl outcomes FILE…` prints two tables from the hosts' lines: ends by second, failure domain, route and outcome with its reason, with the mean time; and sends by domain, route and region, with and without the object, with the wait that was expected. It says how many requests have no lines. Both commands that read logs share the reading of a line; a field of another type ends neither.

--- a/lib/libmedlarcroft/source/adapters/console/command.cc
+++ b/lib/libmedlarcroft/source/adapters/console/command.cc
@@ -6,6 +6,7 @@
 
 #include "adapters/console/catalogue_commands.h"
 #include "adapters/console/drain_command.h"
+#include "adapters/console/outcome_command.h"
 #include "adapters/console/request_command.h"
 #include "adapters/console/status_commands.h"
 
@@ -13,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<Command, 12> kCommands{{
+constexpr std::array<Command, 13> kCommands{{
     {"catalogue get", "ENTRY", "prints an entry, ready to be edited",
      "medlarctl catalogue get service.lookup-desk > desk.json",
      &RunCatalogueGet},
@@ -51,6 +52,9 @@
     {"request", "ID FILE…",
      "one request's log lines from several hosts' logs, in order of time",
      "medlarctl request 9c41d07be2a35f68 logs/*.log", &RunRequest},
+    {"outcomes", "FILE…",
+     "what became of requests, by second, domain and route, from hosts' logs",
+     "medlarctl outcomes logs/*.log", &RunOutcomes},
     {"report", "", "all steerds' status and catalogue, as one JSON document",
      "medlarctl report > report.json", &RunReport},
 }};
--- a/lib/libmedlarcroft/source/adapters/console/request_command.cc
+++ b/lib/libmedlarcroft/source/adapters/console/request_command.cc
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <fstream>
-#include <nlohmann/json.hpp>
 #include <ostream>
 #include <utility>
 
+#include "adapters/console/log_line.h"
+
 namespace medlarcroft::adapters {
 
 std::vector<RequestLogLine> FindRequestLines(std::istream& log,
@@ -13,16 +14,13 @@
   std::vector<RequestLogLine> lines;
   std::string text;
   while (std::getline(log, text)) {
-    const std::size_t begin = text.find('{');
-    if (begin == std::string::npos || text.find(id) == std::string::npos) {
+    if (text.find(id) == std::string::npos) {
       continue;
     }
-    text.erase(0, begin);
-    const auto object = nlohmann::json::parse(text, nullptr, false);
-    if (!object.is_object() || object.value("request", "") != id) {
-      continue;
+    const auto object = ReadLogLine(text);
+    if (object && TextField(*object, "request") == id) {
+      lines.push_back({.time = TextField(*object, "time"), .text = text});
     }
-    lines.push_back({.time = object.value("time", ""), .text = text});
   }
   return lines;
 }
