--- a/lib/libmedlarcroft/include/medlarcroft/rows/follow_pace.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/follow_pace.h
@@ -35,7 +35,7 @@
 /// region, and one lost packet is sent again within 300 ms.
 inline constexpr Duration kPeerAnswerMargin = std::chrono::milliseconds(400);
 
-/// Each host reads for itself.
+/// Each host reads for itself. The hold is cut to `LongestHold`.
 inline constexpr FollowPace kPaceAlone{
     .wait = std::chrono::milliseconds(4800),
     .pause_after_change = std::chrono::milliseconds(120)};
@@ -45,30 +45,27 @@
 /// Failure: the reader is cut off from the store, and dies before its news
 /// counts as old. Symptom: all who follow it act on old news, for the sum of
 /// both times: 900 + 500 ms until it says so, 600 + 400 ms until a call to a
-/// dead one is given up. The sum and a call of their own stay below 2.5 s, the
-/// shortest bound that is known for leaving targets and configurations. With
-/// holds of 1500 and 1000 ms and margins of 600 and 700 ms a schedule of the
-/// property test was late; the shorter ones cost 0.004 of a calm day's worth
-/// at 90 hosts, 977 calls of the store in place of 812.
+/// dead one is given up. The sum and a call of their own stay below 2.5 s, in
+/// which leaving targets and configurations have to be known.
 inline constexpr FollowPace kPaceForOthers{
     .wait = std::chrono::milliseconds(900),
     .pause_after_change = std::chrono::milliseconds(250)};
 
-/// The table of hosts: they join and leave slowly, and those of a region hear
-/// of each other by datagrams as well.
+/// The table of hosts: they start together, each writes its row, and those of a
+/// region hear of each other by datagrams as well.
 ///
 /// Failure: a host's call reaches a store that hangs, and is never answered.
 /// Symptom: it does not count a host that joins, and spends more than its part
-/// of what all may send, until it gives the call up: 10 s. A hold as short as
-/// that of the other tables bounds it to 4 s and costs a third more calls.
+/// of what all may send, until it gives the call up. Hosts join seldom, so the
+/// hold is longer than that of the other tables.
 inline constexpr FollowPace kPaceOfHostList{
     .wait = std::chrono::seconds(9),
     .pause_after_change = std::chrono::milliseconds(1000),
     .reader_wait = std::chrono::seconds(5)};
 
 /// Up to so many hosts of a region each read the store for themselves; in
-/// larger ones one reads each table for all. At 30 hosts reading each for
-/// itself took 0.41 of a day's worth, at 3 and 4 hosts 0.02.
+/// larger ones one reads each table for all, since calls to the store have a
+/// price and a limit for all hosts together.
 inline constexpr std::size_t kHostsThatReadThemselves = 5;
 
 /// @brief The longest hold of hosts that must be in step with the store once
