--- /dev/null
+++ b/tests/unit/platform/follower_beside_another_test.cc
@@ -0,0 +1,137 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "platform/mirror_page.h"
+#include "table_follower_fixture.h"
+
+namespace medlarcroft::rows {
+namespace {
+
+/// @brief Another host, which hears from the store and tells what it heard.
+class FollowerBesideAnother : public TableFollowerTest {
+ protected:
+  /// @return options of a follower that may ask the other host.
+  [[nodiscard]] TableFollower::Options Options() const {
+    return {.table = "t", .pace = kTestPace};
+  }
+  void AskOther(const PeerQuestion& question, RowsCallback callback) {
+    ++asked_;
+    platform::AskPeer(caller_, "127.0.0.1:" + std::to_string(listener_->Port()),
+                      question, std::move(callback));
+  }
+  [[nodiscard]] TableFollower::Options OptionsOfReaders() {
+    TableFollower::Options options = Options();
+    options.ask_reader = [this](const PeerQuestion& question,
+                                RowsCallback callback) {
+      AskOther(question, std::move(callback));
+      return true;
+    };
+    return options;
+  }
+
+  HeardTable other_heard_;
+  TableFollower other_{{.timers = loop_,
+                        .store = store_,
+                        .random = random_,
+                        .listener = other_heard_},
+                       Options()};
+  bool is_other_fresh_ = true;
+  TableTeller teller_{loop_, [this](std::string_view) {
+                        return is_other_fresh_ ? other_.TellOthers()
+                                               : FreshTable{};
+                      }};
+  platform::MirrorPage page_{teller_};
+  std::unique_ptr<adapters::HttpListener> listener_ =
+      TakeValue(adapters::HttpListener::Open(loop_, "127.0.0.1:0", page_));
+  adapters::HttpCaller caller_{loop_, {}};
+  int asked_ = 0;
+};
+
+// The store turns this host away and serves another one, to which a domain's
+// evacuation was told. This host hears of it from there, well before the store
+// takes it back.
+TEST_F(FollowerBesideAnother, AHostThatIsTurnedAwayHearsFromIt) {
+  fakes::FakeStoreServer refusing(loop_);
+  refusing.refuse_with = 503;
+  platform::StoreClient refused_store(loop_, {.address = refusing.Address()},
+                                      metrics_);
+  TableFollower::Options options = Options();
+  options.ask_peer = [this](const PeerQuestion& question,
+                            RowsCallback callback) {
+    AskOther(question, std::move(callback));
+  };
+  TableFollower turned_away({.timers = loop_,
+                             .store = refused_store,
+                             .random = random_,
+                             .listener = heard_},
+                            options);
+  server_.Put("evacuate/a", "{}");
+  other_.Start();
+  turned_away.Start();
+  RunUntil([this] {
+    if (heard_.rows != Rows{{"evacuate/a", "{}"}}) {
+      return false;
+    }
+    server_.Remove("evacuate/a");
+    server_.Put("evacuate/b", "{}");
+    return true;
+  });
+  RunUntil([this] { return heard_.rows == Rows{{"evacuate/b", "{}"}}; });
+  loop_.Run();
+
+  EXPECT_TRUE(turned_away.IsAway());
+  EXPECT_EQ(heard_.returns, 0);
+}
+
+// In a large region one host reads the store for all. It can't tell: it is
+// itself turned away. Those that follow it must hear the news all the same,
+// from the store.
+TEST_F(FollowerBesideAnother, AHostWhoseReaderIsLostReadsForItself) {
+  other_.Mirror().OnChange([this] { teller_.OnChange("t"); });
+  TableFollower follower(
+      {.timers = loop_, .store = store_, .random = random_, .listener = heard_},
+      OptionsOfReaders());
+  server_.Put("a", "1");
+  other_.Start();
+  follower.Start();
+  RunUntil([this] {
+    if (heard_.rows != Rows{{"a", "1"}} || asked_ == 0) {
+      return false;
+    }
+    server_.Put("b", "2");
+    return true;
+  });
+  RunUntil([this] {
+    if (heard_.rows.size() != 2) {
+      return false;
+    }
+    is_other_fresh_ = false;
+    server_.Put("c", "3");
+    return true;
+  });
+  RunUntil([this] { return heard_.rows.size() == 3; });
+  loop_.Run();
+
+  EXPECT_GE(heard_.readers_lost, 1);
+}
+
+// Hosts of a large region start together. Each of them asks the one that reads
+// for all, which has nothing yet either; it hears the table all the same, and
+// the store is asked for it once.
+TEST_F(FollowerBesideAnother, AHostThatStartsHearsTheTableFromItsReader) {
+  server_.Put("a", "1");
+  other_.Mirror().OnChange([this] { teller_.OnChange("t"); });
+  TableFollower follower(
+      {.timers = loop_, .store = store_, .random = random_, .listener = heard_},
+      OptionsOfReaders());
+  follower.Start();
+  loop_.After(milliseconds(50), [this] { other_.Start(); });
+  RunUntil([this] { return heard_.rows == Rows{{"a", "1"}}; });
+  loop_.Run();
+
+  EXPECT_EQ(server_.calls["/medlarcroft/rows-get"], 1);
+}
+
+}  // namespace
+}  // namespace medlarcroft::rows
