Take a negative count in a log line for none

A log may hold anything, and a negative number was cast to an unsigned one, which is undefined. Found on reading the change again; the test adds such a line.

--- a/lib/libmedlarcroft/source/adapters/console/outcome_command.cc
+++ b/lib/libmedlarcroft/source/adapters/console/outcome_command.cc
@@ -1,5 +1,6 @@
 #include "adapters/console/outcome_command.h"
 
+#include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -16,9 +17,11 @@
 // "2026-10-07T12:36:24"
 constexpr std::size_t kSecondChars = 19;
 
+/// @return the count or time of that field; 0 when it is none.
 double NumberOf(const nlohmann::json& line, const char* name) {
   const auto field = line.find(name);
-  return field != line.end() && field->is_number() ? field->get<double>() : 0;
+  const bool is_number = field != line.end() && field->is_number();
+  return is_number ? std::max(0.0, field->get<double>()) : 0;
 }
 
 bool FlagOf(const nlohmann::json& line, const char* name) {
--- a/tests/unit/adapters/console/outcome_command_test.cc
+++ b/tests/unit/adapters/console/outcome_command_test.cc
@@ -71,6 +71,11 @@
   summary.Add(nlohmann::json::parse(
       R"({"event":"request-failed","reason":3,"since_arrival_ms":"x"})"));
   EXPECT_FALSE(summary.IsEmpty());
+  summary.Add(nlohmann::json::parse(
+      R"({"event":"request-failed","reason":"no-room","held_back":-3})"));
+  std::ostringstream out;
+  summary.Print(out);
+  EXPECT_NE(out.str().find("\n0 requests have no lines"), std::string::npos);
 }
 
 }  // namespace
