--- a/lib/libmedlarcroft/include/medlarcroft/telemetry/request_line_budget.h
+++ b/lib/libmedlarcroft/include/medlarcroft/telemetry/request_line_budget.h
@@ -19,25 +19,25 @@
 
 [[nodiscard]] std::string_view NameOf(RequestOutcome outcome);
 
-/// @brief Chooses the requests that are logged, each with all its lines or with
+/// @brief Decides which requests are logged, each with all its lines or with
 /// none.
 ///
 /// Load: thousands of requests a second, of which many may fail at once. Harm
 /// prevented: a limit on lines alone lets parts of requests through, so that an
 /// id that is found can't be explained; and without a limit lines cost more
-/// than the requests. Some are chosen by a hash of their id, whatever becomes
-/// of them; more at their end, those that failed first.
+/// than the requests. A hash of the id selects some, whatever becomes of them;
+/// others are selected at their end, orders that failed before the rest.
 class RequestLineBudget {
  public:
-  /// Requests chosen by id in a second.
+  /// Most requests a second that are logged for their id.
   static constexpr std::uint32_t kById = 20;
-  /// Requests chosen at their end in a second. A part of it is kept for the
-  /// graver outcomes: an order that may have run has to be found.
+  /// Most requests a second that are logged for their end. A part of it is kept
+  /// for the graver outcomes: an order that may have run has to be found.
   static constexpr std::uint32_t kAtEnd = 20;
 
   /// @brief Asked once a request, at its first line.
   [[nodiscard]] bool ChooseById(std::string_view id, MonotonicTime now);
-  /// @brief Asked at the end of a request that was not chosen by its id.
+  /// @brief Asked at the end of a request that is not logged for its id.
   [[nodiscard]] bool ChooseAtEnd(RequestOutcome outcome, MonotonicTime now);
   /// @return how many requests were left out since it was last asked.
   [[nodiscard]] std::uint64_t TakeLeftOut() {
@@ -51,7 +51,7 @@
   std::uint32_t arrived_ = 0;
   std::uint32_t chosen_by_id_ = 0;
   std::uint32_t chosen_at_end_ = 0;
-  /// Hashes below it are chosen.
+  /// Requests whose hash is below it are logged for their id.
   std::uint64_t chosen_below_ = UINT64_MAX;
   std::uint64_t left_out_ = 0;
 };
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.h
@@ -31,7 +31,7 @@
 
 /// @brief What is known of one request's lines.
 struct RequestLines {
-  /// Whether its id chose it; nothing before its first line.
+  /// Whether it is logged for its id; nothing before its first line.
   std::optional<bool> is_chosen;
   std::vector<KeptAttempt> kept;
 };
--- a/lib/libmedlarcroft/source/telemetry/request_line_budget.cc
+++ b/lib/libmedlarcroft/source/telemetry/request_line_budget.cc
@@ -13,7 +13,7 @@
 
 struct OutcomeRule {
   std::string_view name;
-  /// Chosen at their end until so many of the second's are taken.
+  /// Logged for their end until so many of the second's are taken.
   std::uint32_t taken_until = 0;
 };
 
@@ -34,8 +34,8 @@
   return RuleOf(outcome).name;
 }
 
-// The share that is chosen follows the second before, so that those chosen lie
-// all over a second; where demand jumps, the count bounds them.
+// The share of requests follows the demand of the second before, so that those
+// logged lie all over a second; where demand jumps, the count bounds them.
 void RequestLineBudget::Advance(MonotonicTime now) {
   if (now - began_ < kWindow) {
     return;
--- a/tests/unit/telemetry/request_line_budget_test.cc
+++ b/tests/unit/telemetry/request_line_budget_test.cc
@@ -23,7 +23,7 @@
 };
 
 /// Plays one second of as many requests, evenly spread; each that was not
-/// chosen by its id ends as `outcome_of` its number says.
+/// logged for its id ends as `outcome_of` its number says.
 template <typename OutcomeOf>
 Chosen PlaySecond(RequestLineBudget& budget,
                   fakes::ManualClock& clock,
@@ -59,7 +59,7 @@
   EXPECT_EQ(budget.TakeLeftOut(), 0U);
 }
 
-// A burst must not fill the log, and those chosen must not all be its first.
+// A burst must not fill the log, and those logged must not all be its first.
 TEST(RequestLineBudgetTest, ABurstIsBoundedAndSeenAllAlong) {
   RequestLineBudget budget;
   fakes::ManualClock clock;
