--- /dev/null
+++ b/lib/libmedlarcroft/include/medlarcroft/core/packed_number.h
@@ -0,0 +1,35 @@
+#ifndef MEDLARCROFT_CORE_PACKED_NUMBER_H_
+#define MEDLARCROFT_CORE_PACKED_NUMBER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace medlarcroft {
+
+/// @brief Appends the lowest `bytes` bytes of a number, the lowest first.
+inline void AppendPacked(std::string& text,
+                         std::uint32_t number,
+                         std::size_t bytes) {
+  for (std::size_t i = 0; i < bytes; ++i) {
+    text.push_back(static_cast<char>((number >> (8 * i)) & 0xFFU));
+  }
+}
+
+/// @brief Takes a number of `count` bytes, the lowest first, off the front.
+/// @param bytes at least `count`.
+[[nodiscard]] inline std::uint32_t TakePacked(std::string_view& bytes,
+                                              std::size_t count) {
+  std::uint32_t number = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    number |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[i]))
+              << (8 * i);
+  }
+  bytes.remove_prefix(count);
+  return number;
+}
+
+}  // namespace medlarcroft
+
+#endif  // MEDLARCROFT_CORE_PACKED_NUMBER_H_
--- a/lib/libmedlarcroft/include/medlarcroft/membership/heartbeat.h
+++ b/lib/libmedlarcroft/include/medlarcroft/membership/heartbeat.h
@@ -39,6 +39,10 @@
                                                      const StateNumber& number,
                                                      Duration age);
 
+/// @return the heartbeat as it is `later`, or nullopt when it is too old.
+[[nodiscard]] std::optional<Heartbeat> Aged(const Heartbeat& heartbeat,
+                                            Duration later);
+
 /// @return the value of the exchange's field for heartbeats.
 [[nodiscard]] std::string EncodeHeartbeats(
     const std::vector<Heartbeat>& heartbeats);
--- a/lib/libmedlarcroft/include/medlarcroft/membership/membership_table.h
+++ b/lib/libmedlarcroft/include/medlarcroft/membership/membership_table.h
@@ -53,6 +53,13 @@
   bool is_listed_live = false;  ///< Listed by the platform, not leaving.
 };
 
+/// @brief A host that was heard, as far as callers are sent to it.
+struct HeardHost {
+  const HostState& state;  ///< As told; `age` is not kept up.
+  Duration age{0};         ///< Of the newest sign of life.
+  bool is_leaving = false;
+};
+
 /// @brief Every host that this one knows of, and itself. Made for 52 hosts a
 /// domain that exchange a few states a second: what one says arrives late,
 /// twice and out of order, through others, so only the speaker's own numbers
@@ -101,6 +108,9 @@
 
   /// @return all known hosts but this one, by name.
   [[nodiscard]] std::vector<Member> Members() const;
+  /// @brief Visits all hosts that were heard, but this one, by name. Nothing is
+  /// copied: look-ups come often, and there may be hundreds of hosts.
+  void VisitHeard(const std::function<void(const HeardHost&)>& visit) const;
   [[nodiscard]] std::optional<Member> Find(const HostName& host) const;
   /// @return the hosts of the own domain that are alive or suspect, with this
   /// one unless it leaves.
--- /dev/null
+++ b/lib/libmedlarcroft/include/medlarcroft/news/news_queue.h
@@ -0,0 +1,64 @@
+#ifndef MEDLARCROFT_NEWS_NEWS_QUEUE_H_
+#define MEDLARCROFT_NEWS_NEWS_QUEUE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+#include "medlarcroft/core/time.h"
+#include "medlarcroft/news/peer_news.h"
+
+namespace medlarcroft::news {
+
+/// @brief Gathers what many hosts tell, to be told on in one datagram.
+///
+/// Load: a hundred hosts that each place tens of requests a second at hundreds
+/// of targets. Harm prevented: news that grows with what is placed fills the
+/// links of small hosts. So what was told a moment ago is not told again, and
+/// what a datagram does not take waits, the oldest objects being dropped and
+/// each target's latest load kept.
+class NewsQueue {
+ public:
+  void Add(const PeerNews& news, MonotonicTime now);
+
+  /// @return at most `most_bytes` of what waits: signs of life first, then
+  /// objects and loads by halves.
+  [[nodiscard]] PeerNews Take(std::size_t most_bytes, MonotonicTime now);
+
+  [[nodiscard]] bool IsEmpty() const {
+    return heartbeats_.empty() && placed_.empty() && loads_.empty();
+  }
+
+ private:
+  struct HeardBeat {
+    membership::Heartbeat heartbeat;
+    MonotonicTime heard_at;
+  };
+  struct Told {
+    std::uint32_t requests = 0;
+    MonotonicTime told_at;
+  };
+
+  void AddPlaced(const PlacedObject& placed, MonotonicTime now);
+  void AddLoad(const ToldLoad& load, MonotonicTime now);
+  void TakeHeartbeats(PeerNews& news,
+                      std::size_t& bytes_left,
+                      MonotonicTime now);
+  void TakePlaced(PeerNews& news, std::size_t& bytes_left, std::size_t most);
+  void TakeLoads(PeerNews& news, std::size_t& bytes_left, MonotonicTime now);
+  void ForgetTold(MonotonicTime now);
+
+  std::map<std::uint32_t, HeardBeat> heartbeats_;
+  std::deque<PlacedObject> placed_;
+  std::map<request_path::TargetNumber, std::uint32_t> loads_;
+  request_path::TargetNumber last_load_{};  ///< That was taken.
+  std::unordered_map<std::uint64_t, MonotonicTime> told_placed_;
+  std::unordered_map<request_path::TargetNumber, Told> told_loads_;
+  MonotonicTime forgot_at_{};
+};
+
+}  // namespace medlarcroft::news
+
+#endif  // MEDLARCROFT_NEWS_NEWS_QUEUE_H_
--- /dev/null
+++ b/lib/libmedlarcroft/include/medlarcroft/news/peer_news.h
@@ -0,0 +1,66 @@
+#ifndef MEDLARCROFT_NEWS_PEER_NEWS_H_
+#define MEDLARCROFT_NEWS_PEER_NEWS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "medlarcroft/membership/heartbeat.h"
+#include "medlarcroft/membership/host_state.h"
+#include "medlarcroft/request_path/object_key.h"
+#include "medlarcroft/request_path/target_identity.h"
+
+namespace medlarcroft::news {
+
+/// @brief An object that a host has just sent to a target.
+struct PlacedObject {
+  request_path::TargetNumber target{};
+  request_path::ObjectKey object;
+
+  friend bool operator==(const PlacedObject&, const PlacedObject&) = default;
+};
+
+/// @brief How many requests a target had from all hosts when it answered one.
+struct ToldLoad {
+  request_path::TargetNumber target{};
+  std::uint32_t requests = 0;  ///< On the wire at most 255.
+
+  friend bool operator==(const ToldLoad&, const ToldLoad&) = default;
+};
+
+/// @brief Who the news is for beside the host that hears it.
+enum class NewsWay : std::uint8_t {
+  kDirect,    ///< Nobody else: its sender tells each host itself.
+  kReport,    ///< A host to the relay of its domain: for the whole region.
+  kExchange,  ///< From relay to relay: for the receiver's domain.
+  kDigest,    ///< A relay to a host of its domain: nobody else.
+};
+
+/// @brief What one host tells another in one datagram.
+struct PeerNews {
+  NewsWay way = NewsWay::kDirect;
+  std::uint32_t sender = 0;  ///< `membership::HashOf` its name.
+  std::optional<membership::HostState> state;  ///< Without its loads.
+  std::vector<PlacedObject> placed;
+  std::vector<ToldLoad> loads;
+  /// Signs of life of hosts whose state is known, in ten bytes each.
+  std::vector<membership::Heartbeat> heartbeats;
+};
+
+inline constexpr std::size_t kPlacedBytes = 8;
+inline constexpr std::size_t kLoadBytes = 5;
+
+[[nodiscard]] std::string EncodePlaced(const std::vector<PlacedObject>& placed);
+[[nodiscard]] std::string EncodeLoads(const std::vector<ToldLoad>& loads);
+/// @return nullopt when the length does not fit.
+[[nodiscard]] std::optional<std::vector<PlacedObject>> DecodePlaced(
+    std::string_view bytes);
+[[nodiscard]] std::optional<std::vector<ToldLoad>> DecodeLoads(
+    std::string_view bytes);
+
+}  // namespace medlarcroft::news
+
+#endif  // MEDLARCROFT_NEWS_PEER_NEWS_H_
--- /dev/null
+++ b/lib/libmedlarcroft/include/medlarcroft/news/region_news.h
@@ -0,0 +1,141 @@
+#ifndef MEDLARCROFT_NEWS_REGION_NEWS_H_
+#define MEDLARCROFT_NEWS_REGION_NEWS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "medlarcroft/core/identifiers.h"
+#include "medlarcroft/core/time.h"
+#include "medlarcroft/news/news_queue.h"
+#include "medlarcroft/news/peer_news.h"
+#include "medlarcroft/ports/timers.h"
+
+namespace medlarcroft::news {
+
+/// @brief Another host of the region, as the list of hosts shows it.
+struct Peer {
+  HostName host;
+  std::string address;  ///< IP:port of its datagrams.
+  FailureDomainName failure_domain;
+  double link_mbps = 0;
+};
+
+/// @brief Sends datagrams; one may be lost.
+class NewsSender {
+ public:
+  virtual ~NewsSender() = default;
+  virtual void Send(std::span<const std::string> addresses,
+                    const PeerNews& news) = 0;
+};
+
+/// @brief Carries what hosts of a region tell each other.
+///
+/// Load: each host tells of tens of requests a second, and each other one is to
+/// hear of them. Told directly, a region of n hosts carries n * n datagrams,
+/// which at a hundred hosts takes more processor time than the requests. So in
+/// larger regions hosts report to a relay, one in each failure domain; relays
+/// exchange what their domains reported, and each tells its domain one digest.
+/// Datagrams grow with n, and cross domains only between relays.
+///
+/// Failure: a relay dies, is paused or cut off. Symptom: its domain hears
+/// nothing, and its hosts look dead to the others. Relays are never silent, so
+/// whoever counts on one that is takes the next in an order that all share; a
+/// host relays for whoever reports to it, so that nothing has to be agreed.
+class RegionNews {
+ public:
+  struct Options {
+    HostName host;
+    FailureDomainName failure_domain;
+    double link_mbps = 0;
+  };
+
+  RegionNews(Options options, ports::Timers& timers, NewsSender& sender);
+  ~RegionNews();
+  RegionNews(const RegionNews&) = delete;
+  RegionNews& operator=(const RegionNews&) = delete;
+
+  /// @brief Starts to relay when it is this host's turn.
+  void Start();
+  /// @param peers the region's other hosts.
+  void SetPeers(std::vector<Peer> peers);
+  [[nodiscard]] std::span<const Peer> Peers() const { return peers_; }
+  /// @return whether news goes by relays.
+  [[nodiscard]] bool IsRelayed() const;
+
+  /// @brief Tells the region, soon and together with more.
+  void TellPlaced(const PlacedObject& placed);
+  void TellLoad(const ToldLoad& load);
+  /// @brief Tells the region at once.
+  void TellBeat(const membership::Heartbeat& heartbeat);
+  /// @brief Tells each host of the region itself, at once.
+  void TellState(const membership::HostState& state);
+
+  /// @brief Takes in a datagram, to tell it on where that is this host's part.
+  void OnNews(const PeerNews& news);
+
+  /// @return whether this host tells its domain digests now.
+  [[nodiscard]] bool IsRelay() const;
+
+ private:
+  struct Source {
+    std::size_t peer = 0;  ///< Place in `peers_`.
+    /// Any sign of life.
+    std::optional<MonotonicTime> heard_at;
+    /// What only a relay sends.
+    std::optional<MonotonicTime> relayed_at;
+    /// As a relay it was silent: not counted on until then.
+    MonotonicTime passed_over_until{};
+  };
+  struct Choice {
+    std::uint32_t host = 0;  ///< Its hash; 0: none.
+    MonotonicTime chosen_at{};
+  };
+
+  void SendSoon(Duration delay);
+  void SendOwn();
+  void Relay();
+  void SendDigest(MonotonicTime now);
+  void SendExchange(MonotonicTime now);
+  /// @return the hash of the host that relays for a domain; 0: none is heard.
+  [[nodiscard]] std::uint32_t RelayOf(const FailureDomainName& domain,
+                                      MonotonicTime now);
+  [[nodiscard]] std::uint32_t FirstInOrder(const FailureDomainName& domain,
+                                           MonotonicTime now) const;
+  void PassOverIfSilent(Choice& choice, MonotonicTime now);
+  [[nodiscard]] std::string AddressOf(std::uint32_t host) const;
+  [[nodiscard]] bool IsActing(MonotonicTime now) const;
+
+  Options options_;
+  std::uint32_t own_hash_;
+  ports::Timers& timers_;
+  NewsSender& sender_;
+  std::vector<Peer> peers_;
+  std::vector<std::string> peer_addresses_;
+  std::vector<std::string> domain_addresses_;
+  std::vector<FailureDomainName> other_domains_;
+  std::unordered_map<std::uint32_t, Source> sources_;
+  std::map<FailureDomainName, Choice> relays_;
+  /// Own news that waits.
+  PeerNews pending_;
+  std::map<request_path::TargetNumber, std::uint32_t> pending_loads_;
+  bool is_sending_soon_ = false;
+  /// For the hosts of this domain.
+  NewsQueue digest_;
+  /// For other domains.
+  NewsQueue exchange_;
+  std::optional<MonotonicTime> asked_at_;  ///< To relay, by a report.
+  std::map<std::uint32_t, MonotonicTime> exchanged_with_;
+  /// Null once this is gone: timers may still run then.
+  std::shared_ptr<RegionNews*> self_ = std::make_shared<RegionNews*>(this);
+};
+
+}  // namespace medlarcroft::news
+
+#endif  // MEDLARCROFT_NEWS_REGION_NEWS_H_
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
@@ -4,13 +4,12 @@
 #include <cstdint>
 #include <optional>
 #include <span>
-#include <string_view>
 
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/time.h"
 #include "medlarcroft/request_path/region_load.h"
 #include "medlarcroft/request_path/service_times.h"
-#include "medlarcroft/request_path/target_state.h"
+#include "medlarcroft/request_path/target_book.h"
 
 namespace medlarcroft::request_path {
 
@@ -46,7 +45,7 @@
 
 /// @brief What placing one request depends on beside the targets.
 struct PlacementQuestion {
-  std::string_view object;  ///< Empty: none.
+  ObjectKey object;
   bool is_sticky = false;
   const ServiceTimes& times;
   const RegionDistances& distances;
@@ -106,7 +105,7 @@
 /// 0.854 -> 0.860. One that fails several in a row rests.
 /// @return nullopt when no target may be used.
 [[nodiscard]] std::optional<Placement> ChooseTarget(
-    std::span<TargetState* const> targets,
+    std::span<const RegionTargets> regions,
     const PlacementQuestion& question,
     MonotonicTime now,
     const CandidateRule& rule = SoonestAnswer());
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -157,7 +157,11 @@
                 const LoadReport& report,
                 MonotonicTime now);
   /// @brief Another host sent that object to a target.
-  void OnPlacedByOther(const TargetIdentity& target, std::string_view object);
+  void OnPlacedByOther(TargetNumber target, ObjectKey object);
+  /// @brief Another host heard how many requests a target had.
+  void OnToldLoad(TargetNumber target,
+                  std::uint32_t requests,
+                  MonotonicTime now);
   void OnConnected(const RegionName& region, Duration round_trip) {
     distances_.OnConnected(region, round_trip);
   }
@@ -184,7 +188,7 @@
   struct Request {
     std::shared_ptr<const routing::Route> route;
     ServiceName service;
-    std::string object;
+    ObjectKey object;
     MonotonicTime deadline;
     std::vector<Attempt> attempts;
     std::uint32_t arrivals = 0;  ///< Sends that reached a target.
@@ -221,6 +225,9 @@
              MonotonicTime now);
   [[nodiscard]] Duration ReturnTime(Duration wait);
   std::vector<AttemptNumber> Abandon(Request& request);
+  void TakeReport(TargetState& target,
+                  const LoadReport& report,
+                  MonotonicTime now);
 
   Options options_;
   SoonestAnswer soonest_answer_;
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_book.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_book.h
@@ -16,6 +16,17 @@
 
 using DomainRegions = std::map<FailureDomainName, RegionName>;
 
+/// @brief The targets of one service in one region that may get new work.
+struct RegionTargets {
+  RegionName region;
+  std::vector<TargetState*> targets;
+  double slots = 0;
+};
+
+/// @return the targets by region.
+[[nodiscard]] std::vector<RegionTargets> GroupByRegion(
+    std::span<TargetState* const> targets);
+
 /// @brief What changed in the book, for the log.
 enum class BookChange {
   kAdded,
@@ -72,11 +83,16 @@
   void SetEvacuated(std::set<FailureDomainName> domains, MonotonicTime now);
   void SetColdTime(const ServiceName& service, Duration cold_time);
 
-  /// @return the targets of a service that may get new work.
-  [[nodiscard]] std::vector<TargetState*> Usable(const ServiceName& service);
+  /// @return the targets of a service that may get new work, by region; it
+  /// holds until the book changes.
+  [[nodiscard]] std::span<const RegionTargets> Usable(
+      const ServiceName& service);
+  /// @brief That process gets nothing any more: another target has its address.
+  void MarkReplaced(const TargetIdentity& target);
   /// @return that process of a target, also one that gets no new work; null
   /// when it is not the latest that is known.
   [[nodiscard]] TargetState* Find(const TargetIdentity& target);
+  [[nodiscard]] TargetState* Find(TargetNumber target);
   [[nodiscard]] bool IsEvacuated(const FailureDomainName& domain) const {
     return evacuated_.contains(domain);
   }
@@ -104,11 +120,17 @@
       const TargetRecord& target,
       MonotonicTime now) const;
   void Erase(const TargetName& target);
+  [[nodiscard]] std::vector<RegionTargets> GatherUsable(
+      const ServiceName& service) const;
 
   DomainRegions regions_;
   BookObserver& observer_;
   bool is_first_list_ = true;
   std::map<TargetName, Entry> targets_;
+  std::unordered_map<TargetNumber, TargetState*> numbers_;
+  /// Load: each request asks, of hundreds of targets, and they change a few
+  /// times a second. Empty: to be gathered anew.
+  std::unordered_map<ServiceName, std::vector<RegionTargets>> usable_;
   std::unordered_map<ServiceName, Duration> cold_times_;
   std::set<FailureDomainName> evacuated_;
   // So that no older news brings them back.
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_identity.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_identity.h
@@ -1,6 +1,8 @@
 #ifndef MEDLARCROFT_REQUEST_PATH_TARGET_IDENTITY_H_
 #define MEDLARCROFT_REQUEST_PATH_TARGET_IDENTITY_H_
 
+#include <xxhash.h>
+
 #include <compare>
 #include <cstdint>
 
@@ -26,6 +28,15 @@
                           const TargetIdentity&) = default;
 };
 
+/// @brief Names a target's process in four bytes, the same on every host.
+enum class TargetNumber : std::uint32_t {};
+
+[[nodiscard]] inline TargetNumber NumberOf(const TargetIdentity& target) {
+  return TargetNumber{static_cast<std::uint32_t>(
+      XXH3_64bits_withSeed(target.name.Value().data(),
+                           target.name.Value().size(), target.incarnation))};
+}
+
 }  // namespace medlarcroft::request_path
 
 #endif  // MEDLARCROFT_REQUEST_PATH_TARGET_IDENTITY_H_
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -3,13 +3,11 @@
 
 #include <cstdint>
 #include <deque>
-#include <list>
 #include <optional>
-#include <string>
-#include <string_view>
 #include <vector>
 
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/request_path/object_key.h"
 #include "medlarcroft/request_path/target_record.h"
 
 namespace medlarcroft::request_path {
@@ -38,16 +36,18 @@
 /// own part at once and the rest only through the reports in answers.
 class TargetState {
  public:
-  TargetState(TargetRecord record, RegionName region)
-      : record_(std::move(record)), region_(std::move(region)) {}
+  TargetState(TargetRecord record, RegionName region);
 
   [[nodiscard]] const TargetRecord& Record() const { return record_; }
   [[nodiscard]] const RegionName& Region() const { return region_; }
   void Update(TargetRecord record) { record_ = std::move(record); }
+  /// @return its place in the order of an object's targets: the greatest comes
+  /// first, on every host.
+  [[nodiscard]] std::uint64_t OrderOf(ObjectKey object) const;
 
-  void OnSent(std::string_view object, MonotonicTime now);
+  void OnSent(ObjectKey object, MonotonicTime now);
   /// Another host sent it that object.
-  void OnSentByOther(std::string_view object);
+  void OnSentByOther(ObjectKey object);
   /// @param relative_time the time at the target divided by what was expected;
   /// absent when it says nothing of the target's speed.
   void OnEnded(AttemptEnd end,
@@ -69,13 +69,13 @@
   [[nodiscard]] std::uint32_t OwnOutstanding() const { return outstanding_; }
   [[nodiscard]] std::optional<Duration> ReportAge(MonotonicTime now) const;
 
-  /// @return whether this host, or one that told of it, sent it that object
-  /// lately.
   /// @return whether other hosts should hear that it gets that object: it did
   /// not have it, or they were not told for a while. It counts as told then.
-  [[nodiscard]] bool IsNews(std::string_view object, MonotonicTime now);
+  [[nodiscard]] bool IsNews(ObjectKey object, MonotonicTime now);
   [[nodiscard]] bool HasBeenUsed() const { return has_been_used_; }
-  [[nodiscard]] bool HasHandled(std::string_view object) const;
+  /// @return whether this host, or one that told of it, sent it that object
+  /// lately.
+  [[nodiscard]] bool HasHandled(ObjectKey object) const;
 
   /// @return its time for a request over what is usual in its service.
   [[nodiscard]] double RelativeTime() const { return relative_time_; }
@@ -99,19 +99,20 @@
 
  private:
   void Rest(MonotonicTime now);
-  void NoteObject(std::string_view object);
+  void NoteObject(ObjectKey object);
 
   TargetRecord record_;
+  std::uint64_t name_hash_ = 0;
   RegionName region_;
   std::uint32_t outstanding_ = 0;
   double others_load_ = 0;  ///< At the last report.
   double others_mean_ = 0;  ///< Over the reports.
   std::optional<MonotonicTime> reported_at_;
   struct HandledObject {
-    std::string name;
+    ObjectKey key;
     MonotonicTime told_at{};  ///< To other hosts.
   };
-  std::list<HandledObject> objects_;  ///< Latest first.
+  std::vector<HandledObject> objects_;  ///< Latest first.
   double relative_time_ = 1.0;
   std::uint32_t failures_in_a_row_ = 0;
   std::uint32_t bad_answers_in_a_row_ = 0;
--- a/lib/libmedlarcroft/include/medlarcroft/rows/follow_pace.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/follow_pace.h
@@ -20,16 +20,32 @@
   /// How long a host that reads for the region holds a call when nothing
   /// changes.
   Duration reader_wait = std::chrono::milliseconds(600);
+  /// Between calls that fail, of a host that others follow or that follows
+  /// nobody: quick enough for news to be in force a second after the store is
+  /// back, slow enough for it to come back under all its readers.
+  Duration first_pause = std::chrono::milliseconds(150);
+  Duration longest_pause = std::chrono::milliseconds(900);
+  /// The same, of a host that follows a reader.
+  Duration first_pause_of_followers = first_pause;
+  Duration longest_pause_of_followers = longest_pause;
 };
 
 /// From a call that is given up to the answer of the next one: a pause, and a
 /// new connection to another region.
 inline constexpr Duration kAskAgainTime = std::chrono::milliseconds(450);
 
-/// How much later than the hold an answer of the store may come, a pause after
-/// a change and the way to another region included, before a reader's news
-/// counts as old: 250 ms of pause and 110 ms of way are usual.
-inline constexpr Duration kFreshMargin = std::chrono::milliseconds(500);
+/// How much later than the hold an answer of the store may come, over the pause
+/// after a change: the way to another region and a packet sent again.
+inline constexpr Duration kStoreWayMargin = std::chrono::milliseconds(250);
+
+/// @return how long a reader's news counts as fresh.
+///
+/// Failure: a reader pauses after a change, then holds its next call for all of
+/// its time. Symptom: were the pause left out, it would turn all its followers
+/// away each time, and all of them would call the store.
+[[nodiscard]] constexpr Duration FreshFor(const FollowPace& pace) {
+  return pace.wait + pace.pause_after_change + kStoreWayMargin;
+}
 
 /// How much later than its hold a host's answer may come: it lies in the same
 /// region, and one lost packet is sent again within 300 ms.
@@ -61,7 +77,8 @@
 inline constexpr FollowPace kPaceOfHostList{
     .wait = std::chrono::seconds(9),
     .pause_after_change = std::chrono::milliseconds(1000),
-    .reader_wait = std::chrono::seconds(5)};
+    .reader_wait = std::chrono::seconds(5),
+    .longest_pause = std::chrono::seconds(4)};
 
 /// Up to so many hosts of a region each read the store for themselves; in
 /// larger ones one reads each table for all, since calls to the store have a
@@ -83,11 +100,27 @@
                   in_touch_after - kStoreAnswerMargin - kAskAgainTime);
 }
 
+/// @brief The longest pause between failing calls of hosts that follow a
+/// reader, which may tell them of the store's return.
+///
+/// Load: the store turns hundreds of hosts away at once; each call has a price
+/// also when it is refused. A host that its reader can't tell must find out by
+/// itself within `in_touch_after`, with time for the call and what follows it.
+[[nodiscard]] constexpr Duration LongestPause(Duration in_touch_after) {
+  constexpr Duration kShortest = std::chrono::milliseconds(900);
+  constexpr Duration kRest = std::chrono::milliseconds(2800);
+  return std::max(kShortest, in_touch_after - kRest);
+}
+
 [[nodiscard]] constexpr FollowPace PaceOf(std::size_t hosts_in_region,
                                           Duration in_touch_after) {
   FollowPace pace =
       hosts_in_region > kHostsThatReadThemselves ? kPaceForOthers : kPaceAlone;
   pace.wait = std::min(pace.wait, LongestHold(in_touch_after));
+  if (hosts_in_region > kHostsThatReadThemselves) {
+    pace.first_pause_of_followers = std::chrono::milliseconds(600);
+    pace.longest_pause_of_followers = LongestPause(in_touch_after);
+  }
   return pace;
 }
 
--- a/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/table_follower.h
@@ -110,10 +110,12 @@
   void FollowStore(Duration wait);
   bool FollowReader();
   void OnReaderRows(const Result<RowBatch, RowFailure>& result);
+  void OnReaderLost(RowFailure failure);
   /// @return whether the rows are not older than what is known.
   bool TakePeerRows(const RowBatch& rows);
   void OnChanges(const Result<RowBatch, RowFailure>& result);
   void OnFailure(RowFailure failure);
+  [[nodiscard]] Duration PauseAfterFailure(std::uint32_t failures_before) const;
   void OnAnswer(std::optional<Duration> told_at);
   void AskPeer();
   void OnPeerRows(const Result<RowBatch, RowFailure>& result);
@@ -142,6 +144,8 @@
   bool is_asking_peers_ = false;
   /// The store is being asked for what changed, so as to tell others.
   bool is_catching_up_ = false;
+  /// When another host last asked this one.
+  std::optional<MonotonicTime> told_others_at_;
   /// Until then this host reads for itself: a reader failed it.
   MonotonicTime direct_until_{};
   std::uint32_t failures_ = 0;
--- a/lib/libmedlarcroft/source/adapters/peer/peer_channel.cc
+++ b/lib/libmedlarcroft/source/adapters/peer/peer_channel.cc
@@ -4,7 +4,6 @@
 #include <thrift/transport/TBufferTransports.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -14,9 +13,12 @@
 
 namespace medlarcroft::adapters {
 
+using news::PeerNews;
+
 namespace {
 
 using apache::thrift::transport::TMemoryBuffer;
+using news::NewsWay;
 
 // A host state without loads takes about a hundred bytes.
 constexpr std::size_t kMaxDatagramBytes = 1400;
@@ -30,27 +32,10 @@
     brief.loads.clear();
     datagram.__set_state(ToWire(brief));
   }
-  for (const PlacedObject& placed : news.placed) {
-    wire::PlacedObject item;
-    item.target = placed.target.name.Value();
-    if (placed.target.incarnation != request_path::kUnknownIncarnation) {
-      item.__set_incarnation(
-          static_cast<std::int64_t>(placed.target.incarnation));
-    }
-    item.object = placed.object;
-    datagram.placed.push_back(item);
-  }
-  for (const ToldLoad& load : news.loads) {
-    wire::ToldLoad item;
-    item.target = load.target.name.Value();
-    item.requests = static_cast<std::int32_t>(load.requests);
-    if (load.target.incarnation != request_path::kUnknownIncarnation) {
-      item.__set_incarnation(
-          static_cast<std::int64_t>(load.target.incarnation));
-    }
-    datagram.__isset.loads = true;
-    datagram.loads.push_back(item);
-  }
+  datagram.way = static_cast<std::int32_t>(news.way);
+  datagram.sender = static_cast<std::int32_t>(news.sender);
+  datagram.placed = news::EncodePlaced(news.placed);
+  datagram.loads = news::EncodeLoads(news.loads);
   datagram.heartbeats = membership::EncodeHeartbeats(news.heartbeats);
   const auto buffer = std::make_shared<TMemoryBuffer>();
   datagram.write(MakeCompactProtocol(buffer).get());
@@ -68,28 +53,21 @@
   } catch (const apache::thrift::TException&) {
     return std::nullopt;
   }
-  PeerNews news;
-  if (message.__isset.state && !message.state.host.empty()) {
-    news.state = FromWire(message.state);
-  }
-  for (const wire::PlacedObject& item : message.placed) {
-    news.placed.push_back({.target = {.name = TargetName(item.target),
-                                      .incarnation = static_cast<std::uint64_t>(
-                                          item.incarnation)},
-                           .object = item.object});
-  }
-  for (const wire::ToldLoad& item : message.loads) {
-    news.loads.push_back(
-        {.target = {.name = TargetName(item.target),
-                    .incarnation =
-                        static_cast<std::uint64_t>(item.incarnation)},
-         .requests = static_cast<std::uint32_t>(std::max(item.requests, 0))});
-  }
   auto heartbeats = membership::DecodeHeartbeats(message.heartbeats);
-  if (!heartbeats) {
+  auto placed = news::DecodePlaced(message.placed);
+  auto loads = news::DecodeLoads(message.loads);
+  if (!heartbeats || !placed || !loads || message.way < 0 ||
+      message.way > static_cast<std::int32_t>(NewsWay::kDigest)) {
     return std::nullopt;
   }
-  news.heartbeats = std::move(*heartbeats);
+  PeerNews news{.way = static_cast<NewsWay>(message.way),
+                .sender = static_cast<std::uint32_t>(message.sender),
+                .placed = std::move(*placed),
+                .loads = std::move(*loads),
+                .heartbeats = std::move(*heartbeats)};
+  if (message.__isset.state && !message.state.host.empty()) {
+    news.state = FromWire(message.state);
+  }
   return news;
 }
 
@@ -124,10 +102,9 @@
   ::close(descriptor_);
 }
 
-// Made once for all: at 30 hosts a region making it for each took most of the
-// processor time that hosts spent on each other.
-void PeerChannel::SendToAll(std::span<const std::string> addresses,
-                            const PeerNews& news) {
+// Made once for all: making it for each would take most of the processor time.
+void PeerChannel::Send(std::span<const std::string> addresses,
+                       const PeerNews& news) {
   if (addresses.empty()) {
     return;
   }
--- a/lib/libmedlarcroft/source/adapters/process/node_settings.cc
+++ b/lib/libmedlarcroft/source/adapters/process/node_settings.cc
@@ -44,7 +44,11 @@
           "in_touch_after", &NodeBounds::in_touch_after, kAnyTime,
           {.description = "time without trouble of the store and the host "
                           "after which the host must know what the store has "
-                          "acknowledged"});
+                          "acknowledged"})
+      .DurationText(
+          "target_left_within", &NodeBounds::target_left_within, kAnyTime,
+          {.description = "longest time from the store's word that a target "
+                          "leaves to the last request that may reach it"});
   return schema;
 }
 
--- a/lib/libmedlarcroft/source/adapters/process/node_settings.h
+++ b/lib/libmedlarcroft/source/adapters/process/node_settings.h
@@ -28,6 +28,9 @@
   /// Once the store and a host have been without trouble for so long, the host
   /// must know what the store has acknowledged.
   Duration in_touch_after = std::chrono::seconds(4);
+  /// From the store's word that a target leaves to the last request that may
+  /// reach it.
+  Duration target_left_within = std::chrono::milliseconds(2500);
 };
 
 /// @brief Settings of medlar-node.
--- a/lib/libmedlarcroft/source/emulation/emulation.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation.cc
@@ -6,7 +6,7 @@
 #include <utility>
 #include <variant>
 
-#include "medlarcroft/membership/news_pace.h"
+#include "medlarcroft/news/news_pace.h"
 
 namespace medlarcroft::emulation {
 
@@ -245,11 +245,11 @@
     if (other == running.host || is_cut_[running.host] || is_cut_[other]) {
       continue;
     }
-    events_.After(
-        deployment_.within_region,
-        [this, other, target = attempt.target, object = running.caller.object] {
-          hosts_[other]->Path().OnPlacedByOther(target, object);
-        });
+    events_.After(deployment_.within_region,
+                  [this, other, target = request_path::NumberOf(attempt.target),
+                   object = request_path::ObjectKey(running.caller.object)] {
+                    hosts_[other]->Path().OnPlacedByOther(target, object);
+                  });
   }
 }
 
@@ -258,19 +258,21 @@
                          const request_path::LoadReport& report) {
   const std::vector<std::size_t>& hosts =
       hosts_by_region_[running.caller.region];
-  if (!tells_loads_ || hosts.size() > membership::kMostPeersToldLoads + 1) {
+  if (!tells_loads_) {
     return;
   }
   for (const std::size_t other : hosts) {
     if (other == running.host || is_cut_[running.host] || is_cut_[other]) {
       continue;
     }
-    // In the mean a load waits half of the delay.
-    events_.After(deployment_.within_region + membership::kLoadNewsDelay / 2,
-                  [this, other, target, report] {
-                    hosts_[other]->Path().OnReport(target, report,
-                                                   events_.Now());
-                  });
+    // In the mean a load waits half of each delay on its way.
+    const Duration waits = news::IsToldDirectly(hosts.size() - 1)
+                               ? news::kReportDelay / 2
+                               : news::kReportDelay / 2 + news::kDigestPeriod;
+    events_.After(
+        deployment_.within_region + waits, [this, other, target, report] {
+          hosts_[other]->Path().OnReport(target, report, events_.Now());
+        });
   }
 }
 
--- a/lib/libmedlarcroft/source/membership/heartbeat.cc
+++ b/lib/libmedlarcroft/source/membership/heartbeat.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "medlarcroft/core/packed_number.h"
+
 namespace medlarcroft::membership {
 
 namespace {
@@ -14,22 +16,6 @@
 constexpr std::size_t kSequenceBytes = 3;
 constexpr std::size_t kMaxHeartbeats = 1024;
 
-void Append(std::string& text, std::uint32_t number, std::size_t bytes) {
-  for (std::size_t i = 0; i < bytes; ++i) {
-    text.push_back(static_cast<char>((number >> (8 * i)) & 0xFFU));
-  }
-}
-
-std::uint32_t TakeNumber(std::string_view& bytes, std::size_t count) {
-  std::uint32_t number = 0;
-  for (std::size_t i = 0; i < count; ++i) {
-    number |= static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[i]))
-              << (8 * i);
-  }
-  bytes.remove_prefix(count);
-  return number;
-}
-
 }  // namespace
 
 std::uint32_t HashOf(const HostName& host) {
@@ -41,29 +27,38 @@
       XXH3_64bits(&incarnation, sizeof(incarnation)));
 }
 
+std::optional<Heartbeat> Aged(const Heartbeat& heartbeat, Duration later) {
+  // Rounded up: a sign of life must not grow younger on its way.
+  const Duration known = std::max(heartbeat.age + later, Duration::zero());
+  const Duration whole = (known + kAgeUnit - Duration(1)) / kAgeUnit * kAgeUnit;
+  if (whole > kMaxHeartbeatAge) {
+    return std::nullopt;
+  }
+  Heartbeat aged = heartbeat;
+  aged.age = whole;
+  return aged;
+}
+
 std::optional<Heartbeat> MakeHeartbeat(const HostName& host,
                                        const StateNumber& number,
                                        Duration age) {
-  if (number.sequence > kMaxHeartbeatSequence || age > kMaxHeartbeatAge) {
+  if (number.sequence > kMaxHeartbeatSequence) {
     return std::nullopt;
   }
-  // Rounded up: a sign of life must not grow younger on its way.
-  const Duration known = std::max(age, Duration::zero());
-  const Duration whole = (known + kAgeUnit - Duration(1)) / kAgeUnit * kAgeUnit;
-  return Heartbeat{.host_hash = HashOf(host),
-                   .incarnation_hash = HashOf(number.incarnation),
-                   .sequence = static_cast<std::uint32_t>(number.sequence),
-                   .age = std::min(whole, kMaxHeartbeatAge)};
+  return Aged({.host_hash = HashOf(host),
+               .incarnation_hash = HashOf(number.incarnation),
+               .sequence = static_cast<std::uint32_t>(number.sequence)},
+              age);
 }
 
 std::string EncodeHeartbeats(const std::vector<Heartbeat>& heartbeats) {
   std::string text;
   text.reserve(heartbeats.size() * kHeartbeatBytes);
   for (const Heartbeat& heartbeat : heartbeats) {
-    Append(text, heartbeat.host_hash, kHostBytes);
-    Append(text, heartbeat.incarnation_hash, kIncarnationBytes);
-    Append(text, heartbeat.sequence, kSequenceBytes);
-    Append(text, static_cast<std::uint32_t>(heartbeat.age / kAgeUnit), 1);
+    AppendPacked(text, heartbeat.host_hash, kHostBytes);
+    AppendPacked(text, heartbeat.incarnation_hash, kIncarnationBytes);
+    AppendPacked(text, heartbeat.sequence, kSequenceBytes);
+    AppendPacked(text, static_cast<std::uint32_t>(heartbeat.age / kAgeUnit), 1);
   }
   return text;
 }
@@ -77,11 +72,11 @@
   heartbeats.reserve(bytes.size() / kHeartbeatBytes);
   while (!bytes.empty()) {
     Heartbeat heartbeat;
-    heartbeat.host_hash = TakeNumber(bytes, kHostBytes);
+    heartbeat.host_hash = TakePacked(bytes, kHostBytes);
     heartbeat.incarnation_hash =
-        static_cast<std::uint16_t>(TakeNumber(bytes, kIncarnationBytes));
-    heartbeat.sequence = TakeNumber(bytes, kSequenceBytes);
-    heartbeat.age = kAgeUnit * TakeNumber(bytes, 1);
+        static_cast<std::uint16_t>(TakePacked(bytes, kIncarnationBytes));
+    heartbeat.sequence = TakePacked(bytes, kSequenceBytes);
+    heartbeat.age = kAgeUnit * TakePacked(bytes, 1);
     heartbeats.push_back(heartbeat);
   }
   return heartbeats;
--- a/lib/libmedlarcroft/source/membership/membership_table.cc
+++ b/lib/libmedlarcroft/source/membership/membership_table.cc
@@ -279,6 +279,18 @@
   return members;
 }
 
+void MembershipTable::VisitHeard(
+    const std::function<void(const HeardHost&)>& visit) const {
+  const MonotonicTime now = clock_.Now();
+  for (const auto& [host, record] : records_) {
+    if (record.state) {
+      visit({.state = *record.state,
+             .age = now - record.heard_at,
+             .is_leaving = IsLeaving(record)});
+    }
+  }
+}
+
 std::optional<Member> MembershipTable::Find(const HostName& host) const {
   const auto found = records_.find(host);
   return found == records_.end()
--- /dev/null
+++ b/lib/libmedlarcroft/source/news/news_queue.cc
@@ -0,0 +1,131 @@
+#include "medlarcroft/news/news_queue.h"
+
+#include <algorithm>
+
+namespace medlarcroft::news {
+
+namespace {
+
+// Targets keep an object for longer, and a datagram may be lost.
+constexpr Duration kPlacedTellAgain = std::chrono::seconds(2);
+// A load that has hardly changed since is told this much later all the same.
+constexpr Duration kLoadTellAgain = std::chrono::milliseconds(800);
+constexpr std::uint32_t kSameLoad = 1;
+constexpr std::size_t kMostPlacedWaiting = 500;
+
+std::uint64_t KeyOf(const PlacedObject& placed) {
+  constexpr unsigned kHalf = 32;
+  return (std::uint64_t{static_cast<std::uint32_t>(placed.target)} << kHalf) |
+         placed.object.Value();
+}
+
+std::uint32_t Difference(std::uint32_t left, std::uint32_t right) {
+  return left > right ? left - right : right - left;
+}
+
+}  // namespace
+
+void NewsQueue::Add(const PeerNews& news, MonotonicTime now) {
+  for (const membership::Heartbeat& heartbeat : news.heartbeats) {
+    heartbeats_[heartbeat.host_hash] = {.heartbeat = heartbeat,
+                                        .heard_at = now};
+  }
+  for (const PlacedObject& placed : news.placed) {
+    AddPlaced(placed, now);
+  }
+  for (const ToldLoad& load : news.loads) {
+    AddLoad(load, now);
+  }
+}
+
+void NewsQueue::AddPlaced(const PlacedObject& placed, MonotonicTime now) {
+  const auto [told, is_new] = told_placed_.try_emplace(KeyOf(placed), now);
+  if (!is_new && now - told->second < kPlacedTellAgain) {
+    return;
+  }
+  told->second = now;
+  if (placed_.size() >= kMostPlacedWaiting) {
+    placed_.pop_front();
+  }
+  placed_.push_back(placed);
+}
+
+void NewsQueue::AddLoad(const ToldLoad& load, MonotonicTime now) {
+  const auto told = told_loads_.find(load.target);
+  const bool is_known =
+      told != told_loads_.end() &&
+      now - told->second.told_at < kLoadTellAgain &&
+      Difference(told->second.requests, load.requests) <= kSameLoad;
+  if (is_known) {
+    loads_.erase(load.target);
+  } else {
+    loads_[load.target] = load.requests;
+  }
+}
+
+PeerNews NewsQueue::Take(std::size_t most_bytes, MonotonicTime now) {
+  ForgetTold(now);
+  PeerNews news;
+  std::size_t bytes_left = most_bytes;
+  TakeHeartbeats(news, bytes_left, now);
+  const std::size_t for_loads =
+      std::min(loads_.size() * kLoadBytes, bytes_left / 2);
+  TakePlaced(news, bytes_left, bytes_left - for_loads);
+  TakeLoads(news, bytes_left, now);
+  return news;
+}
+
+void NewsQueue::TakeHeartbeats(PeerNews& news,
+                               std::size_t& bytes_left,
+                               MonotonicTime now) {
+  while (!heartbeats_.empty() && bytes_left >= membership::kHeartbeatBytes) {
+    const auto node = heartbeats_.extract(heartbeats_.begin());
+    const auto aged =
+        membership::Aged(node.mapped().heartbeat, now - node.mapped().heard_at);
+    if (aged) {
+      news.heartbeats.push_back(*aged);
+      bytes_left -= membership::kHeartbeatBytes;
+    }
+  }
+}
+
+void NewsQueue::TakePlaced(PeerNews& news,
+                           std::size_t& bytes_left,
+                           std::size_t most) {
+  const std::size_t count = std::min(placed_.size(), most / kPlacedBytes);
+  news.placed.assign(placed_.begin(),
+                     placed_.begin() + static_cast<std::ptrdiff_t>(count));
+  placed_.erase(placed_.begin(),
+                placed_.begin() + static_cast<std::ptrdiff_t>(count));
+  bytes_left -= count * kPlacedBytes;
+}
+
+void NewsQueue::TakeLoads(PeerNews& news,
+                          std::size_t& bytes_left,
+                          MonotonicTime now) {
+  while (!loads_.empty() && bytes_left >= kLoadBytes) {
+    // From where the last datagram ended, so that each target has its turn.
+    auto next = loads_.upper_bound(last_load_);
+    const auto node =
+        loads_.extract(next == loads_.end() ? loads_.begin() : next);
+    last_load_ = node.key();
+    news.loads.push_back({.target = node.key(), .requests = node.mapped()});
+    told_loads_[node.key()] = {.requests = node.mapped(), .told_at = now};
+    bytes_left -= kLoadBytes;
+  }
+}
+
+void NewsQueue::ForgetTold(MonotonicTime now) {
+  if (now - forgot_at_ < kPlacedTellAgain) {
+    return;
+  }
+  forgot_at_ = now;
+  std::erase_if(told_placed_, [now](const auto& told) {
+    return now - told.second >= kPlacedTellAgain;
+  });
+  std::erase_if(told_loads_, [now](const auto& told) {
+    return now - told.second.told_at >= kLoadTellAgain;
+  });
+}
+
+}  // namespace medlarcroft::news
--- /dev/null
+++ b/lib/libmedlarcroft/source/news/region_news.cc
@@ -0,0 +1,272 @@
+#include "medlarcroft/news/region_news.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "medlarcroft/news/news_pace.h"
+#include "medlarcroft/rows/reader_choice.h"
+
+namespace medlarcroft::news {
+
+namespace {
+
+constexpr std::string_view kRelayOrder = "news";
+
+}  // namespace
+
+RegionNews::RegionNews(Options options,
+                       ports::Timers& timers,
+                       NewsSender& sender)
+    : options_(std::move(options)),
+      own_hash_(membership::HashOf(options_.host)),
+      timers_(timers),
+      sender_(sender) {}
+
+RegionNews::~RegionNews() {
+  *self_ = nullptr;
+}
+
+void RegionNews::Start() {
+  Relay();
+}
+
+void RegionNews::SetPeers(std::vector<Peer> peers) {
+  std::unordered_map<std::uint32_t, Source> sources;
+  peers_ = std::move(peers);
+  peer_addresses_.clear();
+  domain_addresses_.clear();
+  other_domains_.clear();
+  for (std::size_t place = 0; place < peers_.size(); ++place) {
+    const Peer& peer = peers_[place];
+    const std::uint32_t hash = membership::HashOf(peer.host);
+    const auto known = sources_.find(hash);
+    Source source = known == sources_.end() ? Source{} : known->second;
+    source.peer = place;
+    sources.emplace(hash, source);
+    peer_addresses_.push_back(peer.address);
+    if (peer.failure_domain == options_.failure_domain) {
+      domain_addresses_.push_back(peer.address);
+    } else if (std::ranges::find(other_domains_, peer.failure_domain) ==
+               other_domains_.end()) {
+      other_domains_.push_back(peer.failure_domain);
+    }
+  }
+  sources_ = std::move(sources);
+}
+
+bool RegionNews::IsRelayed() const {
+  return !IsToldDirectly(peers_.size());
+}
+
+void RegionNews::TellPlaced(const PlacedObject& placed) {
+  pending_.placed.push_back(placed);
+  if (pending_.placed.size() >= kMostPlacedTogether) {
+    SendOwn();
+  } else {
+    SendSoon(IsRelayed() ? kReportDelay : PlacedNewsDelay(peers_.size()));
+  }
+}
+
+void RegionNews::TellLoad(const ToldLoad& load) {
+  pending_loads_[load.target] = load.requests;
+  if (pending_loads_.size() >= kMostLoadsTogether) {
+    SendOwn();
+  } else {
+    SendSoon(kReportDelay);
+  }
+}
+
+void RegionNews::TellBeat(const membership::Heartbeat& heartbeat) {
+  pending_.heartbeats.push_back(heartbeat);
+  SendOwn();
+}
+
+void RegionNews::TellState(const membership::HostState& state) {
+  sender_.Send(peer_addresses_, {.sender = own_hash_, .state = state});
+}
+
+void RegionNews::SendSoon(Duration delay) {
+  if (std::exchange(is_sending_soon_, true)) {
+    return;
+  }
+  timers_.RunAfter(delay, [self = self_] {
+    if (*self != nullptr) {
+      (*self)->SendOwn();
+    }
+  });
+}
+
+void RegionNews::SendOwn() {
+  is_sending_soon_ = false;
+  for (const auto& [target, requests] : std::exchange(pending_loads_, {})) {
+    pending_.loads.push_back({.target = target, .requests = requests});
+  }
+  PeerNews news = std::exchange(pending_, {});
+  if (news.placed.empty() && news.loads.empty() && news.heartbeats.empty()) {
+    return;
+  }
+  news.sender = own_hash_;
+  if (!IsRelayed()) {
+    sender_.Send(peer_addresses_, news);
+    return;
+  }
+  const MonotonicTime now = timers_.Now();
+  const std::uint32_t relay = RelayOf(options_.failure_domain, now);
+  if (relay != own_hash_) {
+    news.way = NewsWay::kReport;
+    const std::string address = AddressOf(relay);
+    sender_.Send(std::span(&address, 1), news);
+    return;
+  }
+  digest_.Add(news, now);
+  exchange_.Add(news, now);
+}
+
+void RegionNews::OnNews(const PeerNews& news) {
+  const MonotonicTime now = timers_.Now();
+  const auto source = sources_.find(news.sender);
+  if (source != sources_.end()) {
+    source->second.heard_at = now;
+    if (news.way == NewsWay::kExchange || news.way == NewsWay::kDigest) {
+      source->second.relayed_at = now;
+    }
+  }
+  for (const membership::Heartbeat& heartbeat : news.heartbeats) {
+    const auto beating = sources_.find(heartbeat.host_hash);
+    if (beating != sources_.end()) {
+      Source& heard = beating->second;
+      heard.heard_at = std::max(heard.heard_at.value_or(MonotonicTime()),
+                                now - heartbeat.age);
+    }
+  }
+  switch (news.way) {
+    case NewsWay::kReport:
+      asked_at_ = now;
+      digest_.Add(news, now);
+      exchange_.Add(news, now);
+      break;
+    case NewsWay::kExchange:
+      asked_at_ = now;
+      digest_.Add(news, now);
+      exchanged_with_[news.sender] = now;
+      break;
+    case NewsWay::kDirect:
+    case NewsWay::kDigest:
+      break;
+  }
+}
+
+bool RegionNews::IsRelay() const {
+  return IsActing(timers_.Now());
+}
+
+bool RegionNews::IsActing(MonotonicTime now) const {
+  const auto own = relays_.find(options_.failure_domain);
+  const bool is_chosen = own != relays_.end() && own->second.host == own_hash_;
+  return IsRelayed() &&
+         (is_chosen || (asked_at_ && now - *asked_at_ < kRelayAfterAsked));
+}
+
+void RegionNews::Relay() {
+  const MonotonicTime now = timers_.Now();
+  if (IsRelayed()) {
+    (void)RelayOf(options_.failure_domain, now);
+    if (IsActing(now)) {
+      SendDigest(now);
+      SendExchange(now);
+    }
+  }
+  timers_.RunAfter(kDigestPeriod, [self = self_] {
+    if (*self != nullptr) {
+      (*self)->Relay();
+    }
+  });
+}
+
+void RegionNews::SendDigest(MonotonicTime now) {
+  PeerNews digest = digest_.Take(kMostDigestBytes, now);
+  digest.way = NewsWay::kDigest;
+  digest.sender = own_hash_;
+  sender_.Send(domain_addresses_, digest);
+}
+
+void RegionNews::SendExchange(MonotonicTime now) {
+  std::vector<std::string> addresses;
+  for (const FailureDomainName& domain : other_domains_) {
+    const std::uint32_t relay = RelayOf(domain, now);
+    if (relay != 0) {
+      addresses.push_back(AddressOf(relay));
+      exchanged_with_.erase(relay);
+    }
+  }
+  // Whoever counts on this host hears from it, also when it is not counted on.
+  std::erase_if(exchanged_with_, [now](const auto& other) {
+    return now - other.second >= kRelayAfterAsked;
+  });
+  for (const auto& [host, at] : exchanged_with_) {
+    if (sources_.contains(host)) {
+      addresses.push_back(AddressOf(host));
+    }
+  }
+  if (addresses.empty()) {
+    return;
+  }
+  PeerNews exchange = exchange_.Take(kMostDigestBytes, now);
+  exchange.way = NewsWay::kExchange;
+  exchange.sender = own_hash_;
+  sender_.Send(addresses, exchange);
+}
+
+std::uint32_t RegionNews::RelayOf(const FailureDomainName& domain,
+                                  MonotonicTime now) {
+  Choice& choice = relays_[domain];
+  PassOverIfSilent(choice, now);
+  const std::uint32_t first = FirstInOrder(domain, now);
+  if (first != choice.host) {
+    choice = {.host = first, .chosen_at = now};
+  }
+  return choice.host;
+}
+
+void RegionNews::PassOverIfSilent(Choice& choice, MonotonicTime now) {
+  const auto source = sources_.find(choice.host);
+  if (source == sources_.end()) {
+    return;
+  }
+  const MonotonicTime since = std::max(
+      choice.chosen_at, source->second.relayed_at.value_or(MonotonicTime()));
+  if (now - since > kRelaySilence) {
+    source->second.passed_over_until = now + kPassedOver;
+  }
+}
+
+std::uint32_t RegionNews::FirstInOrder(const FailureDomainName& domain,
+                                       MonotonicTime now) const {
+  std::vector<rows::ReaderCandidate> candidates;
+  if (domain == options_.failure_domain) {
+    candidates.push_back(
+        {.host = options_.host, .link_mbps = options_.link_mbps});
+  }
+  for (const auto& [hash, source] : sources_) {
+    const Peer& peer = peers_[source.peer];
+    const bool is_candidate = peer.failure_domain == domain &&
+                              source.heard_at &&
+                              now - *source.heard_at < kUnheardLimit &&
+                              now >= source.passed_over_until;
+    if (is_candidate) {
+      candidates.push_back({.host = peer.host, .link_mbps = peer.link_mbps});
+    }
+  }
+  const rows::ReaderCandidate* const first =
+      rows::ChooseReader(kRelayOrder, candidates);
+  return first == nullptr ? 0 : membership::HashOf(first->host);
+}
+
+std::string RegionNews::AddressOf(std::uint32_t host) const {
+  const auto found = sources_.find(host);
+  return found == sources_.end() ? std::string()
+                                 : peers_[found->second.peer].address;
+}
+
+}  // namespace medlarcroft::news
--- a/lib/libmedlarcroft/source/request_path/placement_policy.cc
+++ b/lib/libmedlarcroft/source/request_path/placement_policy.cc
@@ -4,31 +4,33 @@
 #include <functional>
 #include <vector>
 
-#include <xxhash.h>
-
 namespace medlarcroft::request_path {
 
 namespace {
 
 struct Candidate {
   TargetState* target = nullptr;
-  std::uint64_t hash = 0;
+  std::uint64_t order = 0;
+  double load = 0;
+  std::uint32_t rank = 0;
 };
 
-std::uint64_t OrderOf(std::string_view object, const TargetName& target) {
-  return XXH3_64bits_withSeed(target.Value().data(), target.Value().size(),
-                              XXH3_64bits(object.data(), object.size()));
-}
+/// @brief The candidates of one region, by the object's order.
+struct RegionCandidates {
+  Duration round_trip{0};
+  std::vector<Candidate> candidates;
+};
 
-bool IsAllowed(const TargetState& target, const PlacementQuestion& question) {
+bool IsAllowed(const RegionName& region, const PlacementQuestion& question) {
   const auto& regions = question.allowed_regions;
-  if (!regions.empty() && std::find(regions.begin(), regions.end(),
-                                    target.Region()) == regions.end()) {
-    return false;
-  }
+  return regions.empty() ||
+         std::find(regions.begin(), regions.end(), region) != regions.end();
+}
+
+bool IsExcluded(const TargetState& target, const PlacementQuestion& question) {
   const auto& excluded = question.excluded;
   return std::find(excluded.begin(), excluded.end(),
-                   target.Record().Identity()) == excluded.end();
+                   target.Record().Identity()) != excluded.end();
 }
 
 bool HasColdRoom(const TargetState& target,
@@ -38,34 +40,47 @@
          target.RecentSends(now) < question.cold_allowance;
 }
 
-std::vector<Candidate> Collect(std::span<TargetState* const> targets,
+RegionCandidates CollectRegion(const RegionTargets& region,
                                const PlacementQuestion& question,
                                MonotonicTime now) {
-  std::vector<Candidate> candidates;
-  candidates.reserve(targets.size());
-  for (TargetState* const target : targets) {
-    if (IsAllowed(*target, question) && !target->IsResting(now) &&
-        HasColdRoom(*target, question, now)) {
-      candidates.push_back(
-          {.target = target,
-           .hash = OrderOf(question.object, target->Record().id)});
+  RegionCandidates collected{.round_trip =
+                                 question.distances.RoundTrip(region.region)};
+  std::vector<Candidate>& candidates = collected.candidates;
+  candidates.reserve(region.targets.size());
+  const std::optional<double> usual = question.loads.MeanOf(region.region);
+  for (TargetState* const target : region.targets) {
+    if (target->IsResting(now) || !HasColdRoom(*target, question, now) ||
+        (!question.excluded.empty() && IsExcluded(*target, question))) {
+      continue;
+    }
+    candidates.push_back({.target = target,
+                          .order = target->OrderOf(question.object),
+                          .load = target->EstimatedLoad(
+                              usual, question.options.region_load_part, now)});
+  }
+  std::ranges::sort(candidates, std::greater<>(), &Candidate::order);
+  for (std::uint32_t rank = 0; rank < candidates.size(); ++rank) {
+    candidates[rank].rank = rank;
+  }
+  return collected;
+}
+
+std::vector<RegionCandidates> Collect(std::span<const RegionTargets> regions,
+                                      const PlacementQuestion& question,
+                                      MonotonicTime now) {
+  std::vector<RegionCandidates> collected;
+  for (const RegionTargets& region : regions) {
+    if (IsAllowed(region.region, question)) {
+      collected.push_back(CollectRegion(region, question, now));
     }
   }
-  // By region, and within each by the object's order.
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& left, const Candidate& right) {
-              if (left.target->Region() != right.target->Region()) {
-                return left.target->Region() < right.target->Region();
-              }
-              return left.hash > right.hash;
-            });
-  return candidates;
+  return collected;
 }
 
 double WarmChance(const Placement& placement,
                   const PlacementQuestion& question) {
   const PlacementOptions& options = question.options;
-  if (!question.is_sticky || question.object.empty()) {
+  if (!question.is_sticky || question.object.IsEmpty()) {
     return 0.0;
   }
   if (placement.is_warm) {
@@ -82,34 +97,26 @@
 }
 
 /// @return the part of all candidates' slots that is taken, 0 to 1.
-double LoadOf(const TargetState& target,
-              const PlacementQuestion& question,
-              MonotonicTime now) {
-  return target.EstimatedLoad(question.loads.MeanOf(target.Region()),
-                              question.options.region_load_part, now);
-}
-
-double BusyPart(const std::vector<Candidate>& candidates,
-                const PlacementQuestion& question,
-                MonotonicTime now) {
+double BusyPart(std::span<const RegionCandidates> regions) {
   double load = 0;
   double slots = 0;
-  for (const Candidate& candidate : candidates) {
-    load += LoadOf(*candidate.target, question, now);
-    slots += std::max(candidate.target->Record().slots, 1U);
+  for (const RegionCandidates& region : regions) {
+    for (const Candidate& candidate : region.candidates) {
+      load += candidate.load;
+      slots += std::max(candidate.target->Record().slots, 1U);
+    }
   }
   return slots > 0 ? std::min(load / slots, 1.0) : 0.0;
 }
 
-Placement Price(TargetState& target,
-                std::uint32_t rank,
+Placement Price(const Candidate& candidate,
+                Duration round_trip,
                 const PlacementQuestion& question,
-                double busy,
-                MonotonicTime now) {
-  const Duration round_trip = question.distances.RoundTrip(target.Region());
+                double busy) {
+  TargetState& target = *candidate.target;
   Placement placement{.target = &target,
-                      .estimated_load = LoadOf(target, question, now),
-                      .rank = rank,
+                      .estimated_load = candidate.load,
+                      .rank = candidate.rank,
                       .is_warm = target.HasHandled(question.object)};
 
   const double slots = std::max(target.Record().slots, 1U);
@@ -147,21 +154,18 @@
   return static_cast<std::size_t>(soonest - candidates.begin());
 }
 
-std::optional<Placement> ChooseTarget(std::span<TargetState* const> targets,
+std::optional<Placement> ChooseTarget(std::span<const RegionTargets> regions,
                                       const PlacementQuestion& question,
                                       MonotonicTime now,
                                       const CandidateRule& rule) {
-  const std::vector<Candidate> candidates = Collect(targets, question, now);
-  const double busy = BusyPart(candidates, question, now);
+  const std::vector<RegionCandidates> collected =
+      Collect(regions, question, now);
+  const double busy = BusyPart(collected);
   std::vector<Placement> priced;
-  priced.reserve(candidates.size());
-  std::uint32_t rank = 0;
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    TargetState& target = *candidates[i].target;
-    const bool is_same_region =
-        i > 0 && candidates[i - 1].target->Region() == target.Region();
-    rank = is_same_region ? rank + 1 : 0;
-    priced.push_back(Price(target, rank, question, busy, now));
+  for (const RegionCandidates& region : collected) {
+    for (const Candidate& candidate : region.candidates) {
+      priced.push_back(Price(candidate, region.round_trip, question, busy));
+    }
   }
   if (priced.empty()) {
     return std::nullopt;
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -1,7 +1,5 @@
 #include "medlarcroft/request_path/request_path.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -70,7 +68,7 @@
 
   Request state{.route = begun.route,
                 .service = begun.service,
-                .object = request.object,
+                .object = ObjectKey(request.object),
                 .deadline = now + begun.time_left};
   begun.step = SendFirst(state, now);
   if (std::holds_alternative<SendAttempt>(begun.step)) {
@@ -83,13 +81,12 @@
 std::optional<Placement> RequestPath::Place(const Request& request,
                                             std::span<const RegionName> regions,
                                             MonotonicTime now) {
-  const std::vector<TargetState*> usable = targets_.Usable(request.service);
   std::vector<TargetIdentity> excluded;
   for (const Attempt& attempt : request.attempts) {
     excluded.push_back(attempt.target);
   }
   return ChooseTarget(
-      usable,
+      targets_.Usable(request.service),
       {.object = request.object,
        .is_sticky = request.route->is_sticky,
        .times = TimesOf(request.service, request.route->latency_objective),
@@ -109,8 +106,8 @@
 
 RegionSlots RequestPath::SlotsOf(const ServiceName& service) {
   RegionSlots slots;
-  for (const TargetState* const target : targets_.Usable(service)) {
-    slots[target->Region()] += target->Record().slots;
+  for (const RegionTargets& region : targets_.Usable(service)) {
+    slots[region.region] = region.slots;
   }
   return slots;
 }
@@ -118,9 +115,11 @@
 std::optional<Placement> RequestPath::PlaceByPlan(const Request& request,
                                                   MonotonicTime now) {
   const auto& allowed = request.route->allowed_regions;
-  const std::optional<Placement> best = Place(request, allowed, now);
-  if (!best || !allowed.empty() || !options_.plans_regions) {
-    return best;
+  if (!allowed.empty() || !options_.plans_regions) {
+    return Place(request, allowed, now);
+  }
+  if (targets_.Usable(request.service).empty()) {
+    return std::nullopt;
   }
   RegionPlan& plan = plans_
                          .try_emplace(request.service, options_.own_region,
@@ -128,18 +127,18 @@
                          .first->second;
   plan.Advance(SlotsOf(request.service), now);
   const std::uint64_t key =
-      request.object.empty()
-          ? random_.Next()
-          : XXH3_64bits(request.object.data(), request.object.size());
+      request.object.IsEmpty() ? random_.Next() : request.object.Value();
   const RegionName region = plan.Choose(key);
   const std::optional<Placement> planned =
-      region == best->target->Region()
-          ? best
-          : Place(request, std::span(&region, 1), now);
+      Place(request, std::span(&region, 1), now);
   const Duration longest_wait = LongestWait(request);
-  const bool has_room = planned && planned->expected_wait <= longest_wait;
+  if (planned && planned->expected_wait <= longest_wait) {
+    plan.Observe(region, std::nullopt);
+    return planned;
+  }
+  const std::optional<Placement> best = Place(request, {}, now);
   std::optional<RegionName> with_room;
-  if (!has_room && best->expected_wait <= longest_wait) {
+  if (best && best->expected_wait <= longest_wait) {
     with_room = best->target->Region();
   }
   plan.Observe(region, with_room);
@@ -377,27 +376,40 @@
   }
   target->OnEnded(end, relative, now);
   if (end == AttemptEnd::kOtherTarget) {
-    target->MarkReplaced();
+    targets_.MarkReplaced(attempt.target);
   }
 }
 
-void RequestPath::OnPlacedByOther(const TargetIdentity& target,
-                                  std::string_view object) {
+void RequestPath::OnPlacedByOther(TargetNumber target, ObjectKey object) {
   if (TargetState* const state = targets_.Find(target)) {
     state->OnSentByOther(object);
   }
 }
 
+void RequestPath::OnToldLoad(TargetNumber target,
+                             std::uint32_t requests,
+                             MonotonicTime now) {
+  if (TargetState* const state = targets_.Find(target)) {
+    TakeReport(*state, {.running = requests}, now);
+  }
+}
+
 void RequestPath::OnReport(const TargetIdentity& target,
                            const LoadReport& report,
                            MonotonicTime now) {
   if (TargetState* const state = targets_.Find(target)) {
-    state->OnReport(report, now);
-    loads_[state->Record().service].OnReport(state->Region(),
-                                             state->OthersLoad(), now);
+    TakeReport(*state, report, now);
   }
 }
 
+void RequestPath::TakeReport(TargetState& target,
+                             const LoadReport& report,
+                             MonotonicTime now) {
+  target.OnReport(report, now);
+  loads_[target.Record().service].OnReport(target.Region(), target.OthersLoad(),
+                                           now);
+}
+
 AttemptAllowance& RequestPath::AllowanceOf(const ServiceName& service) {
   return allowances_.try_emplace(service, options_.attempt_bound).first->second;
 }
--- a/lib/libmedlarcroft/source/request_path/target_book.cc
+++ b/lib/libmedlarcroft/source/request_path/target_book.cc
@@ -5,6 +5,22 @@
 
 namespace medlarcroft::request_path {
 
+std::vector<RegionTargets> GroupByRegion(
+    std::span<TargetState* const> targets) {
+  std::map<RegionName, RegionTargets> groups;
+  for (TargetState* const target : targets) {
+    RegionTargets& group = groups[target->Region()];
+    group.targets.push_back(target);
+    group.slots += target->Record().slots;
+  }
+  std::vector<RegionTargets> grouped;
+  for (auto& [region, group] : groups) {
+    group.region = region;
+    grouped.push_back(std::move(group));
+  }
+  return grouped;
+}
+
 TargetBook::TargetBook(DomainRegions regions, BookObserver& observer)
     : regions_(std::move(regions)), observer_(observer) {}
 
@@ -61,6 +77,7 @@
   if (entry.doubted_until || entry.is_unreadable) {
     entry.doubted_until.reset();
     entry.is_unreadable = false;
+    usable_.clear();
     observer_.OnTargetChange(BookChange::kReturned, target);
   }
   const TargetRecord& known = entry.state->Record();
@@ -73,6 +90,7 @@
   }
   const bool leaves_now = target.is_leaving && !known.is_leaving;
   entry.state->Update(target);
+  usable_.clear();
   observer_.OnTargetChange(
       leaves_now ? BookChange::kLeaving : BookChange::kUpdated, target);
 }
@@ -80,7 +98,10 @@
 void TargetBook::Restart(Entry& entry,
                          const TargetRecord& target,
                          MonotonicTime now) {
+  numbers_.erase(NumberOf(entry.state->Record().Identity()));
   entry = {.state = MakeStarted(target, now)};
+  numbers_[NumberOf(target.Identity())] = entry.state.get();
+  usable_.clear();
   observer_.OnTargetChange(BookChange::kRestarted, target);
 }
 
@@ -113,7 +134,9 @@
     state = std::make_unique<TargetState>(target, RegionOf(target.domain));
     state->MarkCold(now + target.cold_remaining);
   }
+  numbers_[NumberOf(target.Identity())] = state.get();
   targets_.emplace(target.id, Entry{.state = std::move(state)});
+  usable_.clear();
   departed_.erase(target.id);
   observer_.OnTargetChange(
       target.is_leaving ? BookChange::kLeaving : BookChange::kAdded, target);
@@ -125,6 +148,7 @@
     return;
   }
   found->second.is_unreadable = true;
+  usable_.clear();
   observer_.OnTargetChange(BookChange::kUnreadable,
                            found->second.state->Record());
 }
@@ -154,7 +178,9 @@
     departed_[target] = {.incarnation = record.incarnation,
                          .has_said_so = record.is_leaving};
   }
+  numbers_.erase(NumberOf(record.Identity()));
   targets_.erase(found);
+  usable_.clear();
 }
 
 void TargetBook::Advance(MonotonicTime now) {
@@ -179,13 +205,23 @@
     }
   }
   evacuated_ = std::move(domains);
+  usable_.clear();
 }
 
 void TargetBook::SetColdTime(const ServiceName& service, Duration cold_time) {
   cold_times_[service] = cold_time;
 }
 
-std::vector<TargetState*> TargetBook::Usable(const ServiceName& service) {
+std::span<const RegionTargets> TargetBook::Usable(const ServiceName& service) {
+  const auto [found, is_new] = usable_.try_emplace(service);
+  if (is_new) {
+    found->second = GatherUsable(service);
+  }
+  return found->second;
+}
+
+std::vector<RegionTargets> TargetBook::GatherUsable(
+    const ServiceName& service) const {
   std::vector<TargetState*> usable;
   for (const auto& [id, entry] : targets_) {
     const TargetRecord& record = entry.state->Record();
@@ -197,7 +233,14 @@
       usable.push_back(entry.state.get());
     }
   }
-  return usable;
+  return GroupByRegion(usable);
+}
+
+void TargetBook::MarkReplaced(const TargetIdentity& target) {
+  if (TargetState* const state = Find(target)) {
+    state->MarkReplaced();
+    usable_.clear();
+  }
 }
 
 TargetState* TargetBook::Find(const TargetIdentity& target) {
@@ -209,6 +252,11 @@
   return found->second.state.get();
 }
 
+TargetState* TargetBook::Find(TargetNumber target) {
+  const auto found = numbers_.find(target);
+  return found == numbers_.end() ? nullptr : found->second;
+}
+
 RegionName TargetBook::RegionOf(const FailureDomainName& domain) const {
   const auto found = regions_.find(domain);
   return found == regions_.end() ? RegionName() : found->second;
--- a/lib/libmedlarcroft/source/request_path/target_state.cc
+++ b/lib/libmedlarcroft/source/request_path/target_state.cc
@@ -1,7 +1,10 @@
 #include "medlarcroft/request_path/target_state.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace medlarcroft::request_path {
 
@@ -37,13 +40,33 @@
          end == AttemptEnd::kTimedOut;
 }
 
+// The last steps of SplitMix64: each bit of the result depends on each of
+// `number`.
+std::uint64_t Mixed(std::uint64_t number) {
+  constexpr std::uint64_t kFirstFactor = 0xbf58476d1ce4e5b9U;
+  constexpr std::uint64_t kSecondFactor = 0x94d049bb133111ebU;
+  number = (number ^ (number >> 30U)) * kFirstFactor;
+  number = (number ^ (number >> 27U)) * kSecondFactor;
+  return number ^ (number >> 31U);
+}
+
 bool IsBadAnswer(AttemptEnd end) {
   return end == AttemptEnd::kTargetFailed || end == AttemptEnd::kNotRun;
 }
 
 }  // namespace
 
-void TargetState::OnSent(std::string_view object, MonotonicTime now) {
+TargetState::TargetState(TargetRecord record, RegionName region)
+    : record_(std::move(record)),
+      name_hash_(
+          XXH3_64bits(record_.id.Value().data(), record_.id.Value().size())),
+      region_(std::move(region)) {}
+
+std::uint64_t TargetState::OrderOf(ObjectKey object) const {
+  return Mixed(name_hash_ ^ Mixed(object.Value()));
+}
+
+void TargetState::OnSent(ObjectKey object, MonotonicTime now) {
   ++outstanding_;
   while (!sends_.empty() && now - sends_.front() > kColdWindow) {
     sends_.pop_front();
@@ -53,24 +76,24 @@
   NoteObject(object);
 }
 
-void TargetState::OnSentByOther(std::string_view object) {
+void TargetState::OnSentByOther(ObjectKey object) {
   has_been_used_ = true;
   NoteObject(object);
 }
 
-void TargetState::NoteObject(std::string_view object) {
-  if (object.empty()) {
+void TargetState::NoteObject(ObjectKey object) {
+  if (object.IsEmpty()) {
     return;
   }
-  const auto known = std::ranges::find(objects_, object, &HandledObject::name);
+  const auto known = std::ranges::find(objects_, object, &HandledObject::key);
   if (known != objects_.end()) {
-    objects_.splice(objects_.begin(), objects_, known);
+    std::rotate(objects_.begin(), known, known + 1);
     return;
   }
-  objects_.push_front({.name = std::string(object)});
-  if (objects_.size() > kRememberedObjects) {
+  if (objects_.size() >= kRememberedObjects) {
     objects_.pop_back();
   }
+  objects_.insert(objects_.begin(), {.key = object});
 }
 
 void TargetState::OnEnded(AttemptEnd end,
@@ -133,14 +156,14 @@
   return reported_at_ ? std::optional(now - *reported_at_) : std::nullopt;
 }
 
-bool TargetState::HasHandled(std::string_view object) const {
-  return std::ranges::find(objects_, object, &HandledObject::name) !=
+bool TargetState::HasHandled(ObjectKey object) const {
+  return std::ranges::find(objects_, object, &HandledObject::key) !=
          objects_.end();
 }
 
-bool TargetState::IsNews(std::string_view object, MonotonicTime now) {
+bool TargetState::IsNews(ObjectKey object, MonotonicTime now) {
   NoteObject(object);
-  if (object.empty() || now - objects_.front().told_at < kTellAgain) {
+  if (object.IsEmpty() || now - objects_.front().told_at < kTellAgain) {
     return false;
   }
   objects_.front().told_at = now;
--- a/lib/libmedlarcroft/source/rows/reader_choice.cc
+++ b/lib/libmedlarcroft/source/rows/reader_choice.cc
@@ -5,7 +5,11 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <iterator>
 #include <limits>
+#include <utility>
+
+#include "medlarcroft/rows/follow_pace.h"
 
 namespace medlarcroft::rows {
 
@@ -24,6 +28,48 @@
 
 }  // namespace
 
+std::vector<ReaderCandidate> CandidatesFor(const FailureDomainName& domain,
+                                           std::size_t hosts_in_region,
+                                           std::vector<ReaderCandidate> live) {
+  if (hosts_in_region > kMostHostsOfAReader) {
+    std::erase_if(live, [&domain](const ReaderCandidate& candidate) {
+      return candidate.failure_domain != domain;
+    });
+  }
+  return live;
+}
+
+std::vector<ReaderCandidate> ReadersOfAll(
+    std::string_view table,
+    std::span<const ReaderCandidate> candidates,
+    const std::map<FailureDomainName, RegionName>& regions) {
+  std::map<RegionName, std::vector<ReaderCandidate>> by_region;
+  std::map<FailureDomainName, RegionName> domains;
+  for (const ReaderCandidate& candidate : candidates) {
+    const auto region = regions.find(candidate.failure_domain);
+    if (region != regions.end()) {
+      by_region[region->second].push_back(candidate);
+      domains.insert(*region);
+    }
+  }
+  std::vector<ReaderCandidate> readers;
+  for (const auto& [domain, region] : domains) {
+    const std::vector<ReaderCandidate>& hosts = by_region[region];
+    const std::vector<ReaderCandidate> eligible =
+        CandidatesFor(domain, hosts.size(), hosts);
+    if (hosts.size() <= kHostsThatReadThemselves) {
+      std::ranges::copy_if(eligible, std::back_inserter(readers),
+                           [&domain = domain](const ReaderCandidate& host) {
+                             return host.failure_domain == domain;
+                           });
+    } else if (const ReaderCandidate* const reader =
+                   ChooseReader(table, eligible)) {
+      readers.push_back(*reader);
+    }
+  }
+  return readers;
+}
+
 const ReaderCandidate* ChooseReader(
     std::string_view table,
     std::span<const ReaderCandidate> candidates) {
@@ -31,7 +77,8 @@
   double least = std::numeric_limits<double>::infinity();
   for (const ReaderCandidate& candidate : candidates) {
     const double link = std::max(candidate.link_mbps, kLeastLink);
-    const double cost = -std::log(UnitOf(table, candidate.host)) / link;
+    const double cost =
+        -std::log(UnitOf(table, candidate.host)) / (link * link);
     if (cost < least) {
       least = cost;
       chosen = &candidate;
--- a/lib/libmedlarcroft/source/rows/table_follower.cc
+++ b/lib/libmedlarcroft/source/rows/table_follower.cc
@@ -7,11 +7,7 @@
 
 namespace {
 
-// Between calls that fail: quick enough for news to be in force a second after
-// the store is back, slow enough for it to come back under all its readers.
-constexpr Duration kFirstPause = std::chrono::milliseconds(150);
-constexpr Duration kLongestPause = std::chrono::milliseconds(900);
-constexpr std::uint32_t kMaxDoublings = 4;
+constexpr std::uint32_t kMaxDoublings = 5;
 // After a reader failed: long enough for a paused one to be taken for dead.
 constexpr Duration kDirectTime = std::chrono::seconds(3);
 // For a call that only asks what there is; 0 is not told from no wait given.
@@ -35,7 +31,7 @@
 
 bool TableFollower::IsOverdue() const {
   const auto age = Age();
-  return !age || *age >= options_.pace.wait + kFreshMargin;
+  return !age || *age >= FreshFor(options_.pace);
 }
 
 // Hosts that start in a large region hear the table from its reader, so that a
@@ -140,7 +136,7 @@
   OnAnswer(changes.told_at);
   // The answer was held up, and another host has told newer rows meanwhile.
   if (changes.newest_version < version_) {
-    After(kFirstPause, &TableFollower::Follow);
+    After(options_.pace.first_pause, &TableFollower::Follow);
     return;
   }
   version_ = changes.newest_version;
@@ -170,6 +166,18 @@
   is_catching_up_ = false;
 }
 
+Duration TableFollower::PauseAfterFailure(std::uint32_t failures_before) const {
+  const FollowPace& pace = options_.pace;
+  const bool is_followed =
+      told_others_at_ && parts_.timers.Now() - *told_others_at_ < kDirectTime;
+  const Duration first =
+      is_followed ? pace.first_pause : pace.first_pause_of_followers;
+  const Duration longest =
+      is_followed ? pace.longest_pause : pace.longest_pause_of_followers;
+  const std::uint32_t doublings = std::min(failures_before, kMaxDoublings);
+  return std::min(first * (1U << doublings), longest);
+}
+
 void TableFollower::OnFailure(RowFailure failure) {
   const MonotonicTime now = parts_.timers.Now();
   is_catching_up_ = false;
@@ -184,9 +192,7 @@
       AskPeer();
     }
   }
-  const std::uint32_t doublings = std::min(failures_++, kMaxDoublings);
-  const Duration pause =
-      std::min(kFirstPause * (1U << doublings), kLongestPause);
+  const Duration pause = PauseAfterFailure(failures_++);
   // Readers that lost the store together must not come back together.
   const Duration jittered =
       FromSeconds(ToSeconds(pause) * (0.75 + 0.5 * parts_.random.NextUnit()));
@@ -267,13 +273,7 @@
 void TableFollower::OnReaderRows(const Result<RowBatch, RowFailure>& result) {
   reader_call_.reset();
   if (!IsOk(result)) {
-    direct_until_ = parts_.timers.Now() + kDirectTime;
-    parts_.listener.OnReaderLost(ErrorOf(result), version_);
-    if (has_table_) {
-      Follow();
-    } else {
-      ReadTable();
-    }
+    OnReaderLost(ErrorOf(result));
     return;
   }
   if (TakePeerRows(ValueOf(result))) {
@@ -284,8 +284,24 @@
   After(kPeerPause, &TableFollower::Follow);
 }
 
+void TableFollower::OnReaderLost(RowFailure failure) {
+  parts_.listener.OnReaderLost(failure, version_);
+  // One that answers is asked again after the next call: were it left alone, a
+  // trouble of the store that all meet would be met by each of them for
+  // seconds.
+  if (failure != RowFailure::kRefused) {
+    direct_until_ = parts_.timers.Now() + kDirectTime;
+  }
+  if (has_table_) {
+    FollowStore(options_.pace.wait);
+  } else {
+    ReadTable();
+  }
+}
+
 FreshTable TableFollower::TellOthers() {
-  direct_until_ = parts_.timers.Now() + kDirectTime;
+  told_others_at_ = parts_.timers.Now();
+  direct_until_ = *told_others_at_ + kDirectTime;
   if (reader_call_) {
     // Hosts that come and go change who reads: the others must not wait until
     // this one's own call to the reader before has ended.
@@ -304,7 +320,7 @@
     return {};
   }
   const Duration left =
-      *read_at_ + options_.pace.wait + kFreshMargin - parts_.timers.Now();
+      *read_at_ + FreshFor(options_.pace) - parts_.timers.Now();
   return left > Duration(0) ? FreshTable{.mirror = &mirror_, .fresh_for = left}
                             : FreshTable{};
 }
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -26,9 +26,10 @@
 constexpr Duration kAnnounceTime = std::chrono::milliseconds(2800);
 // Before the end of the stop's time limit, to leave in order.
 constexpr Duration kStopReserve = std::chrono::milliseconds(350);
-// A host that starts looks so long for hosts that read for its region; a start
-// of all at once, when there are none yet, is held up by no more.
-constexpr Duration kReaderSearch = std::chrono::milliseconds(400);
+// A host that starts looks so long for hosts that read for its region. Load: a
+// start of all at once, when hundreds of rows are written one after the other;
+// each host that does not find a reader reads all tables from the store.
+constexpr Duration kReaderSearch = std::chrono::milliseconds(1200);
 constexpr Duration kReaderSearchStep = std::chrono::milliseconds(20);
 // Part of the memory that callers' bodies may take.
 constexpr std::size_t kBodyMemoryPart = 16;
@@ -101,24 +102,25 @@
               random_,
               spans_.Exporter(),
               settings_.telemetry.trace_sampling),
-      runner_({.loop = loop,
-               .caller = caller_,
-               .path = path_,
-               .codec = codec_,
-               .telemetry = telemetry_,
-               .tracer = tracer_,
-               .on_placed =
-                   [this](const request_path::TargetIdentity& target,
-                          const std::string& object) {
-                     peers_.TellPlaced({.target = target, .object = object});
-                   },
-               .on_report =
-                   [this](const request_path::TargetIdentity& target,
-                          const request_path::LoadReport& report) {
-                     peers_.TellLoad(
-                         {.target = target,
-                          .requests = report.running + report.waiting});
-                   }}),
+      runner_(
+          {.loop = loop,
+           .caller = caller_,
+           .path = path_,
+           .codec = codec_,
+           .telemetry = telemetry_,
+           .tracer = tracer_,
+           .on_placed =
+               [this](const request_path::TargetIdentity& target,
+                      const std::string& object) {
+                 peers_.TellPlaced({.target = request_path::NumberOf(target),
+                                    .object = request_path::ObjectKey(object)});
+               },
+           .on_report =
+               [this](const request_path::TargetIdentity& target,
+                      const request_path::LoadReport& report) {
+                 peers_.TellLoad({.target = request_path::NumberOf(target),
+                                  .requests = report.running + report.waiting});
+               }}),
       store_(loop, {.address = settings.store_address}, metrics_),
       peers_(settings_,
              {.loop = loop,
@@ -126,13 +128,12 @@
               .random = random_,
               .regions = regions_,
               .on_placed =
-                  [this](const adapters::PlacedObject& placed) {
+                  [this](const news::PlacedObject& placed) {
                     path_.OnPlacedByOther(placed.target, placed.object);
                   },
               .on_load =
-                  [this](const adapters::ToldLoad& load) {
-                    path_.OnReport(load.target, {.running = load.requests},
-                                   loop_.Now());
+                  [this](const news::ToldLoad& load) {
+                    path_.OnToldLoad(load.target, load.requests, loop_.Now());
                   }}),
       operator_news_(loop, routes_, targets_, [this] { ApplyCallerLimits(); }),
       target_news_(loop, targets_),
@@ -148,7 +149,9 @@
                     WatchOptions(platform::kTargetTableName)),
       readiness_page_([this] { return IsReady(); }),
       lookup_page_(
-          [this](const RegionName&) { return peers_.CallableAddresses(); },
+          [this](const FailureDomainName& domain) {
+            return peers_.CallableAddresses(domain);
+          },
           std::min(kLookupTimeToLive, settings.bounds.lookup_time_to_live)),
       metrics_page_(metrics_),
       teller_(loop,
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -5,7 +5,8 @@
 #include <utility>
 
 #include "adapters/process/log.h"
-#include "medlarcroft/membership/news_pace.h"
+#include "medlarcroft/membership/lookup_answer.h"
+#include "medlarcroft/news/news_pace.h"
 #include "platform/host_entry.h"
 #include "platform/mirror_page.h"
 
@@ -16,22 +17,19 @@
 using adapters::Log;
 using adapters::LogLevel;
 using membership::HostPhase;
-using membership::Liveness;
-
-constexpr Duration kBeatPeriod = std::chrono::milliseconds(800);
-// Three beats: one lost datagram must not take a host out of look-ups, and a
-// dead one must be out well before callers have tried it often.
-constexpr Duration kUnheardLimit = std::chrono::milliseconds(2600);
-// One beat in so many tells the whole state, for hosts that have just started;
-// the others are signs of life, a third of its bytes.
+
+// One beat in so many tells the whole state, for hosts that missed it; the
+// others are signs of life, a third of its bytes.
 constexpr std::uint32_t kWholeStateEvery = 3;
+// Where each beat that tells it takes a datagram for each of many hosts.
+constexpr std::uint32_t kWholeStateEveryRelayed = 10;
 // The table's own limits are not used; they only must not be shorter.
 constexpr Duration kTableLimit = std::chrono::seconds(20);
 constexpr Duration kWriteAgain = std::chrono::milliseconds(700);
-// A host that starts tells its whole state each time that it hears of others.
-constexpr Duration kIntroductionTime = std::chrono::seconds(3);
 // The own row's news takes so long to come back from the store.
 constexpr Duration kRowSettles = std::chrono::seconds(5);
+constexpr Duration kHostsMeet = std::chrono::seconds(3);
+constexpr Duration kHoldWhileHostsMeet = std::chrono::milliseconds(800);
 // A row without a living host is taken away after this; until then the host
 // counts among those that share what is bounded for all.
 constexpr Duration kLostAfter = std::chrono::seconds(40);
@@ -47,13 +45,21 @@
   return self;
 }
 
+// A host that starts knows of no reader yet. Were its first call held as long
+// as later ones, it would miss the rows of all that start with it.
+rows::FollowPace PaceWhileHostsMeet() {
+  rows::FollowPace pace = rows::kPaceOfHostList;
+  pace.wait = kHoldWhileHostsMeet;
+  return pace;
+}
+
 }  // namespace
 
 PeerGroup::PeerGroup(const adapters::NodeSettings& settings, const Parts& parts)
     : LoggedTable("hosts"),
       settings_(settings),
       parts_(parts),
-      table_({.suspect_after = kUnheardLimit,
+      table_({.suspect_after = news::kUnheardLimit,
               .dead_after = kTableLimit,
               .unknown_after = kTableLimit,
               .forget_after = kLostAfter},
@@ -65,7 +71,7 @@
               .random = parts.random,
               .listener = *this},
              {.table = std::string(platform::kHostTable),
-              .pace = rows::kPaceOfHostList,
+              .pace = PaceWhileHostsMeet(),
               .ask_reader = [this](const rows::PeerQuestion& question,
                                    rows::RowsCallback callback) {
                 return AskReader(question, std::move(callback));
@@ -74,14 +80,22 @@
 bool PeerGroup::Start() {
   auto channel = adapters::PeerChannel::Open(
       parts_.loop, settings_.peer_listen,
-      [this](const adapters::PeerNews& news) { OnNews(news); });
+      [this](const news::PeerNews& news) { OnNews(news); });
   if (!IsOk(channel)) {
     return false;
   }
   channel_ = TakeValue(std::move(channel));
+  news_.emplace(news::RegionNews::Options{.host = HostName(settings_.host),
+                                          .failure_domain = FailureDomainName(
+                                              settings_.failure_domain),
+                                          .link_mbps = settings_.link_mbps},
+                parts_.loop, *channel_);
+  news_->Start();
   started_at_ = parts_.loop.Now();
   watch_.Start();
-  parts_.loop.Every(kBeatPeriod, [this] { SendBeats(); });
+  parts_.loop.Every(news::kBeatPeriod, [this] { SendBeats(); });
+  parts_.loop.After(kHostsMeet,
+                    [this] { watch_.SetPace(rows::kPaceOfHostList); });
   parts_.loop.Every(kLostAfter, [this] {
     RemoveLostHosts();
     KeepOwnRow();
@@ -94,107 +108,162 @@
     return;
   }
   table_.UpdateSelf([&](membership::HostState& self) { self.phase = phase; });
-  SendState();
+  news_->TellState(table_.Self());
+}
+
+bool PeerGroup::IsLive(const membership::HeardHost& host) const {
+  return host.age < news::kUnheardLimit && !host.is_leaving &&
+         host.state.phase != HostPhase::kLeaving &&
+         IsInOwnRegion(host.state.failure_domain);
 }
 
-std::vector<std::string> PeerGroup::CallableAddresses() const {
-  std::vector<std::string> addresses;
+std::vector<std::string> PeerGroup::CallableAddresses(
+    const FailureDomainName& domain) const {
+  std::vector<membership::CallableHost> callable;
+  const auto add = [&](const membership::HostState& state) {
+    const auto entry = entries_.find(state.host);
+    callable.push_back(
+        {.address = state.entry_address,
+         .failure_domain = state.failure_domain,
+         .link_mbps = entry == entries_.end() ? 0 : entry->second.link_mbps});
+  };
   if (table_.Self().phase == HostPhase::kReady) {
-    addresses.push_back(settings_.caller_listen);
+    add(table_.Self());
   }
-  for (const membership::Member& member : table_.Members()) {
-    const bool is_callable = member.state.phase == HostPhase::kReady &&
-                             IsHeard(member) &&
-                             member.liveness != Liveness::kLeaving &&
-                             IsInOwnRegion(member.state.failure_domain);
-    if (is_callable) {
-      addresses.push_back(member.state.entry_address);
+  table_.VisitHeard([&](const membership::HeardHost& host) {
+    if (IsLive(host) && host.state.phase == HostPhase::kReady) {
+      add(host.state);
     }
-  }
-  return addresses;
+  });
+  return membership::ChooseNamedHosts(callable, domain, parts_.random);
 }
 
-rows::ReaderCandidate PeerGroup::CandidateOf(const HostName& host,
+rows::ReaderCandidate PeerGroup::CandidateOf(const membership::HostState& state,
                                              const std::string& address) const {
-  const auto entry = entries_.find(host);
-  return {.host = host,
+  const auto entry = entries_.find(state.host);
+  return {.host = state.host,
           .address = address,
+          .failure_domain = state.failure_domain,
           .link_mbps = entry == entries_.end() ? 0 : entry->second.link_mbps};
 }
 
 std::vector<rows::ReaderCandidate> PeerGroup::LiveHosts() const {
   std::vector<rows::ReaderCandidate> live = {
-      CandidateOf(table_.Self().host, settings_.peer_listen)};
-  for (const membership::Member& member : table_.Members()) {
-    const membership::HostState& state = member.state;
-    // One that is only listed has no incarnation.
-    const bool is_live = state.number.incarnation > 0 && IsHeard(member) &&
-                         state.phase != HostPhase::kLeaving &&
-                         !state.peer_address.empty() &&
-                         IsInOwnRegion(state.failure_domain);
-    if (is_live) {
-      live.push_back(CandidateOf(state.host, state.peer_address));
+      CandidateOf(table_.Self(), settings_.peer_listen)};
+  table_.VisitHeard([&](const membership::HeardHost& host) {
+    if (IsLive(host) && !host.state.peer_address.empty()) {
+      live.push_back(CandidateOf(host.state, host.state.peer_address));
     }
-  }
+  });
   return live;
 }
 
+std::vector<rows::ReaderCandidate> PeerGroup::LiveReaders() const {
+  return rows::CandidatesFor(FailureDomainName(settings_.failure_domain),
+                             HostsInRegion(), LiveHosts());
+}
+
 std::size_t PeerGroup::HostsInRegion() const {
-  return RegionPeers().size() + 1;
+  return news_->Peers().size() + 1;
 }
 
 bool PeerGroup::IsLargeRegion() const {
   return HostsInRegion() > rows::kHostsThatReadThemselves;
 }
 
+// Where all hosts start together a large region looks small at first: few have
+// written their row. The own one comes after most others.
 bool PeerGroup::HasFoundReaders() const {
-  return watch_.HasTable() &&
-         (!IsLargeRegion() ||
-          LiveHosts().size() > rows::kHostsThatReadThemselves);
+  if (!watch_.HasTable()) {
+    return false;
+  }
+  return IsLargeRegion() ? LiveReaders().size() > rows::kHostsThatReadThemselves
+                         : entries_.contains(HostName(settings_.host));
 }
 
 bool PeerGroup::AskReader(const rows::PeerQuestion& question,
                           rows::RowsCallback callback) {
-  const std::vector<rows::ReaderCandidate> live = LiveHosts();
+  return AskReaderOf(
+      question, rows::OtherReadersAsked(settings_.bounds.target_left_within),
+      std::move(callback));
+}
+
+bool PeerGroup::AskReaderOf(const rows::PeerQuestion& question,
+                            int others_left,
+                            rows::RowsCallback callback) {
+  std::vector<rows::ReaderCandidate> live = LiveReaders();
   if (live.size() <= rows::kHostsThatReadThemselves) {
     return false;
   }
+  refused_.LeaveOut(live, parts_.loop.Now());
   const rows::ReaderCandidate* const reader =
       rows::ChooseReader(question.table, live);
   if (reader == nullptr || reader->host == table_.Self().host) {
     return false;
   }
-  platform::AskPeer(caller_, reader->address, question, std::move(callback));
+  AskNoting(*reader, question,
+            [this, question, others_left, callback = std::move(callback)](
+                Result<rows::RowBatch, rows::RowFailure> answer) {
+              const bool is_refused =
+                  !IsOk(answer) &&
+                  ErrorOf(answer) == rows::RowFailure::kRefused;
+              const bool is_asked_again =
+                  is_refused && others_left > 0 &&
+                  AskReaderOf(question, others_left - 1, callback);
+              if (!is_asked_again) {
+                callback(std::move(answer));
+              }
+            });
   return true;
 }
 
-void PeerGroup::AskSomePeer(const rows::PeerQuestion& question,
-                            rows::RowsCallback callback) {
-  std::vector<std::string> addresses;
-  for (const rows::ReaderCandidate& peer : LiveHosts()) {
-    if (peer.host.Value() != settings_.host) {
-      addresses.push_back(peer.address);
-    }
-  }
+std::vector<rows::ReaderCandidate> PeerGroup::PeersToAsk() const {
+  std::vector<rows::ReaderCandidate> candidates = LiveHosts();
   // A store that turns away a whole region may serve another one.
-  std::vector<std::string> elsewhere;
   for (const auto& [name, entry] : entries_) {
     if (!IsInOwnRegion(entry.host.failure_domain)) {
-      elsewhere.push_back(entry.host.address);
+      candidates.push_back({.host = name,
+                            .address = entry.host.address,
+                            .failure_domain = entry.host.failure_domain,
+                            .link_mbps = entry.link_mbps});
     }
   }
-  if (!elsewhere.empty()) {
-    addresses.push_back(elsewhere[parts_.random.NextBelow(elsewhere.size())]);
-  }
-  if (addresses.empty()) {
+  std::erase_if(candidates, [this](const rows::ReaderCandidate& candidate) {
+    return candidate.host == table_.Self().host;
+  });
+  return candidates;
+}
+
+void PeerGroup::AskSomePeer(const rows::PeerQuestion& question,
+                            rows::RowsCallback callback) {
+  std::vector<rows::ReaderCandidate> peers =
+      rows::ReadersOfAll(question.table, PeersToAsk(), parts_.regions);
+  refused_.LeaveOut(peers, parts_.loop.Now());
+  if (peers.empty()) {
     parts_.loop.After(Duration(0), [callback = std::move(callback)] {
       callback(rows::RowFailure::kUnreachable);
     });
     return;
   }
-  platform::AskPeer(caller_,
-                    addresses[parts_.random.NextBelow(addresses.size())],
-                    question, std::move(callback));
+  const rows::ReaderCandidate& peer =
+      peers[parts_.random.NextBelow(peers.size())];
+  AskNoting(peer, question, std::move(callback));
+}
+
+void PeerGroup::AskNoting(const rows::ReaderCandidate& peer,
+                          const rows::PeerQuestion& question,
+                          rows::RowsCallback callback) {
+  platform::AskPeer(caller_, peer.address, question,
+                    [this, host = peer.host, callback = std::move(callback)](
+                        Result<rows::RowBatch, rows::RowFailure> answer) {
+                      const bool is_refused =
+                          !IsOk(answer) &&
+                          ErrorOf(answer) == rows::RowFailure::kRefused;
+                      if (is_refused) {
+                        refused_.Note(host, parts_.loop.Now());
+                      }
+                      callback(std::move(answer));
+                    });
 }
 
 std::uint32_t PeerGroup::KnownHosts() const {
@@ -227,10 +296,21 @@
 
 // The others hear at once of a host that starts, and not at its next beat that
 // tells the whole state: it is named to callers, and counts as a reader, from
-// then on.
+// then on. Whoever hears a host for the first time answers with its own state.
 void PeerGroup::Introduce() {
-  if (parts_.loop.Now() - started_at_ < kIntroductionTime) {
-    SendState();
+  std::vector<std::string> strangers;
+  for (auto& [name, entry] : entries_) {
+    const bool is_stranger = !entry.is_introduced &&
+                             name.Value() != settings_.host &&
+                             IsInOwnRegion(entry.host.failure_domain);
+    if (is_stranger) {
+      strangers.push_back(entry.host.address);
+      entry.is_introduced = true;
+    }
+  }
+  if (!strangers.empty()) {
+    channel_->Send(strangers, {.sender = membership::HashOf(table_.Self().host),
+                               .state = table_.Self()});
   }
 }
 
@@ -245,10 +325,14 @@
     OnUnreadable(row, ErrorOf(decoded));
     return;
   }
-  entries_[name] = {.host = ValueOf(decoded).host,
-                    .link_mbps = ValueOf(decoded).link_mbps,
-                    .row_version = row.version,
-                    .seen_at = parts_.loop.Now()};
+  Entry& entry = entries_[name];
+  entry = {
+      .host = ValueOf(decoded).host,
+      .link_mbps = ValueOf(decoded).link_mbps,
+      .row_version = row.version,
+      .seen_at = parts_.loop.Now(),
+      .is_introduced = entry.is_introduced &&
+                       entry.host.address == ValueOf(decoded).host.address};
 }
 
 // Failure: another writer spoils a host's row. Symptom: were it dropped, the
@@ -274,10 +358,19 @@
 
 void PeerGroup::PublishList() {
   std::vector<ports::ListedHost> hosts;
+  std::vector<news::Peer> peers;
   for (const auto& [name, entry] : entries_) {
     hosts.push_back(entry.host);
+    if (name.Value() != settings_.host &&
+        IsInOwnRegion(entry.host.failure_domain)) {
+      peers.push_back({.host = name,
+                       .address = entry.host.address,
+                       .failure_domain = entry.host.failure_domain,
+                       .link_mbps = entry.link_mbps});
+    }
   }
   table_.ApplyHostList(hosts);
+  news_->SetPeers(std::move(peers));
 }
 
 // A host that starts again finds its row and leaves it: each row that is
@@ -317,95 +410,58 @@
 
 void PeerGroup::SendBeats() {
   table_.Tick();
-  if (++beats_ % BeatSpacing() != 0) {
-    return;
-  }
   table_.UpdateSelf([](membership::HostState&) {});
   const membership::HostState& self = table_.Self();
   const auto heartbeat =
       membership::MakeHeartbeat(self.host, self.number, Duration(0));
-  const bool is_whole = beats_ / BeatSpacing() % kWholeStateEvery == 0;
-  if (is_whole || !heartbeat) {
-    SendState();
-    return;
+  const std::uint32_t whole_every =
+      news_->IsRelayed() ? kWholeStateEveryRelayed : kWholeStateEvery;
+  if (++beats_ % whole_every == 0 || !heartbeat) {
+    news_->TellState(self);
   }
-  SendToRegion({.heartbeats = {*heartbeat}});
-}
-
-void PeerGroup::SendState() {
-  SendToRegion({.state = table_.Self()});
-}
-
-std::uint32_t PeerGroup::BeatSpacing() const {
-  return membership::BeatSpacing(RegionPeers().size());
-}
-
-bool PeerGroup::IsHeard(const membership::Member& member) const {
-  return member.state.age < kUnheardLimit * BeatSpacing();
-}
-
-void PeerGroup::TellPlaced(const adapters::PlacedObject& placed) {
-  placed_.push_back(placed);
-  if (placed_.size() >= membership::kMostPlacedTogether) {
-    SendPending();
-  } else if (placed_.size() == 1) {
-    parts_.loop.After(membership::PlacedNewsDelay(RegionPeers().size()),
-                      [this] { SendPending(); });
+  if (heartbeat) {
+    news_->TellBeat(*heartbeat);
   }
 }
 
-void PeerGroup::TellLoad(const adapters::ToldLoad& load) {
-  if (RegionPeers().size() > membership::kMostPeersToldLoads) {
-    return;
-  }
-  loads_[load.target] = load.requests;
-  if (loads_.size() >= membership::kMostLoadsTogether) {
-    SendPending();
-  } else if (loads_.size() == 1) {
-    parts_.loop.After(membership::kLoadNewsDelay, [this] { SendPending(); });
-  }
+void PeerGroup::TellPlaced(const news::PlacedObject& placed) {
+  news_->TellPlaced(placed);
 }
 
-void PeerGroup::SendPending() {
-  if (placed_.empty() && loads_.empty()) {
-    return;
-  }
-  adapters::PeerNews news{.placed = std::exchange(placed_, {})};
-  for (const auto& [target, requests] : loads_) {
-    news.loads.push_back({.target = target, .requests = requests});
-  }
-  loads_.clear();
-  SendToRegion(news);
+void PeerGroup::TellLoad(const news::ToldLoad& load) {
+  news_->TellLoad(load);
 }
 
-void PeerGroup::OnNews(const adapters::PeerNews& news) {
+void PeerGroup::OnNews(const news::PeerNews& news) {
+  news_->OnNews(news);
   if (news.state) {
-    table_.Receive(*news.state);
+    OnState(*news.state);
   }
   for (const membership::Heartbeat& heartbeat : news.heartbeats) {
     table_.Receive(heartbeat);
   }
-  for (const adapters::PlacedObject& placed : news.placed) {
+  for (const news::PlacedObject& placed : news.placed) {
     parts_.on_placed(placed);
   }
-  for (const adapters::ToldLoad& load : news.loads) {
+  for (const news::ToldLoad& load : news.loads) {
     parts_.on_load(load);
   }
 }
 
-void PeerGroup::SendToRegion(const adapters::PeerNews& news) {
-  channel_->SendToAll(RegionPeers(), news);
-}
-
-std::vector<std::string> PeerGroup::RegionPeers() const {
-  std::vector<std::string> peers;
-  for (const auto& [name, entry] : entries_) {
-    if (name.Value() != settings_.host &&
-        IsInOwnRegion(entry.host.failure_domain)) {
-      peers.push_back(entry.host.address);
-    }
+// Failure: a host starts, and the next whole states of the others are seconds
+// away. Symptom: it knows of nobody that it could name to callers, or that
+// reads for it. So a process that is heard for the first time is answered.
+void PeerGroup::OnState(const membership::HostState& state) {
+  const auto known = table_.Find(state.host);
+  const bool is_first =
+      !known || known->state.number.incarnation < state.number.incarnation;
+  table_.Receive(state);
+  if (is_first && state.host != table_.Self().host &&
+      !state.peer_address.empty()) {
+    channel_->Send(std::span(&state.peer_address, 1),
+                   {.sender = membership::HashOf(table_.Self().host),
+                    .state = table_.Self()});
   }
-  return peers;
 }
 
 void PeerGroup::RemoveLostHosts() {
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -13,10 +13,11 @@
 #include "adapters/process/node_settings.h"
 #include "logged_table.h"
 #include "medlarcroft/membership/membership_table.h"
+#include "medlarcroft/news/region_news.h"
 #include "medlarcroft/ports/host_list.h"
 #include "medlarcroft/ports/random_source.h"
 #include "medlarcroft/request_path/target_book.h"
-#include "medlarcroft/rows/reader_choice.h"
+#include "medlarcroft/rows/refused_readers.h"
 #include "platform/decode_fault.h"
 #include "platform/store_client.h"
 
@@ -32,9 +33,9 @@
     ports::RandomSource& random;
     const request_path::DomainRegions& regions;
     /// Told what other hosts of the region placed.
-    std::function<void(const adapters::PlacedObject&)> on_placed;
+    std::function<void(const news::PlacedObject&)> on_placed;
     /// Told what other hosts of the region heard of targets' load.
-    std::function<void(const adapters::ToldLoad&)> on_load;
+    std::function<void(const news::ToldLoad&)> on_load;
   };
 
   PeerGroup(const adapters::NodeSettings& settings, const Parts& parts);
@@ -43,19 +44,20 @@
   bool Start();
 
   void SetPhase(membership::HostPhase phase);
-  /// @brief Tells all other hosts of the region what was placed. Telling six of
-  /// them only took the served worth of a calm day from 0.95 to 0.88 at 30
-  /// hosts a region, and saved next to no bytes.
-  void TellPlaced(const adapters::PlacedObject& placed);
-  /// @brief Tells the other hosts of a small region a target's load. Each host
-  /// hears from a target a few times a second only, and the others' work there
-  /// changes meanwhile: with this it hears as often as all of them together.
-  void TellLoad(const adapters::ToldLoad& load);
-  /// @return addresses of the ready hosts of this region, this one included.
-  [[nodiscard]] std::vector<std::string> CallableAddresses() const;
+  /// @brief Tells the other hosts of the region what was placed.
+  void TellPlaced(const news::PlacedObject& placed);
+  /// @brief Tells the other hosts of the region a target's load. Each host
+  /// hears from a target a few times a second at most, and the others' work
+  /// there changes meanwhile: with this it hears as often as all of them
+  /// together.
+  void TellLoad(const news::ToldLoad& load);
+  /// @param domain of the callers; empty: unknown.
+  /// @return addresses of ready hosts of this region, this one included.
+  [[nodiscard]] std::vector<std::string> CallableAddresses(
+      const FailureDomainName& domain) const;
   /// @return all hosts that have a row, this one included.
   [[nodiscard]] std::uint32_t KnownHosts() const;
-  /// @brief Asks some live host for rows.
+  /// @brief Asks some host that reads the store for rows.
   void AskSomePeer(const rows::PeerQuestion& question,
                    rows::RowsCallback callback);
   /// @brief Asks a host that reads the store for the region.
@@ -80,6 +82,8 @@
     double link_mbps = 0;
     std::uint64_t row_version = 0;
     MonotonicTime seen_at;
+    /// This host told it what it is.
+    bool is_introduced = false;
   };
 
   void Apply(const rows::Row& row);
@@ -89,24 +93,31 @@
   /// @brief Writes this host's row unless it stands there as it would be.
   void KeepOwnRow();
   void WriteOwnRow();
+  /// @brief Tells what this host is to those that have not heard it.
   void Introduce();
   void SendBeats();
-  void SendState();
-  /// @brief Sends what was placed and heard of loads since the last time.
-  void SendPending();
-  /// @return how many beat periods lie between this host's beats.
-  [[nodiscard]] std::uint32_t BeatSpacing() const;
-  [[nodiscard]] bool IsHeard(const membership::Member& member) const;
-  void SendToRegion(const adapters::PeerNews& news);
-  /// @return peer addresses of the region's other hosts that have a row.
-  [[nodiscard]] std::vector<std::string> RegionPeers() const;
-  void OnNews(const adapters::PeerNews& news);
+  void OnNews(const news::PeerNews& news);
+  void OnState(const membership::HostState& state);
+  /// @return whether that host of the region is alive and does not leave.
+  [[nodiscard]] bool IsLive(const membership::HeardHost& host) const;
   void RemoveLostHosts();
   /// @return the region's live hosts that do not leave, this one included.
   [[nodiscard]] std::vector<rows::ReaderCandidate> LiveHosts() const;
+  /// @return those of them that may read for this host.
+  [[nodiscard]] std::vector<rows::ReaderCandidate> LiveReaders() const;
   [[nodiscard]] rows::ReaderCandidate CandidateOf(
-      const HostName& host,
+      const membership::HostState& state,
       const std::string& address) const;
+  /// @return the live hosts of this region and the listed ones of others.
+  [[nodiscard]] std::vector<rows::ReaderCandidate> PeersToAsk() const;
+  /// @brief Asks a host; one that has nothing fresh is left out for a while.
+  void AskNoting(const rows::ReaderCandidate& peer,
+                 const rows::PeerQuestion& question,
+                 rows::RowsCallback callback);
+  /// @param others_left how many further readers may be asked.
+  bool AskReaderOf(const rows::PeerQuestion& question,
+                   int others_left,
+                   rows::RowsCallback callback);
   [[nodiscard]] bool IsInOwnRegion(const FailureDomainName& domain) const;
 
   const adapters::NodeSettings& settings_;
@@ -115,11 +126,9 @@
   adapters::HttpCaller caller_;
   std::unique_ptr<adapters::PeerChannel> channel_;
   rows::TableFollower watch_;
+  std::optional<news::RegionNews> news_;
   std::map<HostName, Entry> entries_;
-  /// What was placed and has not been told yet.
-  std::vector<adapters::PlacedObject> placed_;
-  /// The latest that was heard of each target and has not been told yet.
-  std::map<request_path::TargetIdentity, std::uint32_t> loads_;
+  rows::RefusedReaders refused_;
   std::uint32_t beats_ = 0;
   MonotonicTime started_at_{};
   bool is_writing_ = false;
--- a/tests/days/write_sites.py
+++ b/tests/days/write_sites.py
@@ -4,8 +4,9 @@
   small    4 hosts in 2 zones of one region
   wide     24 hosts in 8 zones of four regions
   uneven   one region has most targets, another has none
+  third    a third of everything in a site of 60 hosts or more, with all its days and their faults
 
-Services, kinds of requests, bounds and prices stay those of the site file, and its days are left out but for the
+Services, kinds of requests, bounds and prices stay those of the site file. In the first three its days are left out but for the
 first quiet and the first busy one, without their faults; the users' bench draws days for them. The wire's words are
 read from the file beside the site file, which is linked into the folder."""
 
@@ -69,14 +70,33 @@
     return text + "\n" + "".join(days)
 
 
+def hosts_of(site):
+    machines = re.search(r"^machines = \[\n.*?^\]\n", site, re.S | re.M).group(0)
+    return sum(int(count) for count in re.findall(r"count = (\d+)", machines))
+
+
+def thin_out(site, part):
+    def whole(match):
+        return f"{match.group(1)} = {max(1, round(int(match.group(2)) * part))}"
+
+    def rate(match):
+        return f"{match.group(1)} = {float(match.group(2)) * part:.1f}"
+    text = re.sub(r"\b(count|spare|things|clients) = ([1-9]\d*)", whole, site)
+    text = re.sub(r"\b(per_s|budget_slack) = ([0-9.]+)", rate, text)
+    return re.sub(r'^name = "(.*?)"', r'name = "\1-third"', text, count=1, flags=re.M)
+
+
 def main():
     source, folder = pathlib.Path(sys.argv[1]), pathlib.Path(sys.argv[2])
     folder.mkdir(parents=True, exist_ok=True)
     words = folder / "wire.json"
     if not words.exists():
         words.symlink_to(source.resolve().parent / "wire.json")
+    site = source.read_text()
+    if hosts_of(site) >= 60:
+        (folder / f"{source.stem}-third.toml").write_text(thin_out(site, 1 / 3))
     for shape in SHAPES:
-        (folder / f"{source.stem}-{shape}.toml").write_text(derive(source.read_text(), shape))
+        (folder / f"{source.stem}-{shape}.toml").write_text(derive(site, shape))
 
 
 if __name__ == "__main__":
--- a/tests/property/hung_store_property_test.cc
+++ b/tests/property/hung_store_property_test.cc
@@ -38,6 +38,11 @@
                     ScheduleOptions{.hosts = 12,
                                     .known_within = seconds(2),
                                     .in_touch_after = seconds(3),
+                                    .has_hangs = true},
+                    // One domain of a region of hundreds.
+                    ScheduleOptions{.hosts = 33,
+                                    .known_within = seconds(4),
+                                    .in_touch_after = seconds(5),
                                     .has_hangs = true}),
     [](const auto& info) {
       return "of_" + std::to_string(info.param.hosts) + "_in_touch_after_" +
--- a/tests/property/table_following_schedule.h
+++ b/tests/property/table_following_schedule.h
@@ -47,7 +47,8 @@
                 options.hosts,
                 PaceOf(static_cast<std::size_t>(options.hosts),
                        options.in_touch_after),
-                seed + 2) {
+                seed + 2,
+                OtherReadersAsked(options.known_within)) {
     troubled_until_.resize(static_cast<std::size_t>(options.hosts),
                            time_.Now());
     const MonotonicTime end = time_.Now() + kTroubles;
--- a/tests/property/table_following_world.h
+++ b/tests/property/table_following_world.h
@@ -11,7 +11,7 @@
 
 #include "fakes/seeded_random.h"
 #include "fakes/virtual_time.h"
-#include "medlarcroft/rows/reader_choice.h"
+#include "medlarcroft/rows/refused_readers.h"
 #include "medlarcroft/rows/table_follower.h"
 #include "model_store.h"
 
@@ -68,8 +68,13 @@
          ModelNetwork& network,
          int hosts,
          const FollowPace& pace,
-         std::uint64_t seed)
-      : time_(time), network_(network), pace_(pace), random_(seed) {
+         std::uint64_t seed,
+         int other_readers_asked = 0)
+      : time_(time),
+        network_(network),
+        pace_(pace),
+        other_readers_asked_(other_readers_asked),
+        random_(seed) {
     hosts_.resize(static_cast<std::size_t>(hosts));
     for (int host = 0; host < hosts; ++host) {
       Start(host);
@@ -119,6 +124,7 @@
     std::unique_ptr<TableFollower> follower;
     std::unique_ptr<TableTeller> teller;
     std::optional<MonotonicTime> silent_since;
+    RefusedReaders refused;
   };
 
   // As medlar-node has it, see programs/node/peer_group.cc.
@@ -138,7 +144,8 @@
             },
         .ask_reader =
             [this, host](const PeerQuestion& question, RowsCallback callback) {
-              return AskReader(host, question, std::move(callback));
+              return AskReader(host, question, other_readers_asked_,
+                               std::move(callback));
             }};
   }
 
@@ -166,6 +173,7 @@
 
   bool AskReader(int host,
                  const PeerQuestion& question,
+                 int others_left,
                  RowsCallback callback) {
     std::vector<ReaderCandidate> live;
     for (int other = 0; other < Size(); ++other) {
@@ -178,11 +186,29 @@
     if (live.size() <= kHostsThatReadThemselves) {
       return false;
     }
-    const int reader = std::stoi(ChooseReader(question.table, live)->address);
-    if (reader == host) {
+    Life& life = *hosts_[static_cast<std::size_t>(host)];
+    life.refused.LeaveOut(live, time_.Now());
+    const ReaderCandidate* const chosen = ChooseReader(question.table, live);
+    if (chosen == nullptr || std::stoi(chosen->address) == host) {
       return false;
     }
-    Ask(host, reader, question, std::move(callback));
+    Ask(host, std::stoi(chosen->address), question,
+        [this, host, question, others_left, name = chosen->host,
+         callback =
+             std::move(callback)](const Result<RowBatch, RowFailure>& answer) {
+          const bool is_refused =
+              !IsOk(answer) && ErrorOf(answer) == RowFailure::kRefused;
+          if (is_refused && IsAlive(host)) {
+            hosts_[static_cast<std::size_t>(host)]->refused.Note(name,
+                                                                 time_.Now());
+          }
+          const bool is_asked_again =
+              is_refused && others_left > 0 && IsAlive(host) &&
+              AskReader(host, question, others_left - 1, callback);
+          if (!is_asked_again) {
+            callback(answer);
+          }
+        });
     return true;
   }
 
@@ -203,6 +229,7 @@
   VirtualTime& time_;
   ModelNetwork& network_;
   FollowPace pace_;
+  int other_readers_asked_;
   fakes::SeededRandom random_;
   std::vector<std::unique_ptr<Life>> hosts_;
 };
--- a/tests/property/target_restart_property_test.cc
+++ b/tests/property/target_restart_property_test.cc
@@ -59,8 +59,8 @@
   return random.NextBelow(2) == 0;
 }
 
-std::string ObjectOf(TargetIncarnation incarnation) {
-  return "object-" + std::to_string(incarnation);
+ObjectKey ObjectOf(TargetIncarnation incarnation) {
+  return ObjectKey("object-" + std::to_string(incarnation));
 }
 
 void Hear(TargetBook& book, const News& news) {
--- a/tests/unit/adapters/peer/peer_channel_test.cc
+++ b/tests/unit/adapters/peer/peer_channel_test.cc
@@ -16,13 +16,17 @@
   return state;
 }
 
+using news::NewsWay;
+using news::PeerNews;
+
 PeerNews MakeNews() {
   return {
+      .way = NewsWay::kExchange,
+      .sender = 0xF0000001U,
       .state = MakeState(),
-      .placed = {{.target = {TargetName("t1"), 1'760'000'000'123},
-                  .object = "17"}},
-      .loads = {{.target = {TargetName("t2"), 1'760'000'000'456},
-                 .requests = 12}},
+      .placed = {{.target = request_path::TargetNumber{0xF0000002U},
+                  .object = request_path::ObjectKey("17")}},
+      .loads = {{.target = request_path::TargetNumber{3}, .requests = 12}},
       .heartbeats = {{.host_hash = 3, .incarnation_hash = 5, .sequence = 7}}};
 }
 
@@ -35,12 +39,10 @@
   EXPECT_EQ(decoded->state->entry_address, "127.0.0.1:80");
   EXPECT_TRUE(decoded->state->loads.empty());
   EXPECT_EQ(decoded->heartbeats, MakeNews().heartbeats);
-  ASSERT_EQ(decoded->placed.size(), 1U);
-  EXPECT_EQ(decoded->placed[0].target, MakeNews().placed[0].target);
-  EXPECT_EQ(decoded->placed[0].object, "17");
-  ASSERT_EQ(decoded->loads.size(), 1U);
-  EXPECT_EQ(decoded->loads[0].target, MakeNews().loads[0].target);
-  EXPECT_EQ(decoded->loads[0].requests, 12U);
+  EXPECT_EQ(decoded->way, NewsWay::kExchange);
+  EXPECT_EQ(decoded->sender, MakeNews().sender);
+  EXPECT_EQ(decoded->placed, MakeNews().placed);
+  EXPECT_EQ(decoded->loads, MakeNews().loads);
 }
 
 TEST(PeerNewsTest, EitherPartMayBeMissing) {
--- a/tests/unit/dist/deploy_template_test.cc
+++ b/tests/unit/dist/deploy_template_test.cc
@@ -24,7 +24,7 @@
       {R"(\{\{@\}\})", "zone-a"},
       {R"(\{\{\.\}\})", "region-a"},
       {R"(\{\{(listen\.\w+|platform\.address)\|json\}\})", "\"127.0.0.1:80\""},
-      {R"(\{\{bounds\.(budget_window|grace|ttl_max|stable_window)\|json\}\})",
+      {R"(\{\{bounds\.(budget_window|grace|ttl_max|stable_window|drain)\|json\}\})",
        "\"5s\""},
       {R"(\{\{\w+\|json\}\})", "\"name\""},
       {R"(\{\{ip\}\})", "127.0.0.1"},
@@ -45,6 +45,7 @@
   EXPECT_EQ(ValueOf(parsed).link_mbps, 10.5);
   EXPECT_EQ(ValueOf(parsed).bounds.stop_limit, std::chrono::seconds(5));
   EXPECT_EQ(ValueOf(parsed).bounds.in_touch_after, std::chrono::seconds(5));
+  EXPECT_EQ(ValueOf(parsed).bounds.target_left_within, std::chrono::seconds(5));
   ASSERT_EQ(ValueOf(parsed).domains.size(), 1U);
   EXPECT_EQ(ValueOf(parsed).domains[0].region, "region-a");
 }
--- /dev/null
+++ b/tests/unit/news/news_pace_test.cc
@@ -0,0 +1,47 @@
+#include "medlarcroft/news/news_pace.h"
+
+#include <gtest/gtest.h>
+
+#include "medlarcroft/news/peer_news.h"
+
+namespace medlarcroft::news {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct PaceCase {
+  std::size_t peers;
+  bool is_told_directly;
+  Duration news_delay;
+};
+
+class NewsPaceTable : public testing::TestWithParam<PaceCase> {};
+
+// Alone a host tells nobody and waits for nothing; in the largest region news
+// still comes while an object's first work is under way.
+TEST_P(NewsPaceTable, GrowsSlowerThanTheRegion) {
+  EXPECT_EQ(IsToldDirectly(GetParam().peers), GetParam().is_told_directly);
+  EXPECT_EQ(PlacedNewsDelay(GetParam().peers), GetParam().news_delay);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         NewsPaceTable,
+                         testing::Values(PaceCase{0, true, milliseconds(0)},
+                                         PaceCase{3, true, milliseconds(6)},
+                                         PaceCase{12, true, milliseconds(24)},
+                                         PaceCase{29, false, milliseconds(58)},
+                                         PaceCase{879, false,
+                                                  milliseconds(200)}));
+
+// What a host hears from relays stays within what its control may take,
+// whatever the region's size.
+TEST(NewsPaceTest, DigestsFitTheBytesOfControl) {
+  constexpr double kControlBytesPerSecond = 7000;
+  constexpr std::size_t kEnvelope = 60;
+  const double each_second = static_cast<double>(kMostDigestBytes + kEnvelope) /
+                             ToSeconds(kDigestPeriod);
+  EXPECT_LT(each_second, kControlBytesPerSecond);
+}
+
+}  // namespace
+}  // namespace medlarcroft::news
--- a/tests/unit/node/peer_group_test.cc
+++ b/tests/unit/node/peer_group_test.cc
@@ -3,15 +3,17 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <vector>
 
 #include "adapters/process/system_clock.h"
 #include "fakes/fake_store_server.h"
 #include "fakes/seeded_random.h"
-#include "medlarcroft/membership/news_pace.h"
+#include "medlarcroft/news/news_pace.h"
 #include "platform/host_entry.h"
 
 namespace medlarcroft::node {
@@ -20,6 +22,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr request_path::TargetNumber kTarget{7};
+const request_path::ObjectKey kObject("o");
+
 std::string RowOf(const std::string& host,
                   const std::string& domain,
                   const std::string& address) {
@@ -35,8 +40,8 @@
   struct Host {
     adapters::NodeSettings settings;
     std::unique_ptr<PeerGroup> group;
-    std::vector<std::string> placed;   ///< Objects that others placed.
-    std::vector<std::uint32_t> loads;  ///< Told by others.
+    std::vector<std::uint32_t> placed;  ///< Objects that others placed.
+    std::vector<std::uint32_t> loads;   ///< Told by others.
   };
 
   /// Tests run beside each other, each in a process of its own.
@@ -62,11 +67,11 @@
             .random = random_,
             .regions = regions_,
             .on_placed =
-                [heard = host.get()](const adapters::PlacedObject& placed) {
-                  heard->placed.push_back(placed.object);
+                [heard = host.get()](const news::PlacedObject& placed) {
+                  heard->placed.push_back(placed.object.Value());
                 },
             .on_load =
-                [heard = host.get()](const adapters::ToldLoad& load) {
+                [heard = host.get()](const news::ToldLoad& load) {
                   heard->loads.push_back(load.requests);
                 }});
     EXPECT_TRUE(host->group->Start());
@@ -138,18 +143,16 @@
   for (int number = 1; number <= 3; ++number) {
     Add(number);
   }
-  std::vector<std::string> expected;
-  expected.reserve(kObjects);
-  for (std::size_t object = 0; object < kObjects; ++object) {
-    expected.push_back("o" + std::to_string(object));
-  }
+  std::vector<std::uint32_t> expected(kObjects);
+  std::iota(expected.begin(), expected.end(), 1);
   bool is_told = false;
   loop_.Every(milliseconds(10), [&] {
     if (!is_told && hosts_[0]->group->HostsInRegion() == 3) {
       is_told = true;
-      for (const std::string& object : expected) {
+      for (const std::uint32_t object : expected) {
         hosts_[0]->group->TellPlaced(
-            {.target = {TargetName("t")}, .object = object});
+            {.target = kTarget,
+             .object = request_path::ObjectKey::FromValue(object)});
       }
     }
     const bool is_heard = hosts_[1]->placed.size() >= kObjects &&
@@ -195,8 +198,7 @@
     if (!is_told && hosts_[0]->group->HostsInRegion() == 3) {
       is_told = true;
       for (const std::uint32_t requests : {3U, 5U, 9U}) {
-        hosts_[0]->group->TellLoad(
-            {.target = {TargetName("t")}, .requests = requests});
+        hosts_[0]->group->TellLoad({.target = kTarget, .requests = requests});
       }
     }
     if (!hosts_[1]->loads.empty() && !hosts_[2]->loads.empty()) {
@@ -210,10 +212,10 @@
   EXPECT_EQ(hosts_[2]->loads, std::vector{9U});
 }
 
-// In a large region the same news from each to each would take the bytes that
-// control may take: hosts go by what they hear themselves.
-TEST_F(PeerGroupTest, LoadsAreNotToldInALargeRegion) {
-  constexpr std::size_t kHosts = membership::kMostPeersToldLoads + 2;
+// A region that is too large for each to tell each: by relays every host hears
+// of a target's load and of an object all the same.
+TEST_F(PeerGroupTest, HostsOfALargeRegionHearByRelays) {
+  constexpr std::size_t kHosts = news::kMostPeersToldDirectly + 2;
   for (std::size_t number = 1; number <= kHosts; ++number) {
     Add(static_cast<int>(number));
   }
@@ -221,18 +223,25 @@
   loop_.Every(milliseconds(10), [&] {
     if (!is_told && hosts_[0]->group->HostsInRegion() == kHosts) {
       is_told = true;
-      hosts_[0]->group->TellLoad({.target = {TargetName("t")}, .requests = 3});
-      hosts_[0]->group->TellPlaced(
-          {.target = {TargetName("t")}, .object = "o"});
+      hosts_[0]->group->TellLoad({.target = kTarget, .requests = 3});
+      hosts_[0]->group->TellPlaced({.target = kTarget, .object = kObject});
     }
-    if (!hosts_[1]->placed.empty()) {
+    const bool is_heard =
+        std::all_of(hosts_.begin() + 1, hosts_.end(), [](const auto& host) {
+          return !host->placed.empty() && !host->loads.empty();
+        });
+    if (is_heard) {
       loop_.Finish(0);
     }
   });
   RunFor(seconds(20));
 
-  EXPECT_EQ(hosts_[1]->placed, std::vector<std::string>{"o"});
-  EXPECT_TRUE(hosts_[1]->loads.empty());
+  for (std::size_t place = 1; place < kHosts; ++place) {
+    ASSERT_FALSE(hosts_[place]->placed.empty()) << place;
+    EXPECT_EQ(hosts_[place]->placed.front(), kObject.Value());
+    ASSERT_FALSE(hosts_[place]->loads.empty()) << place;
+    EXPECT_EQ(hosts_[place]->loads.front(), 3U);
+  }
 }
 
 }  // namespace
--- a/tests/unit/node/routing_news_test.cc
+++ b/tests/unit/node/routing_news_test.cc
@@ -58,7 +58,11 @@
  protected:
   [[nodiscard]] std::size_t Usable() {
     book_.Advance(clock_.Now());
-    return book_.Usable(ServiceName("desk")).size();
+    std::size_t usable = 0;
+    for (const auto& region : book_.Usable(ServiceName("desk"))) {
+      usable += region.targets.size();
+    }
+    return usable;
   }
 
   request_path::TargetState* Find(const std::string& target,
@@ -132,7 +136,7 @@
 // takes away nothing of what is believed of its target.
 TEST_F(TargetNewsTest, ABadEntryInATableHidesNoOther) {
   news_.OnTable(std::vector{Registered("a"), Registered("b")});
-  Find("a")->OnSent("object", clock_.Now());
+  Find("a")->OnSent(request_path::ObjectKey("object"), clock_.Now());
   rows::Row broken = Registered("a");
   broken.value = "";
   news_.OnTable(std::vector{broken, Registered("b"), Registered("c")});
@@ -140,7 +144,7 @@
 
   news_.OnTable(std::vector{Registered("a"), Registered("b")});
   EXPECT_EQ(Usable(), 2U);
-  EXPECT_TRUE(Find("a")->HasHandled("object"));
+  EXPECT_TRUE(Find("a")->HasHandled(request_path::ObjectKey("object")));
 }
 
 struct BadEntry {
@@ -218,7 +222,8 @@
 TEST_F(TargetNewsTest, AProcessThatFollowsUnheardStartsWithNoBelief) {
   book_.SetColdTime(ServiceName("desk"), seconds(3));
   news_.OnTable(std::vector{Registered("a", kFirstStart)});
-  Find("a", kFirstStart)->OnSent("object", clock_.Now());
+  Find("a", kFirstStart)
+      ->OnSent(request_path::ObjectKey("object"), clock_.Now());
   Find("a", kFirstStart)->MarkReplaced();
   EXPECT_EQ(Usable(), 0U);
 
@@ -227,7 +232,7 @@
   ASSERT_EQ(Usable(), 1U);
   EXPECT_EQ(Find("a", kFirstStart), nullptr);
   const request_path::TargetState* const started = Find("a", kSecondStart);
-  EXPECT_FALSE(started->HasHandled("object"));
+  EXPECT_FALSE(started->HasHandled(request_path::ObjectKey("object")));
   EXPECT_EQ(started->OwnOutstanding(), 0U);
   EXPECT_TRUE(started->IsCold(clock_.Now() + seconds(2)));
 }
@@ -247,7 +252,8 @@
 // back, the new process has registered: it is used, without the old belief.
 TEST_F(TargetNewsTest, AStartWhileTheStoreIsAwayIsANewProcess) {
   news_.OnTable(std::vector{Registered("a", kFirstStart)});
-  Find("a", kFirstStart)->OnSent("object", clock_.Now());
+  Find("a", kFirstStart)
+      ->OnSent(request_path::ObjectKey("object"), clock_.Now());
   news_.OnCallFailed({.failure = rows::RowFailure::kUnreachable});
   clock_.Advance(seconds(9));
   news_.OnStoreBack(seconds(9));
@@ -257,17 +263,20 @@
   news_.OnRows(std::vector{Registered("a", kSecondStart)});
   clock_.Advance(seconds(3));
   EXPECT_EQ(Usable(), 1U);
-  EXPECT_FALSE(Find("a", kSecondStart)->HasHandled("object"));
+  EXPECT_FALSE(
+      Find("a", kSecondStart)->HasHandled(request_path::ObjectKey("object")));
 }
 
 // An entry that does not tell its process, or tells the known one, is of the
 // known one: it neither drops belief nor brings back who leaves.
 TEST_F(TargetNewsTest, AnEqualOrAbsentStartIsTheKnownProcess) {
   news_.OnTable(std::vector{Registered("a", kFirstStart)});
-  Find("a", kFirstStart)->OnSent("object", clock_.Now());
+  Find("a", kFirstStart)
+      ->OnSent(request_path::ObjectKey("object"), clock_.Now());
 
   news_.OnRows(std::vector{Registered("a", kFirstStart), Registered("a")});
-  EXPECT_TRUE(Find("a", kFirstStart)->HasHandled("object"));
+  EXPECT_TRUE(
+      Find("a", kFirstStart)->HasHandled(request_path::ObjectKey("object")));
 
   news_.OnRows(std::vector{Leaving("a")});
   EXPECT_EQ(Usable(), 0U);
--- a/tests/unit/request_path/placement_policy_test.cc
+++ b/tests/unit/request_path/placement_policy_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <string>
@@ -34,8 +35,8 @@
   }
 
   std::optional<Placement> Choose(std::string_view object) {
-    return ChooseTarget(pointers_,
-                        {.object = object,
+    return ChooseTarget(GroupByRegion(pointers_),
+                        {.object = ObjectKey(object),
                          .is_sticky = true,
                          .times = times_,
                          .distances = distances_,
@@ -47,6 +48,21 @@
                         kStart);
   }
 
+  /// @return an object whose order the first target leads.
+  std::string ObjectOfFirst() {
+    int number = 0;
+    while (true) {
+      std::string object = std::to_string(number++);
+      const auto first = std::ranges::max_element(
+          pointers_, {}, [&](const TargetState* target) {
+            return target->OrderOf(ObjectKey(object));
+          });
+      if (first == pointers_.begin()) {
+        return object;
+      }
+    }
+  }
+
   RegionDistances distances_{kNear};
   RegionLoad loads_;
   PlacementOptions options_;
@@ -66,13 +82,13 @@
     Add("t" + std::to_string(i), kNear, 7);
   }
   const Placement first = *Choose("object");
-  first.target->OnSent("object", kStart);
+  first.target->OnSent(ObjectKey("object"), kStart);
 
   for (int i = 0; i < 3; ++i) {
     const Placement next = *Choose("object");
     EXPECT_EQ(next.target, first.target);
     EXPECT_TRUE(next.is_warm);
-    next.target->OnSent("object", kStart);
+    next.target->OnSent(ObjectKey("object"), kStart);
   }
 }
 
@@ -117,13 +133,14 @@
     TargetState& target = Add("t" + std::to_string(i), kNear, 3);
     target.OnReport({.running = 3, .waiting = i == 0 ? 4U : 0U, .slots = 3},
                     kStart);
-    target.OnSentByOther("some other object");
+    target.OnSentByOther(ObjectKey("some other object"));
   }
-  targets_[0]->OnSentByOther("object");
+  const std::string object = ObjectOfFirst();
+  targets_[0]->OnSentByOther(ObjectKey(object));
   options_.slot_price = 0;
-  EXPECT_NE(Choose("object")->target, targets_[0].get());
+  EXPECT_NE(Choose(object)->target, targets_[0].get());
   options_.slot_price = PlacementOptions().slot_price;
-  EXPECT_EQ(Choose("object")->target, targets_[0].get());
+  EXPECT_EQ(Choose(object)->target, targets_[0].get());
 }
 
 TEST_F(PlacementTest, ObjectsSpreadOverAllTargets) {
@@ -152,7 +169,7 @@
     if (used.size() < 4) {
       EXPECT_LE(placement.expected, idle_and_cold);
     }
-    placement.target->OnSent("popular", kStart);
+    placement.target->OnSent(ObjectKey("popular"), kStart);
     used.insert(placement.target);
   }
   EXPECT_EQ(used.size(), 4U);
@@ -164,7 +181,7 @@
   EXPECT_EQ(Choose("x")->target, &near);
 
   for (int i = 0; i < 9; ++i) {
-    near.OnSent("y", kStart);
+    near.OnSent(ObjectKey("y"), kStart);
   }
   EXPECT_EQ(Choose("x")->target->Region(), kFar);
 }
@@ -183,14 +200,14 @@
   cold.MarkCold(kStart + seconds(3));
 
   ASSERT_TRUE(Choose("x"));
-  cold.OnSent("x", kStart);
+  cold.OnSent(ObjectKey("x"), kStart);
   EXPECT_FALSE(Choose("x"));
 }
 
 TEST_F(PlacementTest, ATargetThatFailsTwiceRestsAndIsTriedWithOneRequest) {
   TargetState& target = Add("t", kNear);
   for (int i = 0; i < 2; ++i) {
-    target.OnSent("x", kStart);
+    target.OnSent(ObjectKey("x"), kStart);
     target.OnEnded(AttemptEnd::kNeverSent, std::nullopt, kStart);
   }
   EXPECT_TRUE(target.IsResting(kStart));
@@ -198,7 +215,7 @@
 
   const MonotonicTime later = kStart + seconds(1);
   EXPECT_FALSE(target.IsResting(later));
-  target.OnSent("x", later);
+  target.OnSent(ObjectKey("x"), later);
   EXPECT_TRUE(target.IsResting(later));
   target.OnEnded(AttemptEnd::kAnswered, 1.0, later);
   EXPECT_FALSE(target.IsResting(later));
@@ -208,7 +225,7 @@
   TargetState& slow = Add("slow", kNear);
   TargetState& good = Add("good", kNear);
   for (int i = 0; i < 20; ++i) {
-    slow.OnSent("", kStart);
+    slow.OnSent(ObjectKey(""), kStart);
     slow.OnEnded(AttemptEnd::kAnswered, 5.0, kStart);
   }
   for (int object = 0; object < 20; ++object) {
@@ -231,9 +248,9 @@
   TargetState& failing = Add("failing", kNear);
   TargetState& shedding = Add("shedding", kNear);
   for (int i = 0; i < 30; ++i) {
-    failing.OnSent("", kStart);
+    failing.OnSent(ObjectKey(""), kStart);
     failing.OnEnded(AttemptEnd::kTargetFailed, std::nullopt, kStart);
-    shedding.OnSent("", kStart);
+    shedding.OnSent(ObjectKey(""), kStart);
     shedding.OnEnded(i % 2 == 0 ? AttemptEnd::kNotRun : AttemptEnd::kAnswered,
                      std::nullopt, kStart);
   }
--- a/tests/unit/request_path/target_book_test.cc
+++ b/tests/unit/request_path/target_book_test.cc
@@ -34,8 +34,10 @@
  protected:
   std::vector<TargetName> UsableIds() {
     std::vector<TargetName> ids;
-    for (const TargetState* target : book_.Usable(kService)) {
-      ids.push_back(target->Record().id);
+    for (const RegionTargets& region : book_.Usable(kService)) {
+      for (const TargetState* const target : region.targets) {
+        ids.push_back(target->Record().id);
+      }
     }
     return ids;
   }
--- /dev/null
+++ b/tests/unit/rows/reader_choice_test.cc
@@ -0,0 +1,91 @@
+#include "medlarcroft/rows/reader_choice.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "medlarcroft/rows/refused_readers.h"
+
+namespace medlarcroft::rows {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr MonotonicTime kNow{std::chrono::hours(1)};
+
+/// @return hosts of three domains for each region.
+std::vector<ReaderCandidate> HostsOf(const std::string& region,
+                                     int hosts_a_domain) {
+  std::vector<ReaderCandidate> hosts;
+  for (const std::string domain : {"-a", "-b", "-c"}) {
+    for (int number = 0; number < hosts_a_domain; ++number) {
+      const std::string name = region + domain + "-" + std::to_string(number);
+      hosts.push_back({.host = HostName(name),
+                       .address = name,
+                       .failure_domain = FailureDomainName(region + domain),
+                       .link_mbps = 20});
+    }
+  }
+  return hosts;
+}
+
+std::map<FailureDomainName, RegionName> Regions() {
+  std::map<FailureDomainName, RegionName> regions;
+  for (const std::string region : {"r", "s"}) {
+    for (const std::string domain : {"-a", "-b", "-c"}) {
+      regions[FailureDomainName(region + domain)] = RegionName(region);
+    }
+  }
+  return regions;
+}
+
+// Guards against one small host that tells a hundred others of a thousand
+// targets, most of them in other domains.
+TEST(ReaderChoiceTest, ALargeRegionHasAReaderInEachDomain) {
+  const FailureDomainName own("r-b");
+  const auto few = CandidatesFor(own, 30, HostsOf("r", 10));
+  EXPECT_EQ(few.size(), 30U);
+  const auto many = CandidatesFor(own, 99, HostsOf("r", 33));
+  ASSERT_EQ(many.size(), 33U);
+  EXPECT_EQ(ChooseReader("t", many)->failure_domain, own);
+}
+
+// Guards against hosts that the store turns away making all others read it.
+TEST(ReaderChoiceTest, HostsThatAreTurnedAwayAskReadersOnly) {
+  std::vector<ReaderCandidate> hosts = HostsOf("r", 33);
+  for (const ReaderCandidate& host : HostsOf("s", 10)) {
+    hosts.push_back(host);
+  }
+  std::set<std::string> asked;
+  for (const ReaderCandidate& reader : ReadersOfAll("t", hosts, Regions())) {
+    asked.insert(reader.address);
+  }
+  const auto own = CandidatesFor(FailureDomainName("r-a"), 99, hosts);
+  EXPECT_EQ(asked.size(), 4U);
+  EXPECT_TRUE(asked.contains(ChooseReader("t", own)->address));
+}
+
+TEST(ReaderChoiceTest, InASmallRegionAnyHostIsAsked) {
+  EXPECT_EQ(ReadersOfAll("t", HostsOf("r", 1), Regions()).size(), 3U);
+}
+
+TEST(ReaderChoiceTest, AReaderThatRefusedIsLeftOutForAWhile) {
+  RefusedReaders refused;
+  const auto hosts = HostsOf("r", 33);
+  const ReaderCandidate first = *ChooseReader("t", hosts);
+  refused.Note(first.host, kNow);
+
+  auto left = hosts;
+  refused.LeaveOut(left, kNow + seconds(1));
+  EXPECT_EQ(left.size(), hosts.size() - 1);
+  EXPECT_NE(ChooseReader("t", left)->host, first.host);
+
+  left = hosts;
+  refused.LeaveOut(left, kNow + seconds(4));
+  EXPECT_EQ(ChooseReader("t", left)->host, first.host);
+}
+
+}  // namespace
+}  // namespace medlarcroft::rows
