Choose whom to ask for rows in the library, and play it in the model of followers

Cause: the program decided which reader a host asks, so that the model of hosts that follow a table had a copy of that choice, which did not know of a second reader or of asking readers only.

Change: rows/peer_readers, on a directory of hosts; the program and the model use it. With it the model found at once that a call under way outlived the one that asked (a killed life in the model; in the program it lives as long as the process).

--- /dev/null
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/peer_readers.h
@@ -0,0 +1,86 @@
+#ifndef MEDLARCROFT_ROWS_PEER_READERS_H_
+#define MEDLARCROFT_ROWS_PEER_READERS_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "medlarcroft/core/identifiers.h"
+#include "medlarcroft/ports/random_source.h"
+#include "medlarcroft/ports/timers.h"
+#include "medlarcroft/rows/reader_choice.h"
+#include "medlarcroft/rows/refused_readers.h"
+#include "medlarcroft/rows/row.h"
+#include "medlarcroft/rows/table_teller.h"
+
+namespace medlarcroft::rows {
+
+/// @brief The hosts that may be asked for rows.
+class PeerDirectory {
+ public:
+  virtual ~PeerDirectory() = default;
+
+  /// @return this host and the live ones of its region.
+  [[nodiscard]] virtual std::vector<ReaderCandidate> LiveHosts() const = 0;
+  /// @return the listed hosts of other regions.
+  [[nodiscard]] virtual std::vector<ReaderCandidate> HostsElsewhere() const = 0;
+  /// @return how many hosts of the region are listed, this one included.
+  [[nodiscard]] virtual std::size_t HostsInRegion() const = 0;
+};
+
+/// @brief Asks the hosts that read the store for others.
+class PeerReaders {
+ public:
+  using AskHost = std::function<void(const std::string& address,
+                                     const PeerQuestion& question,
+                                     RowsCallback callback)>;
+  struct Options {
+    HostName host;
+    FailureDomainName failure_domain;
+    /// How many other readers are asked after one that refused.
+    int other_readers_asked = 0;
+  };
+  struct Parts {
+    const PeerDirectory& directory;
+    AskHost ask_host;
+    ports::Timers& timers;
+    ports::RandomSource& random;
+    const std::map<FailureDomainName, RegionName>& regions;
+  };
+
+  PeerReaders(Options options, Parts parts);
+  ~PeerReaders();
+  PeerReaders(const PeerReaders&) = delete;
+  PeerReaders& operator=(const PeerReaders&) = delete;
+
+  /// @return whether enough hosts are known for one to read for this one.
+  [[nodiscard]] bool HasReaders() const;
+  /// @brief Asks the host that reads for this one.
+  /// @return false when this host is to read for itself.
+  bool AskReader(const PeerQuestion& question, RowsCallback callback);
+  /// @brief Asks some host that reads the store, in any region.
+  void AskSomeReader(const PeerQuestion& question, RowsCallback callback);
+
+ private:
+  [[nodiscard]] std::vector<ReaderCandidate> Candidates() const;
+  bool AskReaderOf(const PeerQuestion& question,
+                   int others_left,
+                   RowsCallback callback);
+  /// @brief Asks a host; one that has nothing fresh is left out for a while.
+  void Ask(const ReaderCandidate& reader,
+           const PeerQuestion& question,
+           RowsCallback callback);
+
+  Options options_;
+  Parts parts_;
+  RefusedReaders refused_;
+  /// Null once this is gone: calls may still be under way then.
+  std::shared_ptr<PeerReaders*> self_ = std::make_shared<PeerReaders*>(this);
+};
+
+}  // namespace medlarcroft::rows
+
+#endif  // MEDLARCROFT_ROWS_PEER_READERS_H_
--- /dev/null
+++ b/lib/libmedlarcroft/source/rows/peer_readers.cc
@@ -0,0 +1,103 @@
+#include "medlarcroft/rows/peer_readers.h"
+
+#include <iterator>
+#include <utility>
+
+#include "medlarcroft/rows/follow_pace.h"
+
+namespace medlarcroft::rows {
+
+namespace {
+
+bool IsRefusal(const Result<RowBatch, RowFailure>& answer) {
+  return !IsOk(answer) && ErrorOf(answer) == RowFailure::kRefused;
+}
+
+}  // namespace
+
+PeerReaders::PeerReaders(Options options, Parts parts)
+    : options_(std::move(options)), parts_(std::move(parts)) {}
+
+PeerReaders::~PeerReaders() {
+  *self_ = nullptr;
+}
+
+std::vector<ReaderCandidate> PeerReaders::Candidates() const {
+  return CandidatesFor(options_.failure_domain,
+                       parts_.directory.HostsInRegion(),
+                       parts_.directory.LiveHosts());
+}
+
+bool PeerReaders::HasReaders() const {
+  return Candidates().size() > kHostsThatReadThemselves;
+}
+
+bool PeerReaders::AskReader(const PeerQuestion& question,
+                            RowsCallback callback) {
+  return AskReaderOf(question, options_.other_readers_asked,
+                     std::move(callback));
+}
+
+bool PeerReaders::AskReaderOf(const PeerQuestion& question,
+                              int others_left,
+                              RowsCallback callback) {
+  std::vector<ReaderCandidate> candidates = Candidates();
+  if (candidates.size() <= kHostsThatReadThemselves) {
+    return false;
+  }
+  refused_.LeaveOut(candidates, parts_.timers.Now());
+  const ReaderCandidate* const reader =
+      ChooseReader(question.table, candidates);
+  if (reader == nullptr || reader->host == options_.host) {
+    return false;
+  }
+  Ask(*reader, question,
+      [self = self_, question, others_left,
+       callback = std::move(callback)](Result<RowBatch, RowFailure> answer) {
+        const bool is_asked_again =
+            IsRefusal(answer) && others_left > 0 && *self != nullptr &&
+            (*self)->AskReaderOf(question, others_left - 1, callback);
+        if (!is_asked_again) {
+          callback(std::move(answer));
+        }
+      });
+  return true;
+}
+
+void PeerReaders::AskSomeReader(const PeerQuestion& question,
+                                RowsCallback callback) {
+  std::vector<ReaderCandidate> hosts = parts_.directory.LiveHosts();
+  // A store that turns away a whole region may serve another one.
+  std::vector<ReaderCandidate> elsewhere = parts_.directory.HostsElsewhere();
+  std::move(elsewhere.begin(), elsewhere.end(), std::back_inserter(hosts));
+  std::erase_if(hosts, [this](const ReaderCandidate& candidate) {
+    return candidate.host == options_.host;
+  });
+  std::vector<ReaderCandidate> readers =
+      ReadersOfAll(question.table, hosts, parts_.regions);
+  refused_.LeaveOut(readers, parts_.timers.Now());
+  if (readers.empty()) {
+    parts_.timers.RunAfter(Duration(0), [callback = std::move(callback)] {
+      callback(RowFailure::kUnreachable);
+    });
+    return;
+  }
+  Ask(readers[parts_.random.NextBelow(readers.size())], question,
+      std::move(callback));
+}
+
+void PeerReaders::Ask(const ReaderCandidate& reader,
+                      const PeerQuestion& question,
+                      RowsCallback callback) {
+  parts_.ask_host(
+      reader.address, question,
+      [self = self_, host = reader.host,
+       callback = std::move(callback)](Result<RowBatch, RowFailure> answer) {
+        if (IsRefusal(answer) && *self != nullptr) {
+          (*self)->refused_.Note(host, (*self)->parts_.timers.Now());
+        }
+        callback(std::move(answer));
+      });
+}
+
+}  // namespace medlarcroft::rows
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -201,12 +201,13 @@
           .ask_peer =
               [this](const rows::PeerQuestion& question,
                      rows::RowsCallback callback) {
-                peers_.AskSomePeer(question, std::move(callback));
+                peers_.Readers().AskSomeReader(question, std::move(callback));
               },
           .ask_reader =
               [this](const rows::PeerQuestion& question,
                      rows::RowsCallback callback) {
-                return peers_.AskReader(question, std::move(callback));
+                return peers_.Readers().AskReader(question,
+                                                  std::move(callback));
               }};
 }
 
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -66,6 +66,21 @@
              MakeSelf(settings, parts.loop.Clock()),
              parts.loop.Clock()),
       caller_(parts.loop, {.max_idle_per_address = 1}),
+      readers_({.host = HostName(settings.host),
+                .failure_domain = FailureDomainName(settings.failure_domain),
+                .other_readers_asked = rows::OtherReadersAsked(
+                    settings.bounds.target_left_within)},
+               {.directory = *this,
+                .ask_host =
+                    [this](const std::string& address,
+                           const rows::PeerQuestion& question,
+                           rows::RowsCallback callback) {
+                      platform::AskPeer(caller_, address, question,
+                                        std::move(callback));
+                    },
+                .timers = parts.loop,
+                .random = parts.random,
+                .regions = parts.regions}),
       watch_({.timers = parts.loop,
               .store = parts.store,
               .random = parts.random,
@@ -74,7 +89,7 @@
               .pace = PaceWhileHostsMeet(),
               .ask_reader = [this](const rows::PeerQuestion& question,
                                    rows::RowsCallback callback) {
-                return AskReader(question, std::move(callback));
+                return readers_.AskReader(question, std::move(callback));
               }}) {}
 
 bool PeerGroup::Start() {
@@ -158,9 +173,17 @@
   return live;
 }
 
-std::vector<rows::ReaderCandidate> PeerGroup::LiveReaders() const {
-  return rows::CandidatesFor(FailureDomainName(settings_.failure_domain),
-                             HostsInRegion(), LiveHosts());
+std::vector<rows::ReaderCandidate> PeerGroup::HostsElsewhere() const {
+  std::vector<rows::ReaderCandidate> elsewhere;
+  for (const auto& [name, entry] : entries_) {
+    if (!IsInOwnRegion(entry.host.failure_domain)) {
+      elsewhere.push_back({.host = name,
+                           .address = entry.host.address,
+                           .failure_domain = entry.host.failure_domain,
+                           .link_mbps = entry.link_mbps});
+    }
+  }
+  return elsewhere;
 }
 
 std::size_t PeerGroup::HostsInRegion() const {
@@ -177,95 +200,10 @@
   if (!watch_.HasTable()) {
     return false;
   }
-  return IsLargeRegion() ? LiveReaders().size() > rows::kHostsThatReadThemselves
+  return IsLargeRegion() ? readers_.HasReaders()
                          : entries_.contains(HostName(settings_.host));
 }
 
-bool PeerGroup::AskReader(const rows::PeerQuestion& question,
-                          rows::RowsCallback callback) {
-  return AskReaderOf(
-      question, rows::OtherReadersAsked(settings_.bounds.target_left_within),
-      std::move(callback));
-}
-
-bool PeerGroup::AskReaderOf(const rows::PeerQuestion& question,
-                            int others_left,
-                            rows::RowsCallback callback) {
-  std::vector<rows::ReaderCandidate> live = LiveReaders();
-  if (live.size() <= rows::kHostsThatReadThemselves) {
-    return false;
-  }
-  refused_.LeaveOut(live, parts_.loop.Now());
-  const rows::ReaderCandidate* const reader =
-      rows::ChooseReader(question.table, live);
-  if (reader == nullptr || reader->host == table_.Self().host) {
-    return false;
-  }
-  AskNoting(*reader, question,
-            [this, question, others_left, callback = std::move(callback)](
-                Result<rows::RowBatch, rows::RowFailure> answer) {
-              const bool is_refused =
-                  !IsOk(answer) &&
-                  ErrorOf(answer) == rows::RowFailure::kRefused;
-              const bool is_asked_again =
-                  is_refused && others_left > 0 &&
-                  AskReaderOf(question, others_left - 1, callback);
-              if (!is_asked_again) {
-                callback(std::move(answer));
-              }
-            });
-  return true;
-}
-
-std::vector<rows::ReaderCandidate> PeerGroup::PeersToAsk() const {
-  std::vector<rows::ReaderCandidate> candidates = LiveHosts();
-  // A store that turns away a whole region may serve another one.
-  for (const auto& [name, entry] : entries_) {
-    if (!IsInOwnRegion(entry.host.failure_domain)) {
-      candidates.push_back({.host = name,
-                            .address = entry.host.address,
-                            .failure_domain = entry.host.failure_domain,
-                            .link_mbps = entry.link_mbps});
-    }
-  }
-  std::erase_if(candidates, [this](const rows::ReaderCandidate& candidate) {
-    return candidate.host == table_.Self().host;
-  });
-  return candidates;
-}
-
-void PeerGroup::AskSomePeer(const rows::PeerQuestion& question,
-                            rows::RowsCallback callback) {
-  std::vector<rows::ReaderCandidate> peers =
-      rows::ReadersOfAll(question.table, PeersToAsk(), parts_.regions);
-  refused_.LeaveOut(peers, parts_.loop.Now());
-  if (peers.empty()) {
-    parts_.loop.After(Duration(0), [callback = std::move(callback)] {
-      callback(rows::RowFailure::kUnreachable);
-    });
-    return;
-  }
-  const rows::ReaderCandidate& peer =
-      peers[parts_.random.NextBelow(peers.size())];
-  AskNoting(peer, question, std::move(callback));
-}
-
-void PeerGroup::AskNoting(const rows::ReaderCandidate& peer,
-                          const rows::PeerQuestion& question,
-                          rows::RowsCallback callback) {
-  platform::AskPeer(caller_, peer.address, question,
-                    [this, host = peer.host, callback = std::move(callback)](
-                        Result<rows::RowBatch, rows::RowFailure> answer) {
-                      const bool is_refused =
-                          !IsOk(answer) &&
-                          ErrorOf(answer) == rows::RowFailure::kRefused;
-                      if (is_refused) {
-                        refused_.Note(host, parts_.loop.Now());
-                      }
-                      callback(std::move(answer));
-                    });
-}
-
 std::uint32_t PeerGroup::KnownHosts() const {
   const bool is_listed = entries_.contains(HostName(settings_.host));
   return static_cast<std::uint32_t>(entries_.size()) + (is_listed ? 0 : 1);
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -17,7 +17,7 @@
 #include "medlarcroft/ports/host_list.h"
 #include "medlarcroft/ports/random_source.h"
 #include "medlarcroft/request_path/target_book.h"
-#include "medlarcroft/rows/refused_readers.h"
+#include "medlarcroft/rows/peer_readers.h"
 #include "platform/decode_fault.h"
 #include "platform/store_client.h"
 
@@ -25,7 +25,7 @@
 
 /// @brief The other hosts: found through rows of the system's own table, heard
 /// through datagrams within the region.
-class PeerGroup final : public LoggedTable {
+class PeerGroup final : public LoggedTable, public rows::PeerDirectory {
  public:
   struct Parts {
     adapters::EventLoop& loop;
@@ -57,15 +57,9 @@
       const FailureDomainName& domain) const;
   /// @return all hosts that have a row, this one included.
   [[nodiscard]] std::uint32_t KnownHosts() const;
-  /// @brief Asks some host that reads the store for rows.
-  void AskSomePeer(const rows::PeerQuestion& question,
-                   rows::RowsCallback callback);
-  /// @brief Asks a host that reads the store for the region.
-  /// @return false when this host is to read for itself.
-  bool AskReader(const rows::PeerQuestion& question,
-                 rows::RowsCallback callback);
+  [[nodiscard]] rows::PeerReaders& Readers() { return readers_; }
   /// @return how many hosts of the region have a row, this one included.
-  [[nodiscard]] std::size_t HostsInRegion() const;
+  [[nodiscard]] std::size_t HostsInRegion() const override;
   /// @return whether one host reads each table for all of the region, as soon
   /// as they have found each other.
   [[nodiscard]] bool IsLargeRegion() const;
@@ -73,6 +67,10 @@
   [[nodiscard]] bool HasFoundReaders() const;
   [[nodiscard]] rows::TableFollower& Watch() { return watch_; }
 
+  [[nodiscard]] std::vector<rows::ReaderCandidate> LiveHosts() const override;
+  [[nodiscard]] std::vector<rows::ReaderCandidate> HostsElsewhere()
+      const override;
+
   void OnTable(std::span<const rows::Row> rows) override;
   void OnRows(std::span<const rows::Row> rows) override;
 
@@ -101,23 +99,9 @@
   /// @return whether that host of the region is alive and does not leave.
   [[nodiscard]] bool IsLive(const membership::HeardHost& host) const;
   void RemoveLostHosts();
-  /// @return the region's live hosts that do not leave, this one included.
-  [[nodiscard]] std::vector<rows::ReaderCandidate> LiveHosts() const;
-  /// @return those of them that may read for this host.
-  [[nodiscard]] std::vector<rows::ReaderCandidate> LiveReaders() const;
   [[nodiscard]] rows::ReaderCandidate CandidateOf(
       const membership::HostState& state,
       const std::string& address) const;
-  /// @return the live hosts of this region and the listed ones of others.
-  [[nodiscard]] std::vector<rows::ReaderCandidate> PeersToAsk() const;
-  /// @brief Asks a host; one that has nothing fresh is left out for a while.
-  void AskNoting(const rows::ReaderCandidate& peer,
-                 const rows::PeerQuestion& question,
-                 rows::RowsCallback callback);
-  /// @param others_left how many further readers may be asked.
-  bool AskReaderOf(const rows::PeerQuestion& question,
-                   int others_left,
-                   rows::RowsCallback callback);
   [[nodiscard]] bool IsInOwnRegion(const FailureDomainName& domain) const;
 
   const adapters::NodeSettings& settings_;
@@ -125,10 +109,10 @@
   membership::MembershipTable table_;
   adapters::HttpCaller caller_;
   std::unique_ptr<adapters::PeerChannel> channel_;
+  rows::PeerReaders readers_;
   rows::TableFollower watch_;
   std::optional<news::RegionNews> news_;
   std::map<HostName, Entry> entries_;
-  rows::RefusedReaders refused_;
   std::uint32_t beats_ = 0;
   MonotonicTime started_at_{};
   bool is_writing_ = false;
--- a/tests/property/table_following_world.h
+++ b/tests/property/table_following_world.h
@@ -11,7 +11,7 @@
 
 #include "fakes/seeded_random.h"
 #include "fakes/virtual_time.h"
-#include "medlarcroft/rows/refused_readers.h"
+#include "medlarcroft/rows/peer_readers.h"
 #include "medlarcroft/rows/table_follower.h"
 #include "model_store.h"
 
@@ -95,7 +95,7 @@
     hosts_[static_cast<std::size_t>(host)].reset();
   }
   void Start(int host) {
-    auto life = std::make_unique<Life>(time_, network_, host);
+    auto life = std::make_unique<Life>(*this, host);
     life->teller = std::make_unique<TableTeller>(
         life->timers, [follower = &life->follower](std::string_view) {
           return *follower ? (*follower)->TellOthers() : FreshTable{};
@@ -114,19 +114,69 @@
   }
 
  private:
-  struct Life {
-    Life(VirtualTime& time, ModelNetwork& network, int host)
-        : timers(time, host), source(network, host) {}
+  struct Life final : public PeerDirectory {
+    Life(Region& region, int host)
+        : region(region),
+          host(host),
+          timers(region.time_, host),
+          source(region.network_, host),
+          readers({.host = NameOf(host),
+                   .failure_domain = kDomain,
+                   .other_readers_asked = region.other_readers_asked_},
+                  {.directory = *this,
+                   .ask_host =
+                       [&region, host](const std::string& address,
+                                       const PeerQuestion& question,
+                                       RowsCallback callback) {
+                         region.Ask(host, std::stoi(address), question,
+                                    std::move(callback));
+                       },
+                   .timers = timers,
+                   .random = region.random_,
+                   .regions = region.regions_}) {}
+
+    [[nodiscard]] std::vector<ReaderCandidate> LiveHosts() const override {
+      return region.HeardBeside(host);
+    }
+    [[nodiscard]] std::vector<ReaderCandidate> HostsElsewhere() const override {
+      return {};
+    }
+    [[nodiscard]] std::size_t HostsInRegion() const override {
+      return region.hosts_.size();
+    }
 
+    Region& region;
+    int host;
     HostTimers timers;
     HostSource source;
+    PeerReaders readers;
     HeardRows heard;
     std::unique_ptr<TableFollower> follower;
     std::unique_ptr<TableTeller> teller;
     std::optional<MonotonicTime> silent_since;
-    RefusedReaders refused;
   };
 
+  inline static const FailureDomainName kDomain{"z"};
+
+  static HostName NameOf(int host) {
+    return HostName("h" + std::to_string(host));
+  }
+  [[nodiscard]] Life& LifeOf(int host) {
+    return *hosts_[static_cast<std::size_t>(host)];
+  }
+  [[nodiscard]] std::vector<ReaderCandidate> HeardBeside(int host) {
+    std::vector<ReaderCandidate> live;
+    for (int other = 0; other < Size(); ++other) {
+      if (other == host || IsHeard(other)) {
+        live.push_back({.host = NameOf(other),
+                        .address = std::to_string(other),
+                        .failure_domain = kDomain,
+                        .link_mbps = 100});
+      }
+    }
+    return live;
+  }
+
   // As medlar-node has it, see programs/node/peer_group.cc.
   static constexpr Duration kUnheardLimit = milliseconds(2600);
 
@@ -140,21 +190,15 @@
         .pace = pace_,
         .ask_peer =
             [this, host](const PeerQuestion& question, RowsCallback callback) {
-              Ask(host, SomeOther(host), question, std::move(callback));
+              LifeOf(host).readers.AskSomeReader(question, std::move(callback));
             },
         .ask_reader =
             [this, host](const PeerQuestion& question, RowsCallback callback) {
-              return AskReader(host, question, other_readers_asked_,
-                               std::move(callback));
+              return LifeOf(host).readers.AskReader(question,
+                                                    std::move(callback));
             }};
   }
 
-  int SomeOther(int host) {
-    const auto others = static_cast<std::uint64_t>(Size() - 1);
-    const int other = static_cast<int>(random_.NextBelow(others));
-    return other >= host ? other + 1 : other;
-  }
-
   /// A host is heard until it has been paused, or dead, for the limit.
   bool IsHeard(int host) {
     if (!IsAlive(host)) {
@@ -171,47 +215,6 @@
     return time_.Now() - *life.silent_since < kUnheardLimit;
   }
 
-  bool AskReader(int host,
-                 const PeerQuestion& question,
-                 int others_left,
-                 RowsCallback callback) {
-    std::vector<ReaderCandidate> live;
-    for (int other = 0; other < Size(); ++other) {
-      if (other == host || IsHeard(other)) {
-        live.push_back({.host = HostName("h" + std::to_string(other)),
-                        .address = std::to_string(other),
-                        .link_mbps = 100});
-      }
-    }
-    if (live.size() <= kHostsThatReadThemselves) {
-      return false;
-    }
-    Life& life = *hosts_[static_cast<std::size_t>(host)];
-    life.refused.LeaveOut(live, time_.Now());
-    const ReaderCandidate* const chosen = ChooseReader(question.table, live);
-    if (chosen == nullptr || std::stoi(chosen->address) == host) {
-      return false;
-    }
-    Ask(host, std::stoi(chosen->address), question,
-        [this, host, question, others_left, name = chosen->host,
-         callback =
-             std::move(callback)](const Result<RowBatch, RowFailure>& answer) {
-          const bool is_refused =
-              !IsOk(answer) && ErrorOf(answer) == RowFailure::kRefused;
-          if (is_refused && IsAlive(host)) {
-            hosts_[static_cast<std::size_t>(host)]->refused.Note(name,
-                                                                 time_.Now());
-          }
-          const bool is_asked_again =
-              is_refused && others_left > 0 && IsAlive(host) &&
-              AskReader(host, question, others_left - 1, callback);
-          if (!is_asked_again) {
-            callback(answer);
-          }
-        });
-    return true;
-  }
-
   void Ask(int from,
            int to,
            const PeerQuestion& question,
@@ -230,6 +233,8 @@
   ModelNetwork& network_;
   FollowPace pace_;
   int other_readers_asked_;
+  const std::map<FailureDomainName, RegionName> regions_{
+      {kDomain, RegionName("r")}};
   fakes::SeededRandom random_;
   std::vector<std::unique_ptr<Life>> hosts_;
 };
--- a/tests/unit/node/peer_group_test.cc
+++ b/tests/unit/node/peer_group_test.cc
@@ -116,7 +116,7 @@
 
   EXPECT_GE(group.KnownHosts(), 10U);
   EXPECT_FALSE(group.HasFoundReaders());
-  EXPECT_FALSE(group.AskReader(Question(), [](const auto&) {}));
+  EXPECT_FALSE(group.Readers().AskReader(Question(), [](const auto&) {}));
 }
 
 // Seven hosts hear each other: all but one have the same one read for them.
@@ -130,7 +130,9 @@
   int readers = 0;
   for (const auto& host : hosts_) {
     EXPECT_TRUE(host->group->HasFoundReaders());
-    readers += host->group->AskReader(Question(), [](const auto&) {}) ? 0 : 1;
+    readers += host->group->Readers().AskReader(Question(), [](const auto&) {})
+                   ? 0
+                   : 1;
   }
   EXPECT_EQ(readers, 1);
 }
--- /dev/null
+++ b/tests/unit/rows/peer_readers_test.cc
@@ -0,0 +1,157 @@
+#include "medlarcroft/rows/peer_readers.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "fakes/seeded_random.h"
+#include "fakes/virtual_time.h"
+
+namespace medlarcroft::rows {
+namespace {
+
+using std::chrono::seconds;
+
+const FailureDomainName kOwn("a");
+const FailureDomainName kOther("b");
+const FailureDomainName kFar("far");
+
+class FixedDirectory final : public PeerDirectory {
+ public:
+  std::vector<ReaderCandidate> LiveHosts() const override { return live; }
+  std::vector<ReaderCandidate> HostsElsewhere() const override {
+    return elsewhere;
+  }
+  std::size_t HostsInRegion() const override { return live.size(); }
+
+  static void Add(std::vector<ReaderCandidate>& hosts,
+                  const FailureDomainName& domain,
+                  int count) {
+    for (int number = 0; number < count; ++number) {
+      const std::string name = domain.Value() + std::to_string(number);
+      hosts.push_back({.host = HostName(name),
+                       .address = name,
+                       .failure_domain = domain,
+                       .link_mbps = 20});
+    }
+  }
+
+  std::vector<ReaderCandidate> live;
+  std::vector<ReaderCandidate> elsewhere;
+};
+
+class PeerReadersTest : public testing::Test {
+ protected:
+  PeerReadersTest() {
+    FixedDirectory::Add(directory_.live, kOwn, 30);
+    FixedDirectory::Add(directory_.live, kOther, 30);
+    FixedDirectory::Add(directory_.elsewhere, kFar, 30);
+  }
+
+  PeerReaders Make(int other_readers_asked) {
+    return {{.host = HostName("a0"),
+             .failure_domain = kOwn,
+             .other_readers_asked = other_readers_asked},
+            {.directory = directory_,
+             .ask_host =
+                 [this](const std::string& address, const PeerQuestion&,
+                        const RowsCallback& callback) {
+                   asked_.push_back(address);
+                   if (refusing_.contains(address)) {
+                     callback(RowFailure::kRefused);
+                   } else {
+                     callback(RowBatch{});
+                   }
+                 },
+             .timers = timers_,
+             .random = random_,
+             .regions = regions_}};
+  }
+
+  /// @return the reader of this host's domain.
+  std::string FirstReader() const {
+    const auto own =
+        CandidatesFor(kOwn, directory_.HostsInRegion(), directory_.LiveHosts());
+    return ChooseReader("t", own)->address;
+  }
+
+  fakes::VirtualTime time_;
+  fakes::HostTimers timers_{time_, 0};
+  fakes::SeededRandom random_{3};
+  const std::map<FailureDomainName, RegionName> regions_{
+      {kOwn, RegionName("r")},
+      {kOther, RegionName("r")},
+      {kFar, RegionName("s")}};
+  FixedDirectory directory_;
+  std::set<std::string> refusing_;
+  std::vector<std::string> asked_;
+  const PeerQuestion question_{.table = "t"};
+};
+
+TEST_F(PeerReadersTest, TheReaderOfTheOwnDomainIsAsked) {
+  PeerReaders readers = Make(1);
+  EXPECT_TRUE(readers.AskReader(question_, [](const auto&) {}));
+  EXPECT_EQ(asked_, std::vector{FirstReader()});
+}
+
+// Guards against all followers of a reader that the store turns away calling
+// the store themselves.
+TEST_F(PeerReadersTest, AnotherReaderIsAskedAfterOneThatRefuses) {
+  const std::string first = FirstReader();
+  refusing_ = {first};
+  PeerReaders readers = Make(1);
+  bool is_answered = false;
+  const auto ask = [&] {
+    return readers.AskReader(
+        question_, [&](const auto& answer) { is_answered = IsOk(answer); });
+  };
+  EXPECT_TRUE(ask());
+  EXPECT_TRUE(is_answered);
+  ASSERT_EQ(asked_.size(), 2U);
+
+  // And the first one is left alone for a while.
+  EXPECT_TRUE(ask());
+  EXPECT_EQ(asked_.size(), 3U);
+  EXPECT_EQ(asked_[2], asked_[1]);
+  time_.RunUntil(time_.Now() + seconds(4));
+  refusing_.clear();
+  EXPECT_TRUE(ask());
+  EXPECT_EQ(asked_.back(), first);
+}
+
+// Where leaving targets must be known sooner there is no time for it.
+TEST_F(PeerReadersTest, NoOtherIsAskedWhereTimeIsShort) {
+  refusing_ = {FirstReader()};
+  PeerReaders readers = Make(OtherReadersAsked(std::chrono::seconds(2)));
+  bool is_refused = false;
+  EXPECT_TRUE(readers.AskReader(
+      question_, [&](const auto& answer) { is_refused = !IsOk(answer); }));
+  EXPECT_TRUE(is_refused);
+  EXPECT_EQ(asked_.size(), 1U);
+}
+
+// Whoever is asked reads the store: of 90 hosts only readers may be asked.
+TEST_F(PeerReadersTest, AHostThatIsTurnedAwayAsksReadersOfAllRegions) {
+  PeerReaders readers = Make(1);
+  for (int i = 0; i < 100; ++i) {
+    readers.AskSomeReader(question_, [](const auto&) {});
+  }
+  const std::set<std::string> distinct(asked_.begin(), asked_.end());
+  EXPECT_EQ(distinct.size(), 3U);
+}
+
+TEST_F(PeerReadersTest, NobodyToAskIsToldSoon) {
+  directory_.live.resize(1);
+  directory_.elsewhere.clear();
+  PeerReaders readers = Make(1);
+  bool is_told = false;
+  readers.AskSomeReader(question_,
+                        [&](const auto& answer) { is_told = !IsOk(answer); });
+  time_.RunUntil(time_.Now() + seconds(1));
+  EXPECT_TRUE(is_told);
+  EXPECT_FALSE(readers.AskReader(question_, [](const auto&) {}));
+}
+
+}  // namespace
+}  // namespace medlarcroft::rows
