Reserve for both kinds of hosts without a narrow sum

Cause: the linter found a cast of a sum of two ints in the look-up test, which would narrow before it widens. Change: both are cast before they are added.

--- a/tests/unit/membership/lookup_answer_test.cc
+++ b/tests/unit/membership/lookup_answer_test.cc
@@ -17,7 +17,8 @@
                                 int large,
                                 int small) {
   std::vector<CallableHost> hosts;
-  hosts.reserve(static_cast<std::size_t>(large + small));
+  hosts.reserve(static_cast<std::size_t>(large) +
+                static_cast<std::size_t>(small));
   for (int number = 0; number < large + small; ++number) {
     hosts.push_back({.address = domain + "-" + std::to_string(number),
                      .failure_domain = FailureDomainName(domain),
