--- a/lib/libmedlarcroft/include/medlarcroft/news/region_news.h
+++ b/lib/libmedlarcroft/include/medlarcroft/news/region_news.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +36,15 @@
                     const PeerNews& news) = 0;
 };
 
+/// @brief Another host counts as a domain's relay from now on.
+struct RelayChange {
+  FailureDomainName failure_domain;
+  HostName relay;  ///< Empty: none is heard.
+  /// The one before was silent; otherwise it left, or one came that is first in
+  /// the order.
+  bool was_silent = false;
+};
+
 /// @brief Carries what hosts of a region tell each other.
 ///
 /// Load: each host tells of tens of requests a second, and each other one is to
@@ -54,6 +64,8 @@
     HostName host;
     FailureDomainName failure_domain;
     double link_mbps = 0;
+    /// Told of each change, for the log; none: nobody is.
+    std::function<void(const RelayChange&)> on_relay;
   };
 
   RegionNews(Options options, ports::Timers& timers, NewsSender& sender);
@@ -108,7 +120,9 @@
                                       MonotonicTime now);
   [[nodiscard]] std::uint32_t FirstInOrder(const FailureDomainName& domain,
                                            MonotonicTime now) const;
-  void PassOverIfSilent(Choice& choice, MonotonicTime now);
+  /// @return whether it was silent.
+  bool PassOverIfSilent(const Choice& choice, MonotonicTime now);
+  [[nodiscard]] HostName NameOf(std::uint32_t host) const;
   [[nodiscard]] std::string AddressOf(std::uint32_t host) const;
   [[nodiscard]] bool IsActing(MonotonicTime now) const;
 
--- a/lib/libmedlarcroft/source/news/region_news.cc
+++ b/lib/libmedlarcroft/source/news/region_news.cc
@@ -221,24 +221,39 @@
 std::uint32_t RegionNews::RelayOf(const FailureDomainName& domain,
                                   MonotonicTime now) {
   Choice& choice = relays_[domain];
-  PassOverIfSilent(choice, now);
+  const bool was_silent = PassOverIfSilent(choice, now);
   const std::uint32_t first = FirstInOrder(domain, now);
   if (first != choice.host) {
     choice = {.host = first, .chosen_at = now};
+    if (options_.on_relay) {
+      options_.on_relay({.failure_domain = domain,
+                         .relay = NameOf(first),
+                         .was_silent = was_silent});
+    }
   }
   return choice.host;
 }
 
-void RegionNews::PassOverIfSilent(Choice& choice, MonotonicTime now) {
+bool RegionNews::PassOverIfSilent(const Choice& choice, MonotonicTime now) {
   const auto source = sources_.find(choice.host);
   if (source == sources_.end()) {
-    return;
+    return false;
   }
   const MonotonicTime since = std::max(
       choice.chosen_at, source->second.relayed_at.value_or(MonotonicTime()));
-  if (now - since > kRelaySilence) {
-    source->second.passed_over_until = now + kPassedOver;
+  if (now - since <= kRelaySilence) {
+    return false;
+  }
+  source->second.passed_over_until = now + kPassedOver;
+  return true;
+}
+
+HostName RegionNews::NameOf(std::uint32_t host) const {
+  if (host == own_hash_) {
+    return options_.host;
   }
+  const auto found = sources_.find(host);
+  return found == sources_.end() ? HostName() : peers_[found->second.peer].host;
 }
 
 std::uint32_t RegionNews::FirstInOrder(const FailureDomainName& domain,
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -45,6 +45,13 @@
   return self;
 }
 
+void LogRelay(const news::RelayChange& change) {
+  Log(LogLevel::kInfo, "news-relay-changed",
+      {{"domain", change.failure_domain.Value()},
+       {"relay", change.relay.Value()},
+       {"was_silent", change.was_silent}});
+}
+
 // A host that starts knows of no reader yet. Were its first call held as long
 // as later ones, it would miss the rows of all that start with it.
 rows::FollowPace PaceWhileHostsMeet() {
@@ -103,7 +110,8 @@
   news_.emplace(news::RegionNews::Options{.host = HostName(settings_.host),
                                           .failure_domain = FailureDomainName(
                                               settings_.failure_domain),
-                                          .link_mbps = settings_.link_mbps},
+                                          .link_mbps = settings_.link_mbps,
+                                          .on_relay = LogRelay},
                 parts_.loop, *channel_);
   news_->Start();
   started_at_ = parts_.loop.Now();
