--- a/tests/fuzz/peer_message_fuzzer.cc
+++ b/tests/fuzz/peer_message_fuzzer.cc
@@ -9,6 +9,7 @@
 
 #include "adapters/peer/compact_protocol.h"
 #include "adapters/peer/frame.h"
+#include "adapters/peer/peer_channel.h"
 #include "adapters/peer/wire_conversion.h"
 #include "adapters/platform/catalogue_wire.h"
 
@@ -42,6 +43,9 @@
   while (reader.Next()) {
   }
 
+  static_cast<void>(
+      adapters::DecodePeerNews({reinterpret_cast<const char*>(data), size}));
+
   wire::Exchange exchange;
   if (Read(bytes, exchange)) {
     static_cast<void>(adapters::FromWire(exchange));
