Hold that hosts which ask a reader for the same text get what each lacks

Cause: a reader makes the text of an answer once for all who ask for the same, and nothing held that a host which knows less, or asks after a change, gets its own. Change: a test of four questions (two alike, one after a change, one that knows nothing). It was written after the code and was not seen failing.

--- a/tests/unit/platform/follower_beside_another_test.cc
+++ b/tests/unit/platform/follower_beside_another_test.cc
@@ -1,6 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "platform/mirror_page.h"
 #include "table_follower_fixture.h"
@@ -133,5 +137,57 @@
   EXPECT_EQ(server_.calls["/medlarcroft/rows-get"], 1);
 }
 
+// Many hosts ask for the same at once, and one text is made for all of them.
+// Who asks after a change, or knows less, must not get what others got before.
+TEST_F(FollowerBesideAnother, EachHostGetsWhatItLacks) {
+  server_.Put("a", "1");
+  other_.Start();
+  std::vector<std::vector<std::string>> answers;
+  std::uint64_t known = 0;
+  const auto ask = [&](std::uint64_t version) {
+    AskOther({.table = "t", .known_version = version},
+             [&](const Result<RowBatch, RowFailure>& answer) {
+               std::vector<std::string> keys;
+               if (IsOk(answer)) {
+                 known = ValueOf(answer).newest_version;
+                 for (const Row& row : ValueOf(answer).rows) {
+                   keys.push_back(row.key);
+                 }
+               }
+               answers.push_back(keys);
+             });
+  };
+  RunUntil([&] {
+    if (!other_.HasTable()) {
+      return false;
+    }
+    ask(0);
+    ask(0);
+    return true;
+  });
+  RunUntil([&] {
+    if (answers.size() < 2) {
+      return false;
+    }
+    server_.Put("b", "2");
+    return true;
+  });
+  RunUntil([&] {
+    if (other_heard_.rows.size() < 2) {
+      return false;
+    }
+    ask(known);
+    ask(0);
+    return true;
+  });
+  RunUntil([&] { return answers.size() == 4; });
+  loop_.Run();
+
+  std::ranges::sort(answers);
+  const std::vector<std::vector<std::string>> expected = {
+      {"a"}, {"a"}, {"a", "b"}, {"b"}};
+  EXPECT_EQ(answers, expected);
+}
+
 }  // namespace
 }  // namespace medlarcroft::rows
