Take the figures of trials out of comments

Change: comments only. No figure was measured anew; no code changes.

Conclusion: the code says what a mechanism is for, pages and messages what it brought.

--- a/benchmarks/placement_benchmark.cc
+++ b/benchmarks/placement_benchmark.cc
@@ -1,9 +1,8 @@
 // Nanoseconds for one placement (choosing a target, taking and giving back its
 // slot) and for one request through the whole scheduler, by number of targets.
 //
-// Earlier figures (ns at 12, 260 and 5,000 targets): two choices 75, 74, 88;
-// random 37, 33, 60; whole scheduler 318, 322, 308. Bound: two choices take at
-// most four times as long as random in the same run, and 1 us at any size.
+// Bound: two choices take at most four times as long as random in the same run,
+// and 1 us at any size.
 #include <benchmark/benchmark.h>
 
 #include <string>
--- a/lib/libmedlarcroft/include/medlarcroft/news/news_pace.h
+++ b/lib/libmedlarcroft/include/medlarcroft/news/news_pace.h
@@ -31,7 +31,7 @@
 
 /// @return how long news of placed objects waits for more of it, to go out in
 /// one datagram. It must stay well below the work of an object that is not
-/// warm (0.24 s and more), in which another host may place it elsewhere.
+/// warm, in which another host may place it elsewhere.
 [[nodiscard]] constexpr Duration PlacedNewsDelay(std::size_t peers) {
   return std::min(kNewsDelayPerPeer * static_cast<int>(peers),
                   kLongestNewsDelay);
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
@@ -13,8 +13,7 @@
 
 namespace medlarcroft::request_path {
 
-/// @brief How candidates are priced. The defaults are those that served best at
-/// 3, 7 and 9 slots a target (docs/decisions/platform.md).
+/// @brief How candidates are priced; why so: docs/decisions/platform.md.
 struct PlacementOptions {
   /// How likely a target has an object that this host did not send there
   /// lately, if it is the first or second in the object's order: other hosts
@@ -100,9 +99,8 @@
 /// has its own order of targets for an object (rendezvous hashing), by which
 /// hosts that know nothing of each other meet at the same targets.
 /// A target that fails a part of its requests is not priced for that: its
-/// objects would be run anew elsewhere, where a second send costs less. Leaving
-/// such a price out: credit of 35 paired days 0.707 -> 0.713, requests in time
-/// 0.854 -> 0.860. One that fails several in a row rests.
+/// objects would be run anew elsewhere, where a second send costs less. One
+/// that fails several in a row rests.
 /// @return nullopt when no target may be used.
 [[nodiscard]] std::optional<Placement> ChooseTarget(
     std::span<const RegionTargets> regions,
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/region_plan.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/region_plan.h
@@ -34,9 +34,7 @@
 /// same on every host, and leaves it only for requests that their region has no
 /// room for and another one has, at a bounded rate, and comes back as slowly.
 /// Objects keep their region while the plan stands: with weighted rendezvous
-/// hashing only the moved part changes. Against a plan that follows each single
-/// choice: credit of three deployments 0.682 -> 0.700 in the mean of 35 paired
-/// days, requests in time 0.832 -> 0.848.
+/// hashing only the moved part changes.
 class RegionPlan {
  public:
   RegionPlan(RegionName own_region, const RegionPlanOptions& options);
--- a/lib/libmedlarcroft/source/adapters/process/json_line.h
+++ b/lib/libmedlarcroft/source/adapters/process/json_line.h
@@ -10,9 +10,8 @@
 /// @brief Writes one flat JSON object into one string.
 ///
 /// Load: two lines for each request. A document of the JSON library for each
-/// line cost 3.8 us, most of it allocations; this costs 0.65 us (benchmark
-/// OneWrittenLine, 5 fields). Text that needs escapes still goes through the
-/// library.
+/// line takes several times as long, most of it for allocations. Text that
+/// needs escapes still goes through the library.
 class JsonLine {
  public:
   /// @param bytes expected, so that the text grows once.
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -36,9 +36,8 @@
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 
 // The bound on shifts holds for windows of this length. Most of it is left to
-// chance and to domains that come and go. Moving as fast as 0.4 of it lost more
-// to objects that are run anew than room elsewhere gained (credit of 35 paired
-// days 0.695, at 0.15 0.700); 0.15 and 0.1 differ by less than chance.
+// chance and to domains that come and go; and objects that move fast are run
+// anew more often than room elsewhere makes up for.
 constexpr Duration kShiftWindow = std::chrono::seconds(2);
 constexpr double kPlannedShift = 0.1;
 
