Tell no old news after a cut, and whole states in turn

Cause, found in reading the change and then seen in tests that failed first: a relay that hears no other domain kept each target's latest load, and objects, for as long as the cut lasted, and told them as news when it ended (WhatIsOldIsNotToldAfterACut). A host of 13 told 9.4 KB/s directly, computed, over the 7 KB/s that its comment claimed.

Change: what was gathered is dropped while there is nobody to tell.

--- a/lib/libmedlarcroft/include/medlarcroft/news/news_pace.h
+++ b/lib/libmedlarcroft/include/medlarcroft/news/news_pace.h
@@ -11,10 +11,10 @@
 
 namespace medlarcroft::news {
 
-/// Up to so many others each host tells each other itself. Each of them tells
-/// some fifty loads of five bytes a second, which stays within the 7 KB a
-/// second that a host's control may take.
-inline constexpr std::size_t kMostPeersToldDirectly = 12;
+/// Up to so many others each host tells each other itself: ten datagrams a
+/// second, with some fifty loads of five bytes, stay within the 7 KB a second
+/// that a host's control may take.
+inline constexpr std::size_t kMostPeersToldDirectly = 8;
 
 [[nodiscard]] constexpr bool IsToldDirectly(std::size_t peers) {
   return peers <= kMostPeersToldDirectly;
@@ -26,6 +26,10 @@
 /// tried it often.
 inline constexpr Duration kUnheardLimit = std::chrono::milliseconds(2600);
 
+/// Hosts that are told the whole state with each beat, in turn: all of them at
+/// once would be a datagram of each host to each.
+inline constexpr std::size_t kStatesABeat = 4;
+
 inline constexpr Duration kNewsDelayPerPeer = std::chrono::milliseconds(2);
 inline constexpr Duration kLongestNewsDelay = std::chrono::milliseconds(200);
 
--- a/lib/libmedlarcroft/include/medlarcroft/news/region_news.h
+++ b/lib/libmedlarcroft/include/medlarcroft/news/region_news.h
@@ -88,6 +88,9 @@
   void TellBeat(const membership::Heartbeat& heartbeat);
   /// @brief Tells each host of the region itself, at once.
   void TellState(const membership::HostState& state);
+  /// @brief Tells the next few hosts of the region, so that each hears it in
+  /// its turn: those that missed it, or were cut off meanwhile.
+  void TellStateInTurn(const membership::HostState& state);
 
   /// @brief Takes in a datagram, to tell it on where that is this host's part.
   void OnNews(const PeerNews& news);
@@ -113,6 +116,8 @@
   void SendSoon(Duration delay);
   void SendOwn();
   void Relay();
+  /// @brief Drops what other hosts told: by now it is old.
+  void DropGathered();
   void SendDigest(MonotonicTime now);
   void SendExchange(MonotonicTime now);
   /// @return the hash of the host that relays for a domain; 0: none is heard.
@@ -132,6 +137,9 @@
   NewsSender& sender_;
   std::vector<Peer> peers_;
   std::vector<std::string> peer_addresses_;
+  /// Place in `peer_addresses_`, modulo its size. Hosts that start together
+  /// begin at places of their own: else all would tell the same one at a time.
+  std::size_t next_told_;
   std::vector<std::string> domain_addresses_;
   std::vector<FailureDomainName> other_domains_;
   std::unordered_map<std::uint32_t, Source> sources_;
--- a/lib/libmedlarcroft/source/news/region_news.cc
+++ b/lib/libmedlarcroft/source/news/region_news.cc
@@ -21,7 +21,8 @@
     : options_(std::move(options)),
       own_hash_(membership::HashOf(options_.host)),
       timers_(timers),
-      sender_(sender) {}
+      sender_(sender),
+      next_told_(own_hash_) {}
 
 RegionNews::~RegionNews() {
   *self_ = nullptr;
@@ -86,6 +87,15 @@
   sender_.Send(peer_addresses_, {.sender = own_hash_, .state = state});
 }
 
+void RegionNews::TellStateInTurn(const membership::HostState& state) {
+  const std::size_t count = std::min(kStatesABeat, peer_addresses_.size());
+  std::vector<std::string> addresses;
+  for (std::size_t told = 0; told < count; ++told) {
+    addresses.push_back(peer_addresses_[next_told_++ % peer_addresses_.size()]);
+  }
+  sender_.Send(addresses, {.sender = own_hash_, .state = state});
+}
+
 void RegionNews::SendSoon(Duration delay) {
   if (std::exchange(is_sending_soon_, true)) {
     return;
@@ -175,6 +185,8 @@
     if (IsActing(now)) {
       SendDigest(now);
       SendExchange(now);
+    } else {
+      DropGathered();
     }
   }
   timers_.RunAfter(kDigestPeriod, [self = self_] {
@@ -184,6 +196,11 @@
   });
 }
 
+void RegionNews::DropGathered() {
+  digest_ = NewsQueue();
+  exchange_ = NewsQueue();
+}
+
 void RegionNews::SendDigest(MonotonicTime now) {
   PeerNews digest = digest_.Take(kMostDigestBytes, now);
   digest.way = NewsWay::kDigest;
@@ -209,7 +226,11 @@
       addresses.push_back(AddressOf(host));
     }
   }
+  // Failure: no other domain is heard, by a cut. Symptom: what this domain's
+  // targets had long ago comes as news when the cut ends, and idle ones look
+  // full.
   if (addresses.empty()) {
+    exchange_ = NewsQueue();
     return;
   }
   PeerNews exchange = exchange_.Take(kMostDigestBytes, now);
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -18,11 +18,9 @@
 using adapters::LogLevel;
 using membership::HostPhase;
 
-// One beat in so many tells the whole state, for hosts that missed it; the
-// others are signs of life, a third of its bytes.
+// One beat in so many tells all hosts of a small region the whole state, for
+// those that missed it; the others are signs of life, a third of its bytes.
 constexpr std::uint32_t kWholeStateEvery = 3;
-// Where each beat that tells it takes a datagram for each of many hosts.
-constexpr std::uint32_t kWholeStateEveryRelayed = 10;
 // The table's own limits are not used; they only must not be shorter.
 constexpr Duration kTableLimit = std::chrono::seconds(20);
 constexpr Duration kWriteAgain = std::chrono::milliseconds(700);
@@ -114,7 +112,6 @@
                                           .on_relay = LogRelay},
                 parts_.loop, *channel_);
   news_->Start();
-  started_at_ = parts_.loop.Now();
   watch_.Start();
   parts_.loop.Every(news::kBeatPeriod, [this] { SendBeats(); });
   parts_.loop.After(kHostsMeet,
@@ -360,9 +357,9 @@
   const membership::HostState& self = table_.Self();
   const auto heartbeat =
       membership::MakeHeartbeat(self.host, self.number, Duration(0));
-  const std::uint32_t whole_every =
-      news_->IsRelayed() ? kWholeStateEveryRelayed : kWholeStateEvery;
-  if (++beats_ % whole_every == 0 || !heartbeat) {
+  if (news_->IsRelayed()) {
+    news_->TellStateInTurn(self);
+  } else if (++beats_ % kWholeStateEvery == 0) {
     news_->TellState(self);
   }
   if (heartbeat) {
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -114,7 +114,6 @@
   std::optional<news::RegionNews> news_;
   std::map<HostName, Entry> entries_;
   std::uint32_t beats_ = 0;
-  MonotonicTime started_at_{};
   bool is_writing_ = false;
   std::optional<MonotonicTime> written_at_;
 };
--- a/tests/unit/news/region_news_test.cc
+++ b/tests/unit/news/region_news_test.cc
@@ -156,5 +156,38 @@
   EXPECT_TRUE(region.HasHeard(50, 7));
 }
 
+// A domain was cut off for longer than hosts count as heard: nobody there is
+// known any more, and both sides must find each other again by themselves.
+TEST(RegionNewsTest, ADomainThatWasCutOffIsHeardAgain) {
+  RegionOfHosts region({});
+  region.RunFor(kSettled);
+  region.CutDomain(1);
+  region.RunFor(seconds(10));
+  region.HealDomain();
+  region.RunFor(seconds(2));
+  region.TellPlaced(3, 7);
+  region.TellPlaced(4, 8);
+  region.RunFor(seconds(1));
+  EXPECT_GE(CountHeard(region, 7), region.Size() - 1);
+  EXPECT_GE(CountHeard(region, 8), region.Size() - 1);
+}
+
+// What a cut-off domain's targets had when it was cut off must not come as news
+// when it is back: a target that has long been idle would look full.
+TEST(RegionNewsTest, WhatIsOldIsNotToldAfterACut) {
+  RegionOfHosts region({});
+  region.RunFor(kSettled);
+  region.CutDomain(1);
+  region.RunFor(seconds(5));
+  region.TellLoad(4, 77, 30);
+  region.TellPlaced(4, 8);
+  region.RunFor(seconds(10));
+  region.HealDomain();
+  region.RunFor(seconds(3));
+  EXPECT_TRUE(region.LoadAt(7, 77));
+  EXPECT_FALSE(region.LoadAt(3, 77));
+  EXPECT_FALSE(region.HasHeard(3, 8));
+}
+
 }  // namespace
 }  // namespace medlarcroft::news
