Show that a request that crashes its targets is sent on by every host

Callers saw: targets of one service ended one after the other, and most of its requests were refused. Stand-in targets learn to end under a request's path and to come back, the store's stand-in to keep preconditions.

--- a/tests/system/platform_standins.py
+++ b/tests/system/platform_standins.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import socket
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -12,9 +13,31 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def __init__(self, *args):
+        self.connections = set()
+        super().__init__(*args)
+
     def handle_error(self, *_):
         """A caller that is gone is no news here."""
 
+    def process_request(self, request, client_address):
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def die(self):
+        """Ends at once, as a killed process does: the port refuses, open connections break off."""
+        self.shutdown()
+        self.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
 
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
@@ -128,6 +151,12 @@
         if self.refuse_with:
             handler.answer(self.refuse_with)
             return
+        with self.changed:
+            versions = {(row["table"], row["key"]): row["schema_version"] for row in transaction.get("precondition", [])}
+            holds = all(self.rows.get(key, (b"", 0))[1] == version for key, version in versions.items())
+        if not holds:
+            handler.answer(412)
+            return
         for row in transaction["writes"]:
             self.put(row["table"], row["key"], base64.b64decode(row["value"]))
         for row in transaction["remove"]:
@@ -136,17 +165,24 @@
 
 
 class Target:
-    """One target. `mode`: ok, slow (answers after `delay_s`), cut (runs, then closes without an answer)."""
+    """One target. `mode`: ok, slow (answers after `delay_s`), cut (runs, then closes without an answer). A request
+    whose path is in `crash_paths` ends its process; another one has its address after `back_after_s`."""
 
     def __init__(self, store, name, service, domain, address, slots=2):
         self.store, self.name, self.slots = store, name, slots
         self.mode, self.delay_s = "ok", 0.02
+        self.crash_paths, self.back_after_s = set(), 1.0
+        self.first_name, self.crashes = name, 0
         self.ran = []
+        self.ran_paths = []  # (time, path), of all processes.
         self.running = 0
         self.lock = threading.Lock()
         self.entry = {"address": "%s:%d" % address,
                       "info": {"service": service, "version": "v1", "zone": domain, "slots": slots},
                       "status": {"state": "in_service", "sequence": 1, "cold_remaining": "0ms"}}
+        self._start(address)
+
+    def _start(self, address):
         target = self
 
         class Handler(_Handler):
@@ -157,7 +193,19 @@
 
         self.server = _Server(address, Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
-        store.put_json("servers", name, self.entry)
+        self.store.put_json("servers", self.name, self.entry)
+
+    def _crash(self):
+        with self.lock:
+            self.crashes += 1
+            crash, server = self.crashes, self.server
+        server.die()
+
+        def come_back():
+            self.store.remove("servers", self.name)
+            self.name = f"{self.first_name}-{crash}"
+            self._start(server.server_address)
+        threading.Timer(self.back_after_s, come_back).start()
 
     def leave(self):
         self.entry["status"]["state"] = "draining"
@@ -173,10 +221,16 @@
         with self.lock:
             self.running += 1
             self.ran.append(request)
+            self.ran_paths.append((time.monotonic(), handler.path))
+            crashes = handler.path in self.crash_paths and handler.server is self.server
         time.sleep(self.delay_s)
         with self.lock:
             self.running -= 1
             load = "%d,0,%d" % (self.running, self.slots)
+        if crashes:
+            handler.close_connection = True
+            self._crash()
+            return
         if self.mode == "cut":
             handler.close_connection = True
             handler.connection.close()
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -48,14 +48,15 @@
 class Node:
     """One medlar-node with its log file."""
 
-    def __init__(self, folder, number, store_port, store=None, telemetry=None):
+    def __init__(self, folder, number, store_port, store=None, telemetry=None, region="r1"):
         ip = f"{NET}.1.{number}"
         self.name, self.caller, self.lookup = f"edge-{number}", (ip, 18100), (ip, 18102)
         self.readiness, self.metrics = (ip, 18101), (ip, 18104)
         self.log = folder / f"{self.name}.log"
         settings = folder / f"{self.name}.yaml"
         settings.write_text(json.dumps({
-            "host": self.name, "failure_domain": "z1", "region": "r1", "domains": [{"domain": "z1", "region": "r1"}],
+            "host": self.name, "failure_domain": "z" + region[1:], "region": region,
+            "domains": [{"domain": "z1", "region": "r1"}, {"domain": "z2", "region": "r2"}],
             "caller_listen": f"{ip}:18100", "readiness_listen": f"{ip}:18101", "lookup_listen": f"{ip}:18102",
             "peer_listen": f"{ip}:18103", "metrics_listen": f"{ip}:18104", "store_address": store or f"{NET}.0.1:{store_port}",
             "telemetry": telemetry or {}}))
