--- a/lib/libmedlarcroft/include/medlarcroft/news/news_pace.h
+++ b/lib/libmedlarcroft/include/medlarcroft/news/news_pace.h
@@ -48,6 +48,14 @@
 /// Objects and loads in one datagram of a host's own news.
 inline constexpr std::size_t kMostPlacedTogether = 100;
 inline constexpr std::size_t kMostLoadsTogether = 50;
+inline constexpr std::size_t kMostCrashesTogether = 60;
+
+/// Hosts of each other region that receive a global report. More than one, in
+/// case a host is down or a datagram is lost.
+inline constexpr std::size_t kReceiversPerRegion = 2;
+/// Interval at which a host repeats its global reports, for hosts that were
+/// disconnected, paused or restarted in the meantime.
+inline constexpr Duration kGlobalRepeatPeriod = std::chrono::seconds(1);
 
 /// Between a relay's datagrams. With their size it bounds what each host hears
 /// to 6.5 KB a second.
--- a/lib/libmedlarcroft/include/medlarcroft/news/news_queue.h
+++ b/lib/libmedlarcroft/include/medlarcroft/news/news_queue.h
@@ -17,18 +17,20 @@
 /// Load: a hundred hosts that each place tens of requests a second at hundreds
 /// of targets. Harm prevented: news that grows with what is placed fills the
 /// links of small hosts. So what was told a moment ago is not told again, and
-/// what a datagram does not take waits, the oldest objects being dropped and
-/// each target's latest load kept.
+/// what a datagram does not take waits, the oldest objects and crashes being
+/// dropped and each target's latest load kept.
 class NewsQueue {
  public:
   void Add(const PeerNews& news, MonotonicTime now);
 
   /// @return at most `most_bytes` of what waits: signs of life first, then
-  /// objects and loads by halves.
+  /// crash reports up to half of the remainder, then objects and loads by
+  /// halves.
   [[nodiscard]] PeerNews Take(std::size_t most_bytes, MonotonicTime now);
 
   [[nodiscard]] bool IsEmpty() const {
-    return heartbeats_.empty() && placed_.empty() && loads_.empty();
+    return heartbeats_.empty() && placed_.empty() && loads_.empty() &&
+           crashes_.empty();
   }
 
  private:
@@ -36,6 +38,10 @@
     membership::Heartbeat heartbeat;
     MonotonicTime heard_at;
   };
+  struct ToldCrash {
+    request_path::CrashReport report;
+    MonotonicTime told_at;
+  };
   struct Told {
     std::uint32_t requests = 0;
     MonotonicTime told_at;
@@ -43,9 +49,11 @@
 
   void AddPlaced(const PlacedObject& placed, MonotonicTime now);
   void AddLoad(const ToldLoad& load, MonotonicTime now);
+  void AddCrash(const request_path::CrashReport& report, MonotonicTime now);
   void TakeHeartbeats(PeerNews& news,
                       std::size_t& bytes_left,
                       MonotonicTime now);
+  void TakeCrashes(PeerNews& news, std::size_t& bytes_left);
   void TakePlaced(PeerNews& news, std::size_t& bytes_left, std::size_t most);
   void TakeLoads(PeerNews& news, std::size_t& bytes_left, MonotonicTime now);
   void ForgetTold(MonotonicTime now);
@@ -53,6 +61,8 @@
   std::map<std::uint32_t, HeardBeat> heartbeats_;
   std::deque<PlacedObject> placed_;
   std::map<request_path::TargetNumber, std::uint32_t> loads_;
+  std::deque<request_path::CrashReport> crashes_;
+  std::deque<ToldCrash> told_crashes_;
   request_path::TargetNumber last_load_{};  ///< That was taken.
   std::unordered_map<std::uint64_t, MonotonicTime> told_placed_;
   std::unordered_map<request_path::TargetNumber, Told> told_loads_;
--- a/lib/libmedlarcroft/include/medlarcroft/news/peer_news.h
+++ b/lib/libmedlarcroft/include/medlarcroft/news/peer_news.h
@@ -10,6 +10,7 @@
 
 #include "medlarcroft/membership/heartbeat.h"
 #include "medlarcroft/membership/host_state.h"
+#include "medlarcroft/request_path/crash_ledger.h"
 #include "medlarcroft/request_path/object_key.h"
 #include "medlarcroft/request_path/target_identity.h"
 
@@ -33,10 +34,11 @@
 
 /// @brief Who the news is for beside the host that hears it.
 enum class NewsWay : std::uint8_t {
-  kDirect,    ///< Nobody else: its sender tells each host itself.
-  kReport,    ///< A host to the relay of its domain: for the whole region.
-  kExchange,  ///< From relay to relay: for the receiver's domain.
-  kDigest,    ///< A relay to a host of its domain: nobody else.
+  kDirect,       ///< Nobody else: its sender tells each host itself.
+  kReport,       ///< A host to the relay of its domain: for the whole region.
+  kExchange,     ///< From relay to relay: for the receiver's domain.
+  kDigest,       ///< A relay to a host of its domain: nobody else.
+  kInterRegion,  ///< From another region: for the receiver's region.
 };
 
 /// @brief What one host tells another in one datagram.
@@ -46,20 +48,27 @@
   std::optional<membership::HostState> state;  ///< Without its loads.
   std::vector<PlacedObject> placed;
   std::vector<ToldLoad> loads;
+  std::vector<request_path::CrashReport> crashes;
   /// Signs of life of hosts whose state is known, in ten bytes each.
   std::vector<membership::Heartbeat> heartbeats;
 };
 
 inline constexpr std::size_t kPlacedBytes = 8;
 inline constexpr std::size_t kLoadBytes = 5;
+inline constexpr std::size_t kCrashReportBytes = 13;
 
 [[nodiscard]] std::string EncodePlaced(const std::vector<PlacedObject>& placed);
 [[nodiscard]] std::string EncodeLoads(const std::vector<ToldLoad>& loads);
+[[nodiscard]] std::string EncodeCrashes(
+    const std::vector<request_path::CrashReport>& crashes);
 /// @return nullopt when the length does not fit.
 [[nodiscard]] std::optional<std::vector<PlacedObject>> DecodePlaced(
     std::string_view bytes);
 [[nodiscard]] std::optional<std::vector<ToldLoad>> DecodeLoads(
     std::string_view bytes);
+/// @return nullopt when the length is invalid or a kind is unknown.
+[[nodiscard]] std::optional<std::vector<request_path::CrashReport>>
+DecodeCrashes(std::string_view bytes);
 
 }  // namespace medlarcroft::news
 
--- a/lib/libmedlarcroft/include/medlarcroft/news/region_news.h
+++ b/lib/libmedlarcroft/include/medlarcroft/news/region_news.h
@@ -84,6 +84,7 @@
   /// @brief Tells the region, soon and together with more.
   void TellPlaced(const PlacedObject& placed);
   void TellLoad(const ToldLoad& load);
+  void TellCrashes(std::span<const request_path::CrashReport> reports);
   /// @brief Tells the region at once.
   void TellBeat(const membership::Heartbeat& heartbeat);
   /// @brief Tells each host of the region itself, at once.
@@ -115,6 +116,8 @@
 
   void SendSoon(Duration delay);
   void SendOwn();
+  /// @brief Sends to the region, through the relay if there is one.
+  void SendToRegion(PeerNews news);
   void Relay();
   /// @brief Drops what other hosts told: by now it is old.
   void DropGathered();
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -14,6 +14,7 @@
 #include "medlarcroft/core/time.h"
 #include "medlarcroft/ports/random_source.h"
 #include "medlarcroft/request_path/attempt_allowance.h"
+#include "medlarcroft/request_path/crash_ledger.h"
 #include "medlarcroft/request_path/placement_policy.h"
 #include "medlarcroft/request_path/region_plan.h"
 #include "medlarcroft/request_path/service_times.h"
@@ -34,20 +35,22 @@
   std::string object;  ///< What it concerns; empty: nothing in particular.
   /// How long the caller still waits; absent: as long as the route allows.
   std::optional<Duration> time_left;
+  RequestFingerprint fingerprint;
 };
 
 /// @brief Why a request ends without a target's answer.
 enum class EndReason {
-  kNotConfigured,  ///< This host knows no configuration yet.
-  kNoRoute,        ///< No route takes it.
-  kNoRouteYet,     ///< None that is known, but the news may be old.
-  kNoTarget,       ///< No target may be used.
-  kNoRoom,         ///< The wait would be too long.
-  kTooLate,        ///< It can't be answered in the time that is left.
-  kRetriesSpent,   ///< It did not run, and no further send is allowed.
-  kMayHaveRun,     ///< A send was lost, and must not be repeated.
-  kTimedOut,       ///< The time is over while a target had it.
-  kHostLeaving,    ///< This host takes nothing new.
+  kNotConfigured,   ///< This host knows no configuration yet.
+  kNoRoute,         ///< No route takes it.
+  kNoRouteYet,      ///< None that is known, but the news may be old.
+  kNoTarget,        ///< No target may be used.
+  kNoRoom,          ///< The wait would be too long.
+  kTooLate,         ///< It can't be answered in the time that is left.
+  kRetriesSpent,    ///< It did not run, and no further send is allowed.
+  kMayHaveRun,      ///< A send was lost, and must not be repeated.
+  kTimedOut,        ///< The time is over while a target had it.
+  kHostLeaving,     ///< This host takes nothing new.
+  kCrashesTargets,  ///< It is blocked because it crashed targets.
 };
 
 /// @brief A final answer that this host makes itself.
@@ -127,6 +130,7 @@
     /// the latency objective: beyond it the answer comes late and holds up what
     /// follows.
     double longest_wait = 0.6;
+    CrashLedger::Options crashes;
   };
 
   RequestPath(const Options& options,
@@ -166,6 +170,7 @@
     distances_.OnConnected(region, round_trip);
   }
 
+  [[nodiscard]] CrashLedger& Crashes() { return crashes_; }
   [[nodiscard]] std::size_t InFlight() const { return requests_.size(); }
   [[nodiscard]] std::uint32_t HostCount() const { return host_count_; }
   [[nodiscard]] std::uint64_t ConfigurationVersion() const {
@@ -189,6 +194,7 @@
     std::shared_ptr<const routing::Route> route;
     ServiceName service;
     ObjectKey object;
+    RequestFingerprint fingerprint;
     MonotonicTime deadline;
     std::vector<Attempt> attempts;
     std::uint32_t arrivals = 0;  ///< Sends that reached a target.
@@ -235,6 +241,7 @@
   TargetBook& targets_;
   ports::RandomSource& random_;
   RegionDistances distances_;
+  CrashLedger crashes_;
   std::uint32_t host_count_ = 1;
   bool is_news_doubtful_ = false;
   RequestTicket last_ticket_ = 0;
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/forward/crash_probe.cc
@@ -0,0 +1,88 @@
+#include "adapters/forward/crash_probe.h"
+
+#include <utility>
+
+#include "adapters/event/tcp_stream.h"
+#include "adapters/process/socket_address.h"
+
+namespace medlarcroft::adapters {
+
+namespace {
+
+// A refusal takes one round trip. Without a response within this time the
+// target counts as not crashed.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(500);
+constexpr Duration kSilenceLimit = std::chrono::seconds(3);
+
+}  // namespace
+
+class CrashProbe::Probe final : public StreamHandler {
+ public:
+  Probe(CrashProbe& owner, std::string address, const SocketAddress& parsed)
+      : owner_(owner),
+        address_(std::move(address)),
+        timer_(owner.loop_.After(kProbeTimeout,
+                                 [this] {
+                                   timer_ = 0;
+                                   owner_.Finish(address_, false);
+                                 })),
+        stream_(owner.loop_, parsed, kSilenceLimit, *this) {}
+  ~Probe() override {
+    if (timer_ != 0) {
+      owner_.loop_.Cancel(timer_);
+    }
+  }
+  Probe(const Probe&) = delete;
+  Probe& operator=(const Probe&) = delete;
+
+  void OnConnected() override { owner_.Finish(address_, false); }
+  void OnBytes(std::string_view /*bytes*/) override {}
+  void OnEnd(StreamEnd end) override {
+    owner_.Finish(address_, end == StreamEnd::kCannotConnect);
+  }
+
+  std::vector<BrokenSend> broken;
+
+ private:
+  CrashProbe& owner_;
+  const std::string address_;
+  TimerId timer_;
+  TcpStream stream_;
+};
+
+CrashProbe::CrashProbe(EventLoop& loop, OnCrash on_crash)
+    : loop_(loop), on_crash_(std::move(on_crash)) {}
+
+CrashProbe::~CrashProbe() = default;
+
+void CrashProbe::Check(const std::string& address, BrokenSend broken) {
+  const auto known = probes_.find(address);
+  if (known != probes_.end()) {
+    known->second->broken.push_back(std::move(broken));
+    return;
+  }
+  const auto parsed = ParseSocketAddress(address);
+  if (!parsed) {
+    return;
+  }
+  auto probe = std::make_unique<Probe>(*this, address, *parsed);
+  probe->broken.push_back(std::move(broken));
+  probes_.emplace(address, std::move(probe));
+}
+
+void CrashProbe::Finish(const std::string& address, bool is_refused) {
+  const auto found = probes_.find(address);
+  if (found == probes_.end()) {
+    return;
+  }
+  const std::unique_ptr<Probe> probe = std::move(found->second);
+  probes_.erase(found);
+  if (!is_refused) {
+    return;
+  }
+  for (const BrokenSend& broken : probe->broken) {
+    on_crash_(broken);
+  }
+}
+
+}  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.cc
@@ -155,8 +155,7 @@
     running.answers[attempt.attempt] = TakeValue(std::move(result));
   } else {
     end = EndOf(ErrorOf(result));
-    // What broke one connection may have broken those that idle beside it.
-    parts_.caller.RetireIdle(attempt.address);
+    OnExchangeFailed(running, attempt, ErrorOf(result));
   }
   running.trace->OnAttemptEnd(attempt.attempt, end);
   parts_.telemetry.OnAttemptEnd(running.lines, running.decoded.id, attempt, end,
@@ -164,6 +163,22 @@
   Carry(ticket, parts_.path.OnAttemptEnd(ticket, attempt.attempt, end, now));
 }
 
+void RequestRunner::OnExchangeFailed(const Running& running,
+                                     const SendAttempt& attempt,
+                                     const ExchangeError& error) {
+  // What broke one connection may have broken those that idle beside it.
+  parts_.caller.RetireIdle(attempt.address);
+  const bool is_connection_closed =
+      error.failure == ExchangeFailure::kClosed ||
+      error.failure == ExchangeFailure::kTruncated;
+  if (is_connection_closed && !error.is_proved_unsent) {
+    crash_probe_.Check(attempt.address,
+                       {.id = running.decoded.id,
+                        .fingerprint = running.decoded.request.fingerprint,
+                        .target = attempt.target});
+  }
+}
+
 void RequestRunner::OnSlow(RequestTicket ticket) {
   const auto found = running_.find(ticket);
   if (found == running_.end()) {
--- a/lib/libmedlarcroft/source/adapters/forward/request_runner.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_runner.h
@@ -12,6 +12,7 @@
 
 #include "adapters/event/http_caller.h"
 #include "adapters/event/http_listener.h"
+#include "adapters/forward/crash_probe.h"
 #include "adapters/forward/request_codec.h"
 #include "adapters/forward/request_telemetry.h"
 #include "adapters/forward/request_trace.h"
@@ -38,9 +39,17 @@
     std::function<void(const request_path::TargetIdentity&,
                        const request_path::LoadReport&)>
         on_report;
+    /// Called for each send whose target crashed.
+    CrashProbe::OnCrash on_crash;
   };
 
-  explicit RequestRunner(Parts parts) : parts_(std::move(parts)) {}
+  explicit RequestRunner(Parts parts)
+      : parts_(std::move(parts)),
+        crash_probe_(parts_.loop, [this](const BrokenSend& broken) {
+          if (parts_.on_crash) {
+            parts_.on_crash(broken);
+          }
+        }) {}
   ~RequestRunner() override;
 
   void OnCall(HttpRequest call,
@@ -77,6 +86,9 @@
   void OnResult(request_path::RequestTicket ticket,
                 const request_path::SendAttempt& attempt,
                 ExchangeResult result);
+  void OnExchangeFailed(const Running& running,
+                        const request_path::SendAttempt& attempt,
+                        const ExchangeError& error);
   void OnSlow(request_path::RequestTicket ticket);
   void OnTimeout(request_path::RequestTicket ticket);
   void OnCallerGone(request_path::RequestTicket ticket);
@@ -86,6 +98,7 @@
   void Forget(request_path::RequestTicket ticket);
 
   Parts parts_;
+  CrashProbe crash_probe_;
   bool is_taking_ = true;
   RunningRequests running_;
 };
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -30,10 +30,10 @@
 constexpr MetricDescription kAnswerTime = {
     "medlar_answer_seconds", "From a request's arrival to its whole answer."};
 
-constexpr std::array<std::string_view, 10> kReasonNames = {
-    "not-configured", "no-route",    "no-route-yet",  "no-target",
-    "no-room",        "too-late",    "retries-spent", "may-have-run",
-    "timed-out",      "host-leaving"};
+constexpr std::array<std::string_view, 11> kReasonNames = {
+    "not-configured", "no-route",     "no-route-yet",   "no-target",
+    "no-room",        "too-late",     "retries-spent",  "may-have-run",
+    "timed-out",      "host-leaving", "crashes-targets"};
 constexpr std::array<std::string_view, 7> kEndNames = {
     "answered",   "target-failed", "not-run",  "other-target",
     "never-sent", "lost",          "timed-out"};
--- a/lib/libmedlarcroft/source/adapters/peer/peer_channel.cc
+++ b/lib/libmedlarcroft/source/adapters/peer/peer_channel.cc
@@ -36,6 +36,7 @@
   datagram.sender = static_cast<std::int32_t>(news.sender);
   datagram.placed = news::EncodePlaced(news.placed);
   datagram.loads = news::EncodeLoads(news.loads);
+  datagram.crashes = news::EncodeCrashes(news.crashes);
   datagram.heartbeats = membership::EncodeHeartbeats(news.heartbeats);
   const auto buffer = std::make_shared<TMemoryBuffer>();
   datagram.write(MakeCompactProtocol(buffer).get());
@@ -56,14 +57,16 @@
   auto heartbeats = membership::DecodeHeartbeats(message.heartbeats);
   auto placed = news::DecodePlaced(message.placed);
   auto loads = news::DecodeLoads(message.loads);
-  if (!heartbeats || !placed || !loads || message.way < 0 ||
-      message.way > static_cast<std::int32_t>(NewsWay::kDigest)) {
+  auto crashes = news::DecodeCrashes(message.crashes);
+  if (!heartbeats || !placed || !loads || !crashes || message.way < 0 ||
+      message.way > static_cast<std::int32_t>(NewsWay::kInterRegion)) {
     return std::nullopt;
   }
   PeerNews news{.way = static_cast<NewsWay>(message.way),
                 .sender = static_cast<std::uint32_t>(message.sender),
                 .placed = std::move(*placed),
                 .loads = std::move(*loads),
+                .crashes = std::move(*crashes),
                 .heartbeats = std::move(*heartbeats)};
   if (message.__isset.state && !message.state.host.empty()) {
     news.state = FromWire(message.state);
--- /dev/null
+++ b/lib/libmedlarcroft/source/news/global_news.cc
@@ -0,0 +1,54 @@
+#include "medlarcroft/news/global_news.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "medlarcroft/news/news_pace.h"
+
+namespace medlarcroft::news {
+
+GlobalNews::GlobalNews(const HostName& host, Parts parts)
+    : own_hash_(membership::HashOf(host)), parts_(std::move(parts)) {}
+
+void GlobalNews::TellCrashes(
+    std::span<const request_path::CrashReport> reports) {
+  if (reports.empty()) {
+    return;
+  }
+  parts_.region.TellCrashes(reports);
+  const std::vector<std::string> addresses = PickRemoteAddresses();
+  while (!reports.empty()) {
+    const auto part =
+        reports.first(std::min(reports.size(), kMostCrashesTogether));
+    parts_.sender.Send(addresses, {.way = NewsWay::kInterRegion,
+                                   .sender = own_hash_,
+                                   .crashes = {part.begin(), part.end()}});
+    reports = reports.subspan(part.size());
+  }
+}
+
+void GlobalNews::OnNews(const PeerNews& news) {
+  if (news.way == NewsWay::kInterRegion) {
+    parts_.region.TellCrashes(news.crashes);
+  }
+}
+
+std::vector<std::string> GlobalNews::PickRemoteAddresses() {
+  std::map<RegionName, std::vector<std::string>> regions;
+  for (RemoteHost& host : parts_.remote_hosts()) {
+    regions[host.region].push_back(std::move(host.address));
+  }
+  std::vector<std::string> picked;
+  for (auto& [region, hosts] : regions) {
+    for (std::size_t count = 0; count < kReceiversPerRegion && !hosts.empty();
+         ++count) {
+      const std::size_t index = parts_.random.NextBelow(hosts.size());
+      picked.push_back(std::move(hosts[index]));
+      hosts.erase(hosts.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+  }
+  return picked;
+}
+
+}  // namespace medlarcroft::news
--- a/lib/libmedlarcroft/source/news/news_queue.cc
+++ b/lib/libmedlarcroft/source/news/news_queue.cc
@@ -12,6 +12,10 @@
 constexpr Duration kLoadTellAgain = std::chrono::milliseconds(800);
 constexpr std::uint32_t kSameLoad = 1;
 constexpr std::size_t kMostPlacedWaiting = 500;
+// Suppresses duplicates: several hosts send the same report at the same time.
+// Must be below the period at which hosts repeat their reports.
+constexpr Duration kCrashTellAgain = std::chrono::milliseconds(800);
+constexpr std::size_t kMostCrashesWaiting = 300;
 
 std::uint64_t KeyOf(const PlacedObject& placed) {
   constexpr unsigned kHalf = 32;
@@ -36,6 +40,9 @@
   for (const ToldLoad& load : news.loads) {
     AddLoad(load, now);
   }
+  for (const request_path::CrashReport& report : news.crashes) {
+    AddCrash(report, now);
+  }
 }
 
 void NewsQueue::AddPlaced(const PlacedObject& placed, MonotonicTime now) {
@@ -63,11 +70,30 @@
   }
 }
 
+void NewsQueue::AddCrash(const request_path::CrashReport& report,
+                         MonotonicTime now) {
+  while (!told_crashes_.empty() &&
+         (now - told_crashes_.front().told_at >= kCrashTellAgain ||
+          told_crashes_.size() >= kMostCrashesWaiting)) {
+    told_crashes_.pop_front();
+  }
+  if (std::ranges::find(told_crashes_, report, &ToldCrash::report) !=
+      told_crashes_.end()) {
+    return;
+  }
+  told_crashes_.push_back({.report = report, .told_at = now});
+  if (crashes_.size() >= kMostCrashesWaiting) {
+    crashes_.pop_front();
+  }
+  crashes_.push_back(report);
+}
+
 PeerNews NewsQueue::Take(std::size_t most_bytes, MonotonicTime now) {
   ForgetTold(now);
   PeerNews news;
   std::size_t bytes_left = most_bytes;
   TakeHeartbeats(news, bytes_left, now);
+  TakeCrashes(news, bytes_left);
   const std::size_t for_loads =
       std::min(loads_.size() * kLoadBytes, bytes_left / 2);
   TakePlaced(news, bytes_left, bytes_left - for_loads);
@@ -89,6 +115,15 @@
   }
 }
 
+void NewsQueue::TakeCrashes(PeerNews& news, std::size_t& bytes_left) {
+  const std::size_t count =
+      std::min(crashes_.size(), bytes_left / 2 / kCrashReportBytes);
+  const auto end = crashes_.begin() + static_cast<std::ptrdiff_t>(count);
+  news.crashes.assign(crashes_.begin(), end);
+  crashes_.erase(crashes_.begin(), end);
+  bytes_left -= count * kCrashReportBytes;
+}
+
 void NewsQueue::TakePlaced(PeerNews& news,
                            std::size_t& bytes_left,
                            std::size_t most) {
--- a/lib/libmedlarcroft/source/news/peer_news.cc
+++ b/lib/libmedlarcroft/source/news/peer_news.cc
@@ -8,7 +8,10 @@
 
 namespace {
 
+using request_path::CrashReportKind;
+
 constexpr std::size_t kNumberBytes = 4;
+constexpr unsigned kNumberBits = 32;
 constexpr std::uint32_t kMostRequests = 255;
 
 }  // namespace
@@ -33,6 +36,26 @@
   return text;
 }
 
+std::string EncodeCrashes(
+    const std::vector<request_path::CrashReport>& crashes) {
+  std::string text;
+  text.reserve(crashes.size() * kCrashReportBytes);
+  for (const request_path::CrashReport& report : crashes) {
+    const std::uint64_t request = report.request.Value();
+    const bool is_blocked = report.kind == CrashReportKind::kBlocked;
+    AppendPacked(text, static_cast<std::uint32_t>(report.kind), 1);
+    AppendPacked(text, static_cast<std::uint32_t>(request), kNumberBytes);
+    AppendPacked(text, static_cast<std::uint32_t>(request >> kNumberBits),
+                 kNumberBytes);
+    AppendPacked(text,
+                 is_blocked ? static_cast<std::uint32_t>(
+                                  ToMilliseconds(report.blocked_for) / 1000)
+                            : static_cast<std::uint32_t>(report.target),
+                 kNumberBytes);
+  }
+  return text;
+}
+
 std::optional<std::vector<PlacedObject>> DecodePlaced(std::string_view bytes) {
   if (bytes.size() % kPlacedBytes != 0) {
     return std::nullopt;
@@ -61,4 +84,33 @@
   return loads;
 }
 
+std::optional<std::vector<request_path::CrashReport>> DecodeCrashes(
+    std::string_view bytes) {
+  if (bytes.size() % kCrashReportBytes != 0) {
+    return std::nullopt;
+  }
+  std::vector<request_path::CrashReport> crashes;
+  crashes.reserve(bytes.size() / kCrashReportBytes);
+  while (!bytes.empty()) {
+    const std::uint32_t kind = TakePacked(bytes, 1);
+    const std::uint64_t low = TakePacked(bytes, kNumberBytes);
+    const std::uint64_t high = TakePacked(bytes, kNumberBytes);
+    const std::uint32_t number = TakePacked(bytes, kNumberBytes);
+    if (kind > static_cast<std::uint32_t>(CrashReportKind::kBlocked)) {
+      return std::nullopt;
+    }
+    request_path::CrashReport report{
+        .kind = static_cast<CrashReportKind>(kind),
+        .request = request_path::RequestFingerprint::FromValue(
+            (high << kNumberBits) | low)};
+    if (report.kind == CrashReportKind::kBlocked) {
+      report.blocked_for = std::chrono::seconds(number);
+    } else {
+      report.target = request_path::TargetNumber{number};
+    }
+    crashes.push_back(report);
+  }
+  return crashes;
+}
+
 }  // namespace medlarcroft::news
--- a/lib/libmedlarcroft/source/news/region_news.cc
+++ b/lib/libmedlarcroft/source/news/region_news.cc
@@ -78,6 +78,20 @@
   }
 }
 
+void RegionNews::TellCrashes(
+    std::span<const request_path::CrashReport> reports) {
+  if (reports.empty()) {
+    return;
+  }
+  pending_.crashes.insert(pending_.crashes.end(), reports.begin(),
+                          reports.end());
+  if (pending_.crashes.size() >= kMostCrashesTogether) {
+    SendOwn();
+  } else {
+    SendSoon(kReportDelay);
+  }
+}
+
 void RegionNews::TellBeat(const membership::Heartbeat& heartbeat) {
   pending_.heartbeats.push_back(heartbeat);
   SendOwn();
@@ -113,9 +127,23 @@
     pending_.loads.push_back({.target = target, .requests = requests});
   }
   PeerNews news = std::exchange(pending_, {});
-  if (news.placed.empty() && news.loads.empty() && news.heartbeats.empty()) {
-    return;
+  // Sent in separate datagrams to limit the datagram size.
+  const std::vector<request_path::CrashReport> crashes =
+      std::exchange(news.crashes, {});
+  for (std::size_t begin = 0; begin < crashes.size();
+       begin += kMostCrashesTogether) {
+    const auto first = crashes.begin() + static_cast<std::ptrdiff_t>(begin);
+    const auto count = std::min(kMostCrashesTogether, crashes.size() - begin);
+    PeerNews part;
+    part.crashes.assign(first, first + static_cast<std::ptrdiff_t>(count));
+    SendToRegion(std::move(part));
   }
+  if (!news.placed.empty() || !news.loads.empty() || !news.heartbeats.empty()) {
+    SendToRegion(std::move(news));
+  }
+}
+
+void RegionNews::SendToRegion(PeerNews news) {
   news.sender = own_hash_;
   if (!IsRelayed()) {
     sender_.Send(peer_addresses_, news);
@@ -163,6 +191,7 @@
       break;
     case NewsWay::kDirect:
     case NewsWay::kDigest:
+    case NewsWay::kInterRegion:
       break;
   }
 }
--- /dev/null
+++ b/lib/libmedlarcroft/source/request_path/crash_ledger.cc
@@ -0,0 +1,226 @@
+#include "medlarcroft/request_path/crash_ledger.h"
+
+#include <algorithm>
+
+namespace medlarcroft::request_path {
+
+namespace {
+
+constexpr std::size_t kMostAnswers = 4096;
+// Rate limit per request for responses to hosts that still send a blocked
+// request or report a crash for a request that was answered here.
+constexpr Duration kMinPublishInterval = std::chrono::seconds(1);
+
+Duration InWholeSeconds(Duration duration) {
+  return std::chrono::ceil<std::chrono::seconds>(duration);
+}
+
+}  // namespace
+
+std::optional<Duration> CrashLedger::BlockedFor(RequestFingerprint request,
+                                                MonotonicTime now) const {
+  const auto found = entries_.find(request);
+  if (found == entries_.end() || !found->second.blocked_until ||
+      now >= *found->second.blocked_until) {
+    return std::nullopt;
+  }
+  return *found->second.blocked_until - now;
+}
+
+void CrashLedger::OnCrash(RequestFingerprint request,
+                          TargetNumber target,
+                          MonotonicTime now) {
+  if (request.IsEmpty()) {
+    return;
+  }
+  Entry& entry = EntryOf(request);
+  entry.own_crashes.push_back({.target = target, .at = now});
+  Publish({.kind = CrashReportKind::kCrashed,
+           .request = request,
+           .target = target});
+  Count(request, entry, target, now);
+}
+
+void CrashLedger::OnAnswered(RequestFingerprint request, MonotonicTime now) {
+  if (request.IsEmpty()) {
+    return;
+  }
+  answers_.push_back({.request = request, .at = now});
+  while (answers_.size() > kMostAnswers ||
+         now - answers_.front().at >= options_.answer_lifetime) {
+    answers_.pop_front();
+  }
+  if (entries_.contains(request)) {
+    Clear(request);
+    Publish({.kind = CrashReportKind::kAnswered, .request = request});
+  }
+}
+
+void CrashLedger::OnReport(const CrashReport& report, MonotonicTime now) {
+  if (report.request.IsEmpty()) {
+    return;
+  }
+  switch (report.kind) {
+    case CrashReportKind::kCrashed:
+      if (!ReportRecentAnswer(report.request, now)) {
+        Count(report.request, EntryOf(report.request), report.target, now);
+      }
+      break;
+    case CrashReportKind::kAnswered:
+      Clear(report.request);
+      break;
+    case CrashReportKind::kBlocked:
+      Block(report.request, EntryOf(report.request),
+            std::min(report.blocked_for, options_.block_duration), now);
+      break;
+  }
+}
+
+void CrashLedger::Unblock(RequestFingerprint request) {
+  Clear(request);
+}
+
+void CrashLedger::Advance(MonotonicTime now) {
+  std::erase_if(entries_, [&](const auto& kept) {
+    const Entry& entry = kept.second;
+    return entry.blocked_until
+               ? now >= *entry.blocked_until
+               : now - entry.crashed_at >= options_.crash_lifetime;
+  });
+}
+
+std::vector<CrashReport> CrashLedger::ReportsToRepeat(std::size_t most,
+                                                      MonotonicTime now) const {
+  std::vector<CrashReport> reports;
+  for (const auto& [request, entry] : entries_) {
+    if (entry.own_crashes.empty()) {
+      continue;
+    }
+    if (entry.blocked_until && now < *entry.blocked_until) {
+      reports.push_back(
+          {.kind = CrashReportKind::kBlocked,
+           .request = request,
+           .blocked_for = InWholeSeconds(*entry.blocked_until - now)});
+      continue;
+    }
+    for (const OwnCrash& crash : entry.own_crashes) {
+      if (now - crash.at < options_.repeat_duration) {
+        reports.push_back({.kind = CrashReportKind::kCrashed,
+                           .request = request,
+                           .target = crash.target});
+      }
+    }
+  }
+  reports.resize(std::min(reports.size(), most));
+  return reports;
+}
+
+std::size_t CrashLedger::CrashesOf(RequestFingerprint request) const {
+  const auto found = entries_.find(request);
+  return found == entries_.end() ? 0 : found->second.crashed.size();
+}
+
+std::size_t CrashLedger::BlockedRequests() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      entries_,
+      [](const auto& kept) { return kept.second.blocked_until.has_value(); }));
+}
+
+CrashLedger::Entry& CrashLedger::EntryOf(RequestFingerprint request) {
+  const auto known = entries_.find(request);
+  if (known != entries_.end()) {
+    return known->second;
+  }
+  if (entries_.size() >= options_.most_requests) {
+    DropOldest();
+  }
+  return entries_[request];
+}
+
+void CrashLedger::Count(RequestFingerprint request,
+                        Entry& entry,
+                        TargetNumber target,
+                        MonotonicTime now) {
+  entry.crashed_at = now;
+  if (entry.blocked_until) {
+    // The reporting host still sends the request: it missed the block.
+    if (!entry.own_crashes.empty() &&
+        now - entry.block_published_at >= kMinPublishInterval) {
+      entry.block_published_at = now;
+      Publish({.kind = CrashReportKind::kBlocked,
+               .request = request,
+               .blocked_for = InWholeSeconds(*entry.blocked_until - now)});
+    }
+    return;
+  }
+  if (std::ranges::find(entry.crashed, target) == entry.crashed.end()) {
+    entry.crashed.push_back(target);
+  }
+  if (entry.crashed.size() >= options_.crashes_to_block) {
+    Block(request, entry, options_.block_duration, now);
+  }
+}
+
+void CrashLedger::Block(RequestFingerprint request,
+                        Entry& entry,
+                        Duration blocked_for,
+                        MonotonicTime now) {
+  entry.crashed_at = now;
+  if (entry.blocked_until) {
+    return;
+  }
+  entry.blocked_until = now + blocked_for;
+  const bool is_own = !entry.own_crashes.empty();
+  if (observer_ != nullptr) {
+    observer_->OnBlocked(request, blocked_for, is_own);
+  }
+  if (is_own) {
+    entry.block_published_at = now;
+    Publish({.kind = CrashReportKind::kBlocked,
+             .request = request,
+             .blocked_for = InWholeSeconds(blocked_for)});
+  }
+}
+
+bool CrashLedger::ReportRecentAnswer(RequestFingerprint request,
+                                     MonotonicTime now) {
+  const auto answered = std::find_if(
+      answers_.rbegin(), answers_.rend(), [&](const Answer& answer) {
+        return answer.request == request &&
+               now - answer.at < options_.answer_lifetime;
+      });
+  if (answered == answers_.rend()) {
+    return false;
+  }
+  if (now - answered->published_at >= kMinPublishInterval) {
+    answered->published_at = now;
+    Publish({.kind = CrashReportKind::kAnswered, .request = request});
+  }
+  return true;
+}
+
+void CrashLedger::Clear(RequestFingerprint request) {
+  const auto found = entries_.find(request);
+  if (found == entries_.end()) {
+    return;
+  }
+  const bool was_blocked = found->second.blocked_until.has_value();
+  entries_.erase(found);
+  if (was_blocked && observer_ != nullptr) {
+    observer_->OnUnblocked(request);
+  }
+}
+
+void CrashLedger::DropOldest() {
+  const auto oldest = std::ranges::min_element(
+      entries_, {}, [](const auto& kept) { return kept.second.crashed_at; });
+  entries_.erase(oldest);
+}
+
+void CrashLedger::Publish(const CrashReport& report) {
+  if (observer_ != nullptr) {
+    observer_->OnPublish(report);
+  }
+}
+
+}  // namespace medlarcroft::request_path
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -42,7 +42,8 @@
       routes_(routes),
       targets_(targets),
       random_(random),
-      distances_(options.own_region) {}
+      distances_(options.own_region),
+      crashes_(options.crashes) {}
 
 Begun RequestPath::Begin(const CallerRequest& request, MonotonicTime now) {
   Begun begun;
@@ -65,10 +66,16 @@
   begun.time_left = std::min(request.time_left.value_or(begun.route->timeout),
                              begun.route->timeout);
   AllowanceOf(begun.service).OnRequest(now);
+  if (const auto blocked = crashes_.BlockedFor(request.fingerprint, now)) {
+    begun.step =
+        Ending{.reason = EndReason::kCrashesTargets, .retry_after = blocked};
+    return begun;
+  }
 
   Request state{.route = begun.route,
                 .service = begun.service,
                 .object = ObjectKey(request.object),
+                .fingerprint = request.fingerprint,
                 .deadline = now + begun.time_left};
   begun.step = SendFirst(state, now);
   if (std::holds_alternative<SendAttempt>(begun.step)) {
@@ -207,6 +214,11 @@
 }
 
 Step RequestPath::SendAgain(Request& request, MonotonicTime now) {
+  if (const auto blocked = crashes_.BlockedFor(request.fingerprint, now)) {
+    return Ending{.reason = EndReason::kCrashesTargets,
+                  .is_not_run = !request.may_have_run,
+                  .retry_after = blocked};
+  }
   const Ending spent{.reason = EndReason::kRetriesSpent,
                      .is_not_run = !request.may_have_run,
                      .retry_after = ReturnTime(Duration(0))};
@@ -245,6 +257,9 @@
     ++request.arrivals;
   }
   request.may_have_run = request.may_have_run || IsRun(end);
+  if (end == AttemptEnd::kAnswered || end == AttemptEnd::kTargetFailed) {
+    crashes_.OnAnswered(request.fingerprint, now);
+  }
   if (end == AttemptEnd::kAnswered) {
     const PassOn pass_on{.attempt = attempt_number,
                          .abandoned = Abandon(request)};
@@ -297,7 +312,8 @@
   }
   Request& request = found->second;
   const auto sends = static_cast<std::uint32_t>(request.attempts.size());
-  if (sends >= request.route->max_attempts || sends >= 2) {
+  if (sends >= request.route->max_attempts || sends >= 2 ||
+      crashes_.BlockedFor(request.fingerprint, now)) {
     return AwaitAttempt{};
   }
   const std::optional<Placement> placement =
--- /dev/null
+++ b/programs/node/crash_sharing.cc
@@ -0,0 +1,183 @@
+#include "crash_sharing.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "adapters/process/log.h"
+#include "medlarcroft/news/news_pace.h"
+#include "platform/blocked_request_entry.h"
+#include "platform/host_entry.h"
+
+namespace medlarcroft::node {
+
+namespace {
+
+using adapters::Log;
+using adapters::LogLevel;
+using request_path::RequestFingerprint;
+
+// Reports repeated per period; bounds the traffic per host.
+constexpr std::size_t kMostRepeatedReports = 40;
+constexpr Duration kRowWriteRetryPeriod = std::chrono::seconds(5);
+// A row is removed this long after its expiry, to allow for clock skew.
+constexpr Duration kRowExpiryMargin = std::chrono::seconds(30);
+// Removals are spread randomly over this time, so that usually a single host
+// issues the removal.
+constexpr Duration kRowRemovalSpread = std::chrono::minutes(10);
+
+constexpr telemetry::MetricDescription kCrashes = {
+    "medlar_target_crashes_seen_total",
+    "Requests of this host under which their target ended."};
+constexpr telemetry::MetricDescription kBlocked = {
+    "medlar_blocked_requests",
+    "Requests that are sent to no target, since they crash them."};
+
+}  // namespace
+
+CrashSharing::CrashSharing(const Parts& parts)
+    : parts_(parts), crashes_(parts.metrics.CounterOf(kCrashes)) {
+  parts_.ledger.Observe(this);
+  parts_.metrics.AddGaugeSource(kBlocked, {}, [this] {
+    return static_cast<double>(parts_.ledger.BlockedRequests());
+  });
+}
+
+CrashSharing::~CrashSharing() {
+  parts_.ledger.Observe(nullptr);
+}
+
+void CrashSharing::Start() {
+  parts_.loop.Every(news::kGlobalRepeatPeriod, [this] { Tick(); });
+}
+
+void CrashSharing::OnCrash(const adapters::BrokenSend& broken) {
+  crashes_.Add();
+  parts_.ledger.OnCrash(broken.fingerprint,
+                        request_path::NumberOf(broken.target),
+                        parts_.loop.Now());
+  Log(LogLevel::kWarning, "target-crashed",
+      {{"request", broken.id},
+       {"fingerprint", platform::FormatFingerprint(broken.fingerprint)},
+       {"target", broken.target.name.Value()},
+       {"incarnation", broken.target.incarnation},
+       {"crashes", parts_.ledger.CrashesOf(broken.fingerprint)}});
+}
+
+void CrashSharing::OnReport(const request_path::CrashReport& report) {
+  parts_.ledger.OnReport(report, parts_.loop.Now());
+}
+
+void CrashSharing::OnPublish(const request_path::CrashReport& report) {
+  parts_.peers.TellCrashes(std::span(&report, 1));
+  const auto stored = stored_rows_.find(report.request);
+  if (report.kind == request_path::CrashReportKind::kAnswered &&
+      stored != stored_rows_.end()) {
+    RemoveRow(report.request, stored->second.version);
+  }
+}
+
+void CrashSharing::OnBlocked(RequestFingerprint request,
+                             Duration blocked_for,
+                             bool is_own) {
+  Log(LogLevel::kWarning, "request-blocked",
+      {{"fingerprint", platform::FormatFingerprint(request)},
+       {"crashes", parts_.ledger.CrashesOf(request)},
+       {"is_own", is_own},
+       {"blocked_for_ms", ToMilliseconds(blocked_for)}});
+  if (is_own) {
+    own_rows_[request] = {.until = parts_.loop.Clock().WallNow() + blocked_for,
+                          .is_stored = stored_rows_.contains(request)};
+  }
+}
+
+void CrashSharing::OnUnblocked(RequestFingerprint request) {
+  Log(LogLevel::kWarning, "request-unblocked",
+      {{"fingerprint", platform::FormatFingerprint(request)}});
+  own_rows_.erase(request);
+}
+
+void CrashSharing::OnRow(const rows::Row& row) {
+  const auto request = platform::BlockedRequestOf(row.key);
+  if (!request) {
+    return;
+  }
+  if (row.is_removed) {
+    stored_rows_.erase(*request);
+    own_rows_.erase(*request);
+    parts_.ledger.Unblock(*request);
+    return;
+  }
+  const auto decoded = platform::DecodeBlockedRequest(row.key, row.value);
+  if (!IsOk(decoded)) {
+    Log(LogLevel::kWarning, "blocked-request-unreadable",
+        {{"key", row.key},
+         {"row_version", row.version},
+         {"field", ErrorOf(decoded).field},
+         {"problem", platform::NameOf(ErrorOf(decoded).problem)}});
+    return;
+  }
+  const WallTime until = ValueOf(decoded).until;
+  stored_rows_[*request] = {
+      .version = row.version,
+      .remove_at =
+          until + kRowExpiryMargin +
+          FromSeconds(ToSeconds(kRowRemovalSpread) * parts_.random.NextUnit())};
+  const auto own = own_rows_.find(*request);
+  if (own != own_rows_.end()) {
+    own->second.is_stored = true;
+  }
+  const Duration left = until - parts_.loop.Clock().WallNow();
+  if (left > Duration(0)) {
+    OnReport({.kind = request_path::CrashReportKind::kBlocked,
+              .request = *request,
+              .blocked_for = left});
+  }
+}
+
+void CrashSharing::Tick() {
+  const MonotonicTime now = parts_.loop.Now();
+  const WallTime wall = parts_.loop.Clock().WallNow();
+  parts_.ledger.Advance(now);
+  parts_.peers.TellCrashes(
+      parts_.ledger.ReportsToRepeat(kMostRepeatedReports, now));
+  std::erase_if(own_rows_,
+                [wall](const auto& own) { return own.second.until < wall; });
+  for (auto& [request, row] : own_rows_) {
+    const bool is_due =
+        !row.is_stored &&
+        (!row.written_at || now - *row.written_at >= kRowWriteRetryPeriod);
+    if (is_due) {
+      WriteRow(request, row);
+    }
+  }
+  for (auto& [request, row] : stored_rows_) {
+    if (wall >= row.remove_at) {
+      row.remove_at = wall + kRowRemovalSpread;
+      RemoveRow(request, row.version);
+    }
+  }
+}
+
+// Several hosts may write the row concurrently. The precondition lets only the
+// first one succeed; the others receive the row through the table.
+void CrashSharing::WriteRow(RequestFingerprint request, OwnRow& row) {
+  row.written_at = parts_.loop.Now();
+  parts_.store.Write({.table = std::string(platform::kHostTable),
+                      .key = platform::KeyOfBlockedRequest(request),
+                      .value = platform::EncodeBlockedRequest(
+                          {.request = request, .until = row.until}),
+                      .expected_version = 0},
+                     [](const Result<Success, rows::RowFailure>&) {});
+}
+
+void CrashSharing::RemoveRow(RequestFingerprint request,
+                             std::uint64_t version) {
+  parts_.store.Write({.table = std::string(platform::kHostTable),
+                      .key = platform::KeyOfBlockedRequest(request),
+                      .expected_version = version},
+                     [](const Result<Success, rows::RowFailure>&) {});
+}
+
+}  // namespace medlarcroft::node
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -119,6 +119,10 @@
                       const request_path::LoadReport& report) {
                  peers_.TellLoad({.target = request_path::NumberOf(target),
                                   .requests = report.running + report.waiting});
+               },
+           .on_crash =
+               [this](const adapters::BrokenSend& broken) {
+                 crash_sharing_.OnCrash(broken);
                }}),
       store_(loop, {.address = settings.store_address}, metrics_),
       peers_(settings_,
@@ -133,7 +137,19 @@
               .on_load =
                   [this](const news::ToldLoad& load) {
                     path_.OnToldLoad(load.target, load.requests, loop_.Now());
-                  }}),
+                  },
+              .on_crash_report =
+                  [this](const request_path::CrashReport& report) {
+                    crash_sharing_.OnReport(report);
+                  },
+              .on_blocked_row =
+                  [this](const rows::Row& row) { crash_sharing_.OnRow(row); }}),
+      crash_sharing_({.loop = loop,
+                      .store = store_,
+                      .ledger = path_.Crashes(),
+                      .peers = peers_,
+                      .random = random_,
+                      .metrics = metrics_}),
       operator_news_(loop, routes_, targets_, [this] { ApplyCallerLimits(); }),
       target_news_(loop, targets_),
       operator_watch_({.timers = loop,
@@ -183,6 +199,7 @@
   if (!peers_.Start()) {
     return StartFailure::kPeerSocket;
   }
+  crash_sharing_.Start();
   for (rows::TableFollower* const watch :
        {&operator_watch_, &target_watch_, &peers_.Watch()}) {
     watch->Mirror().OnChange(
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -11,6 +11,7 @@
 #include "adapters/process/node_settings.h"
 #include "adapters/process/span_output.h"
 #include "adapters/process/system_random.h"
+#include "crash_sharing.h"
 #include "medlarcroft/process/stop_sequence.h"
 #include "medlarcroft/request_path/request_path.h"
 #include "medlarcroft/telemetry/metrics.h"
@@ -88,6 +89,7 @@
   adapters::RequestRunner runner_;
   platform::StoreClient store_;
   PeerGroup peers_;
+  CrashSharing crash_sharing_;
   OperatorNews operator_news_;
   TargetNews target_news_;
   rows::TableFollower operator_watch_;
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -7,6 +7,7 @@
 #include "adapters/process/log.h"
 #include "medlarcroft/membership/lookup_answer.h"
 #include "medlarcroft/news/news_pace.h"
+#include "platform/blocked_request_entry.h"
 #include "platform/host_entry.h"
 #include "platform/mirror_page.h"
 
@@ -111,6 +112,12 @@
                                           .link_mbps = settings_.link_mbps,
                                           .on_relay = LogRelay},
                 parts_.loop, *channel_);
+  global_news_.emplace(HostName(settings_.host),
+                       news::GlobalNews::Parts{
+                           .region = *news_,
+                           .sender = *channel_,
+                           .random = parts_.random,
+                           .remote_hosts = [this] { return RemoteHosts(); }});
   news_->Start();
   watch_.Start();
   parts_.loop.Every(news::kBeatPeriod, [this] { SendBeats(); });
@@ -191,6 +198,19 @@
   return elsewhere;
 }
 
+std::vector<news::RemoteHost> PeerGroup::RemoteHosts() const {
+  std::vector<news::RemoteHost> hosts;
+  for (const auto& [name, entry] : entries_) {
+    const auto region = parts_.regions.find(entry.host.failure_domain);
+    if (region != parts_.regions.end() &&
+        region->second.Value() != settings_.region) {
+      hosts.push_back(
+          {.region = region->second, .address = entry.host.address});
+    }
+  }
+  return hosts;
+}
+
 std::size_t PeerGroup::HostsInRegion() const {
   return news_->Peers().size() + 1;
 }
@@ -258,6 +278,10 @@
 }
 
 void PeerGroup::Apply(const rows::Row& row) {
+  if (platform::BlockedRequestOf(row.key)) {
+    parts_.on_blocked_row(row);
+    return;
+  }
   const HostName name(row.key);
   if (row.is_removed) {
     entries_.erase(name);
@@ -375,8 +399,14 @@
   news_->TellLoad(load);
 }
 
+void PeerGroup::TellCrashes(
+    std::span<const request_path::CrashReport> reports) {
+  global_news_->TellCrashes(reports);
+}
+
 void PeerGroup::OnNews(const news::PeerNews& news) {
   news_->OnNews(news);
+  global_news_->OnNews(news);
   if (news.state) {
     OnState(*news.state);
   }
@@ -389,6 +419,9 @@
   for (const news::ToldLoad& load : news.loads) {
     parts_.on_load(load);
   }
+  for (const request_path::CrashReport& report : news.crashes) {
+    parts_.on_crash_report(report);
+  }
 }
 
 // Failure: a host starts, and the next whole states of the others are seconds
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -13,6 +13,7 @@
 #include "adapters/process/node_settings.h"
 #include "logged_table.h"
 #include "medlarcroft/membership/membership_table.h"
+#include "medlarcroft/news/global_news.h"
 #include "medlarcroft/news/region_news.h"
 #include "medlarcroft/ports/host_list.h"
 #include "medlarcroft/ports/random_source.h"
@@ -36,6 +37,10 @@
     std::function<void(const news::PlacedObject&)> on_placed;
     /// Told what other hosts of the region heard of targets' load.
     std::function<void(const news::ToldLoad&)> on_load;
+    /// Called for each crash report from a host of any region.
+    std::function<void(const request_path::CrashReport&)> on_crash_report;
+    /// Called when the row of a blocked request changes.
+    std::function<void(const rows::Row&)> on_blocked_row;
   };
 
   PeerGroup(const adapters::NodeSettings& settings, const Parts& parts);
@@ -51,6 +56,8 @@
   /// there changes meanwhile: with this it hears as often as all of them
   /// together.
   void TellLoad(const news::ToldLoad& load);
+  /// @brief Sends the reports to the hosts of all regions.
+  void TellCrashes(std::span<const request_path::CrashReport> reports);
   /// @param domain of the callers; empty: unknown.
   /// @return addresses of ready hosts of this region, this one included.
   [[nodiscard]] std::vector<std::string> CallableAddresses(
@@ -99,6 +106,7 @@
   /// @return whether that host of the region is alive and does not leave.
   [[nodiscard]] bool IsLive(const membership::HeardHost& host) const;
   void RemoveLostHosts();
+  [[nodiscard]] std::vector<news::RemoteHost> RemoteHosts() const;
   [[nodiscard]] rows::ReaderCandidate CandidateOf(
       const membership::HostState& state,
       const std::string& address) const;
@@ -112,6 +120,7 @@
   rows::PeerReaders readers_;
   rows::TableFollower watch_;
   std::optional<news::RegionNews> news_;
+  std::optional<news::GlobalNews> global_news_;
   std::map<HostName, Entry> entries_;
   std::uint32_t beats_ = 0;
   bool is_writing_ = false;
--- a/tests/soak/faulty_link.py
+++ b/tests/soak/faulty_link.py
@@ -15,9 +15,22 @@
         self.target, self.mode = target, "pass"
         self.open = set()
         self.lock = threading.Lock()
-        self.listener = socket.create_server(address, backlog=64)
+        self.listen(address)
         self.address = "%s:%d" % self.listener.getsockname()
-        threading.Thread(target=self._accept, daemon=True).start()
+
+    def listen(self, address):
+        self.listener = socket.create_server(address, backlog=64)
+        threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
+
+    def refuse(self):
+        """Closes the listener, as if the target process had exited. Returns the address for `listen`."""
+        address = self.listener.getsockname()
+        try:
+            self.listener.shutdown(socket.SHUT_RDWR)  # Unblocks `accept`.
+        except OSError:
+            pass
+        self.listener.close()
+        return address
 
     def set(self, mode):
         """In force for what passes from now on; `reset` ends what is open as well."""
@@ -42,10 +55,10 @@
         except OSError:
             pass  # It has ended by itself.
 
-    def _accept(self):
+    def _accept(self, listener):
         while True:
             try:
-                near, _ = self.listener.accept()
+                near, _ = listener.accept()
             except OSError:
                 return
             if self.mode == "reset":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,7 +6,8 @@
 
 While it runs, callers and targets keep accounts. Broken promises are printed and make it fail:
 an order that ran twice; an order that was told "not run" and ran; an answer that is not the caller's own or not
-whole; a route denied that was in force, or not in force in time after the store hung; a leaving target that gets new work; a request that a planned stop cut.
+whole; a route denied that was in force, or not in force in time after the store hung; a leaving target that gets new work; a request that a planned stop cut;
+a request that is still sent to targets after it crashed three of them.
 Times are generous: a promise is never broken by a slow machine.
 """
 
@@ -26,7 +27,7 @@
 from faulty_link import FaultyLink  # noqa: E402
 from platform_standins import Store, Target  # noqa: E402
 import platform_test  # noqa: E402
-from platform_test import ROUTES, Node, configuration, route, wait_for  # noqa: E402
+from platform_test import LIMIT_S, ROUTES, Node, configuration, route, wait_for  # noqa: E402
 
 # Of its own, so that a soak may run beside the system tests.
 NET = platform_test.NET = "127.79"
@@ -40,6 +41,7 @@
 NODES = 3
 CALLERS = 6
 LEFT_S = 4.0  # A leaving target gets nothing new after this.
+BLOCK_LIMIT_S = 5.0  # After the third crash: 4 s in-touch bound plus a margin.
 IN_FORCE_S = 5.0  # Hosts are in step 4 s after the store hung; and a second.
 
 
@@ -86,6 +88,7 @@
         target = Target(self.store, name, service, "z1", (f"{NET}.2.1", self.port))
         target.link = self._link(f"{NET}.2.2", target.server.server_address)
         target.entry["address"] = target.link.address
+        target.on_crash, target.on_restart = target.link.refuse, target.link.listen
         self.store.put_json("servers", name, target.entry)
         self.targets[name] = target
 
@@ -128,7 +131,7 @@
         for link in self.links:
             link.close()
         for target in list(self.targets.values()) + self.left:
-            target.server.shutdown()
+            target.stop()
         self.store.server.shutdown()
 
 
@@ -190,6 +193,8 @@
         self.deployment, self.account = deployment, account
         self.random = random.Random(seed)
         self.hang_random = random.Random(f"hangs of {seed}")  # The other faults of a seed stay as they are.
+        self.crash_random = random.Random(f"crashes of {seed}")
+        self.crash_count = 0
         self.log = []
 
     def round(self, index):
@@ -209,6 +214,9 @@
         if self.hang_random.random() < 0.5:
             self.log.append(f"round {index}: hang")
             self.hang()
+        if self.crash_random.random() < 0.4:
+            self.log.append(f"round {index}: crash")
+            self.crash()
 
     def kill(self):
         number = self.random.randint(1, NODES)
@@ -254,6 +262,36 @@
         if took > IN_FORCE_S:
             self.account.fault(f"a route was in force {took:.1f} s after the store hung")
 
+    def crash(self):
+        """A request crashes each target that runs it and is retried at random nodes."""
+        self.crash_count += 1
+        path = f"/lookup/crash-{self.crash_count}"
+        desks = self.deployment.of_service("desk")
+        for target in desks:
+            target.crash_paths.add(path)
+
+        def sends():
+            return sorted(at for target in desks for at, ran in target.ran_paths if ran == path)
+
+        def ask():
+            node = self.deployment.nodes[self.crash_random.randint(1, NODES)]
+            try:
+                node.call(path, f"crash-{self.crash_count}-{time.monotonic()}")
+            except (OSError, http.client.HTTPException):
+                pass
+            time.sleep(0.05)
+        end = time.monotonic() + LIMIT_S
+        while len(sends()) < 3 and time.monotonic() < end:
+            ask()
+        if len(sends()) >= 3:
+            end = sends()[2] + BLOCK_LIMIT_S + 4.0
+            while time.monotonic() < end:
+                ask()
+            late = [at for at in sends() if at > sends()[2] + BLOCK_LIMIT_S]
+            if len(late) > 3:
+                self.account.fault(f"{path}: sent {len(late)} times after the limit, {len(sends())} in total")
+        time.sleep(1.5)  # Until all targets have restarted.
+
     def stop(self):
         """A planned stop, with nothing else wrong: what was passed on is answered."""
         time.sleep(LEFT_S)
@@ -283,7 +321,7 @@
         time.sleep(1.0)
         if len(leaving.ran) != before:
             self.account.fault(f"{leaving.name}: {len(leaving.ran) - before} requests after it said that it leaves")
-        self.deployment.left.append(self.deployment.targets.pop(leaving.name))
+        self.deployment.left.append(self.deployment.targets.pop(leaving.base_name))
         self.deployment.store.remove("servers", leaving.name)
 
 
--- a/tests/system/crashing_request_test.py
+++ b/tests/system/crashing_request_test.py
@@ -1,4 +1,4 @@
-"""medlar-node on loopback against targets that one request crashes."""
+"""Runs medlar-node on loopback with a request that crashes its targets."""
 
 import http.client
 import pathlib
@@ -12,15 +12,18 @@
 from platform_test import ROUTES, Node, configuration, wait_for
 
 NET = platform_test.NET = "127.83"
-IN_TOUCH_S = 4.0  # The nodes' default of bounds.in_touch_after.
+IN_TOUCH_S = 4.0  # Default of bounds.in_touch_after.
 CRASHES_ALLOWED, SENDS_ALLOWED = 3, 3
 TARGETS = 8
-LAST_S = 4.0  # Judged for so long after IN_TOUCH_S.
+OBSERVE_S = 4.0  # Observation time after IN_TOUCH_S.
 CRASHING = "/lookup/7/crash"
 
 
 class CrashingRequestTest(unittest.TestCase):
+    first_port = 18300
+
     def setUp(self):
+        CrashingRequestTest.first_port += TARGETS
         self.folder = tempfile.TemporaryDirectory()
         self.addCleanup(self.folder.cleanup)
         self.store = Store((f"{NET}.0.1", 0))
@@ -28,10 +31,11 @@
         self.store.put_json("op", "config", configuration(1, ROUTES))
         self.targets = []
         for number in range(TARGETS):
-            target = Target(self.store, f"desk-{number}", "desk", f"z{number % 2 + 1}", (f"{NET}.2.1", 18300 + number), 8)
+            target = Target(self.store, f"desk-{number}", "desk", f"z{number % 2 + 1}",
+                            (f"{NET}.2.1", self.first_port + number), 8)
             target.crash_paths = {CRASHING}
             self.targets.append(target)
-            self.addCleanup(lambda target=target: target.server.shutdown())
+            self.addCleanup(target.stop)
         self.nodes = {}
         for number in range(1, 5):
             self.start(number)
@@ -53,7 +57,7 @@
             statuses.append(0)
 
     def ask_until(self, end):
-        """One caller's request that crashes targets, at each node in turn, beside others of its path's route."""
+        """Sends the crashing request to each node in turn, along with other requests of the same route."""
         healthy, callers, count = [], [], 0
         while time.monotonic() < end:
             count += 1
@@ -66,15 +70,32 @@
             caller.join()
         return healthy
 
-    def test_a_request_that_crashed_three_targets_is_sent_no_further_by_any_host(self):
-        # The same request comes again at each host under new ids: all hosts must know of the crashes that each saw.
+    def test_all_hosts_stop_sending_a_request_after_three_crashes(self):
+        # The request is retried at each host under new ids: hosts must share the crashes that they observe.
         self.ask_until(time.monotonic() + 2.0)
         self.assertGreaterEqual(len(self.sends()), CRASHES_ALLOWED)
         bound_from = self.sends()[CRASHES_ALLOWED - 1] + IN_TOUCH_S
-        healthy = self.ask_until(bound_from + LAST_S)
+        healthy = self.ask_until(bound_from + OBSERVE_S)
         late = [at for at in self.sends() if at > bound_from]
         self.assertLessEqual(len(late), SENDS_ALLOWED, f"{len(self.sends())} sends in all")
-        self.assertGreater(healthy[-30:].count(200), 27, "requests beside it pay")
+        self.assertGreater(healthy[-30:].count(200), 27, "other requests of the route failed")
+
+    def test_blocked_request_stays_blocked_after_all_hosts_restart(self):
+        # All hosts lose their in-memory state. The request is retried immediately and must stay blocked.
+        self.ask_until(time.monotonic() + 3.0)
+        rows = [key for table, key in self.store.rows if key.startswith("blocked-request/")]
+        self.assertEqual(len(rows), 1)
+        for node in self.nodes.values():
+            node.process.kill()
+            node.process.wait()
+        time.sleep(1.5)
+        before = len(self.sends())
+        for number in list(self.nodes):
+            self.start(number)
+        for node in self.nodes.values():
+            wait_for(node.is_ready)
+        self.ask_until(time.monotonic() + 3.0)
+        self.assertLessEqual(len(self.sends()) - before, SENDS_ALLOWED)
 
 
 if __name__ == "__main__":
--- a/tests/system/platform_standins.py
+++ b/tests/system/platform_standins.py
@@ -28,8 +28,8 @@
         self.connections.discard(request)
         super().shutdown_request(request)
 
-    def die(self):
-        """Ends at once, as a killed process does: the port refuses, open connections break off."""
+    def terminate(self):
+        """Acts like a killed process: closes open connections and refuses new ones."""
         self.shutdown()
         self.server_close()
         for connection in list(self.connections):
@@ -166,15 +166,16 @@
 
 class Target:
     """One target. `mode`: ok, slow (answers after `delay_s`), cut (runs, then closes without an answer). A request
-    whose path is in `crash_paths` ends its process; another one has its address after `back_after_s`."""
+    whose path is in `crash_paths` crashes the target, which restarts on the same address after `restart_delay_s`."""
 
     def __init__(self, store, name, service, domain, address, slots=2):
         self.store, self.name, self.slots = store, name, slots
         self.mode, self.delay_s = "ok", 0.02
-        self.crash_paths, self.back_after_s = set(), 1.0
-        self.first_name, self.crashes = name, 0
+        self.crash_paths, self.restart_delay_s = set(), 1.0
+        self.on_crash = self.on_restart = None  # Used by a proxy in front of the target.
+        self.base_name, self.crashes, self.terminated, self.is_stopped = name, 0, [], False
         self.ran = []
-        self.ran_paths = []  # (time, path), of all processes.
+        self.ran_paths = []  # (time, path) pairs, kept across restarts.
         self.running = 0
         self.lock = threading.Lock()
         self.entry = {"address": "%s:%d" % address,
@@ -195,17 +196,30 @@
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         self.store.put_json("servers", self.name, self.entry)
 
-    def _crash(self):
+    def _crash(self, server):
         with self.lock:
+            if server in self.terminated:
+                return
+            self.terminated.append(server)
             self.crashes += 1
-            crash, server = self.crashes, self.server
-        server.die()
-
-        def come_back():
+            crash = self.crashes
+        front = self.on_crash() if self.on_crash else None
+        server.terminate()
+
+        def restart():
+            if self.is_stopped:
+                return
+            if self.on_restart:
+                self.on_restart(front)
             self.store.remove("servers", self.name)
-            self.name = f"{self.first_name}-{crash}"
+            self.name = f"{self.base_name}-{crash}"
             self._start(server.server_address)
-        threading.Timer(self.back_after_s, come_back).start()
+        threading.Timer(self.restart_delay_s, restart).start()
+
+    def stop(self):
+        self.is_stopped = True
+        if self.server not in self.terminated:
+            self.server.terminate()
 
     def leave(self):
         self.entry["status"]["state"] = "draining"
@@ -222,14 +236,14 @@
             self.running += 1
             self.ran.append(request)
             self.ran_paths.append((time.monotonic(), handler.path))
-            crashes = handler.path in self.crash_paths and handler.server is self.server
+            crashes = handler.path in self.crash_paths
         time.sleep(self.delay_s)
         with self.lock:
             self.running -= 1
             load = "%d,0,%d" % (self.running, self.slots)
         if crashes:
             handler.close_connection = True
-            self._crash()
+            self._crash(handler.server)
             return
         if self.mode == "cut":
             handler.close_connection = True
--- /dev/null
+++ b/tests/unit/platform/blocked_request_entry_test.cc
@@ -0,0 +1,49 @@
+#include "platform/blocked_request_entry.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace medlarcroft::platform {
+namespace {
+
+constexpr auto kRequest = [] {
+  return request_path::RequestFingerprint::FromValue(0x0a1bU);
+};
+const WallTime kUntil{std::chrono::milliseconds(1'700'000'000'123)};
+
+TEST(BlockedRequestEntryTest, RoundTrips) {
+  const std::string key = KeyOfBlockedRequest(kRequest());
+  EXPECT_EQ(key, "blocked-request/0000000000000a1b");
+  const auto decoded = DecodeBlockedRequest(
+      key, EncodeBlockedRequest({.request = kRequest(), .until = kUntil}));
+  ASSERT_TRUE(IsOk(decoded));
+  EXPECT_EQ(ValueOf(decoded).request, kRequest());
+  EXPECT_EQ(ValueOf(decoded).until, kUntil);
+}
+
+struct BadEntry {
+  std::string name;
+  std::string key;
+  std::string value;
+};
+
+class BadBlockedRequestTable : public testing::TestWithParam<BadEntry> {};
+
+// An invalid row must neither block a request nor crash the host.
+TEST_P(BadBlockedRequestTable, IsRefused) {
+  EXPECT_FALSE(IsOk(DecodeBlockedRequest(GetParam().key, GetParam().value)));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    BadBlockedRequestTable,
+    testing::Values(BadEntry{"a_host", "edge-1", "{\"until_ms\":1}"},
+                    BadEntry{"no_number", "blocked-request/xyz",
+                             "{\"until_ms\":1}"},
+                    BadEntry{"no_end", "blocked-request/1f", "{}"},
+                    BadEntry{"not_json", "blocked-request/1f", "?"}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace medlarcroft::platform
--- a/tests/unit/platform/platform_codec_test.cc
+++ b/tests/unit/platform/platform_codec_test.cc
@@ -39,6 +39,24 @@
   EXPECT_EQ(decoded.request.time_left, Duration(milliseconds(4000)));
 }
 
+// A retry differs in its id and deadline only. A request with another caller or
+// body must not share its fingerprint.
+TEST(PlatformCodecTest, RetryHasTheSameFingerprint) {
+  const auto fingerprint_of = [](const HttpRequest& call) {
+    return PlatformCodec().Decode(call).request.fingerprint;
+  };
+  HttpRequest again = MakeCall();
+  again.headers.Set("X-Medlarcroft-Attempt-Id", "id-2");
+  again.headers.Set("X-Medlarcroft-Deadline-Ms", "100");
+  EXPECT_EQ(fingerprint_of(again), fingerprint_of(MakeCall()));
+  HttpRequest of_another_caller = MakeCall();
+  of_another_caller.headers.Set("Api-Key", "k");
+  EXPECT_NE(fingerprint_of(of_another_caller), fingerprint_of(MakeCall()));
+  HttpRequest with_body = MakeCall();
+  with_body.body = "other dish";
+  EXPECT_NE(fingerprint_of(with_body), fingerprint_of(MakeCall()));
+}
+
 TEST(PlatformCodecTest, ADeadlineThatIsNoNumberCountsAsMissing) {
   HttpRequest call = MakeCall();
   call.headers.Set("X-Medlarcroft-Deadline-Ms", "-5");
--- /dev/null
+++ b/tests/unit/request_path/crash_ledger_test.cc
@@ -0,0 +1,207 @@
+#include "medlarcroft/request_path/crash_ledger.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace medlarcroft::request_path {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr MonotonicTime kStart{std::chrono::hours(1)};
+const auto kRequest = RequestFingerprint::Of({"caller", "GET", "h", "/x", ""});
+
+TargetNumber Target(std::uint32_t number) {
+  return TargetNumber{number};
+}
+
+class CrashLedgerTest : public testing::Test, public CrashObserver {
+ protected:
+  CrashLedgerTest() { ledger_.Observe(this); }
+
+  void OnPublish(const CrashReport& report) override {
+    published_.push_back(report);
+  }
+  void OnBlocked(RequestFingerprint /*request*/,
+                 Duration /*blocked_for*/,
+                 bool is_own) override {
+    ++blocked_;
+    is_own_ = is_own;
+  }
+  void OnUnblocked(RequestFingerprint /*request*/) override { ++unblocked_; }
+
+  [[nodiscard]] bool IsBlocked(MonotonicTime now = kStart) const {
+    return ledger_.BlockedFor(kRequest, now).has_value();
+  }
+  [[nodiscard]] std::size_t CountPublished(CrashReportKind kind) const {
+    std::size_t count = 0;
+    for (const CrashReport& report : published_) {
+      count += report.kind == kind ? 1 : 0;
+    }
+    return count;
+  }
+  void ReportCrash(std::uint32_t target, MonotonicTime now = kStart) {
+    ledger_.OnReport({.request = kRequest, .target = Target(target)}, now);
+  }
+
+  CrashLedger ledger_{{}};
+  std::vector<CrashReport> published_;
+  int blocked_ = 0;
+  int unblocked_ = 0;
+  bool is_own_ = false;
+};
+
+// Different requests must not be blocked together.
+TEST(RequestFingerprintTest, EachPartChangesTheFingerprint) {
+  const std::vector<RequestFingerprint> others = {
+      RequestFingerprint::Of({"other", "GET", "h", "/x", ""}),
+      RequestFingerprint::Of({"caller", "POST", "h", "/x", ""}),
+      RequestFingerprint::Of({"caller", "GET", "i", "/x", ""}),
+      RequestFingerprint::Of({"caller", "GET", "h", "/y", ""}),
+      RequestFingerprint::Of({"caller", "GET", "h", "/x", "b"}),
+      RequestFingerprint::Of({"caller", "GET", "h/x", "", ""})};
+  for (const RequestFingerprint& other : others) {
+    EXPECT_NE(other, kRequest);
+  }
+  EXPECT_EQ(RequestFingerprint::Of({"caller", "GET", "h", "/x", ""}), kRequest);
+}
+
+struct CrashCountCase {
+  std::string name;
+  std::vector<std::uint32_t> own;
+  std::vector<std::uint32_t> reported;
+  bool is_blocked;
+};
+
+class CrashCountTable : public CrashLedgerTest,
+                        public testing::WithParamInterface<CrashCountCase> {};
+
+// Crashes of all hosts add up, and repeated reports of a crash count once.
+TEST_P(CrashCountTable, CountsDistinctTargetsAcrossHosts) {
+  for (const std::uint32_t target : GetParam().own) {
+    ledger_.OnCrash(kRequest, Target(target), kStart);
+  }
+  for (const std::uint32_t target : GetParam().reported) {
+    ReportCrash(target);
+  }
+  EXPECT_EQ(IsBlocked(), GetParam().is_blocked);
+  EXPECT_EQ(blocked_, GetParam().is_blocked ? 1 : 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    CrashCountTable,
+    testing::Values(
+        CrashCountCase{"two_own", {1, 2}, {}, false},
+        CrashCountCase{"three_own", {1, 2, 3}, {}, true},
+        CrashCountCase{"three_reported", {}, {1, 2, 3}, true},
+        CrashCountCase{"mixed", {1}, {2, 3}, true},
+        CrashCountCase{"one_crash_reported_often", {1}, {1, 1, 1, 1}, false},
+        CrashCountCase{"two_reported_twice", {}, {1, 2, 1, 2}, false}),
+    [](const auto& info) { return info.param.name; });
+
+// A request that ran concurrently with the crashing one succeeds on the next
+// target and must not be blocked on any host.
+TEST_F(CrashLedgerTest, AnswerClearsRequestOnAllHosts) {
+  ledger_.OnCrash(kRequest, Target(1), kStart);
+  ReportCrash(2);
+  ledger_.OnAnswered(kRequest, kStart + milliseconds(300));
+  EXPECT_EQ(CountPublished(CrashReportKind::kAnswered), 1U);
+  ReportCrash(3, kStart + seconds(5));
+  EXPECT_FALSE(IsBlocked(kStart + seconds(5)));
+}
+
+// A frequent request must not be blocked when several targets crash for an
+// unrelated reason.
+TEST_F(CrashLedgerTest, RecentlyAnsweredRequestIsNotBlocked) {
+  ledger_.OnAnswered(kRequest, kStart);
+  for (std::uint32_t target = 1; target <= 5; ++target) {
+    ReportCrash(target, kStart + milliseconds(1500));
+  }
+  EXPECT_FALSE(IsBlocked(kStart + milliseconds(1500)));
+  EXPECT_EQ(CountPublished(CrashReportKind::kAnswered), 1U);
+}
+
+// A request that starts to crash targets must be blocked despite old answers.
+TEST_F(CrashLedgerTest, ExpiredAnswerDoesNotPreventBlocking) {
+  ledger_.OnAnswered(kRequest, kStart);
+  for (std::uint32_t target = 1; target <= 3; ++target) {
+    ReportCrash(target, kStart + milliseconds(2100));
+  }
+  EXPECT_TRUE(IsBlocked(kStart + milliseconds(2100)));
+}
+
+// A host that was disconnected or restarted may miss the block. A crash report
+// from it is answered with the block, at most once per second.
+TEST_F(CrashLedgerTest, RepeatsBlockToHostThatStillSends) {
+  for (std::uint32_t target = 1; target <= 3; ++target) {
+    ledger_.OnCrash(kRequest, Target(target), kStart);
+  }
+  EXPECT_EQ(CountPublished(CrashReportKind::kBlocked), 1U);
+  ReportCrash(7, kStart + milliseconds(500));
+  EXPECT_EQ(CountPublished(CrashReportKind::kBlocked), 1U);
+  ReportCrash(8, kStart + seconds(2));
+  EXPECT_EQ(CountPublished(CrashReportKind::kBlocked), 2U);
+}
+
+TEST_F(CrashLedgerTest, HostWithoutOwnCrashesPublishesNothing) {
+  for (std::uint32_t target = 1; target <= 4; ++target) {
+    ReportCrash(target);
+  }
+  EXPECT_TRUE(published_.empty());
+  EXPECT_FALSE(is_own_);
+  EXPECT_TRUE(ledger_.ReportsToRepeat(10, kStart).empty());
+}
+
+TEST_F(CrashLedgerTest, RepeatsCrashesBrieflyAndBlocksUntilExpiry) {
+  ledger_.OnCrash(kRequest, Target(1), kStart);
+  EXPECT_EQ(ledger_.ReportsToRepeat(10, kStart + seconds(4)).size(), 1U);
+  EXPECT_TRUE(ledger_.ReportsToRepeat(10, kStart + seconds(6)).empty());
+  ReportCrash(2, kStart + seconds(6));
+  ReportCrash(3, kStart + seconds(6));
+  const auto reports = ledger_.ReportsToRepeat(10, kStart + minutes(2));
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].kind, CrashReportKind::kBlocked);
+  EXPECT_LE(reports[0].blocked_for, Duration(minutes(10)));
+}
+
+// A block must expire, since the target may have been fixed.
+TEST_F(CrashLedgerTest, BlockExpires) {
+  ledger_.OnReport({.kind = CrashReportKind::kBlocked,
+                    .request = kRequest,
+                    .blocked_for = minutes(3)},
+                   kStart);
+  EXPECT_TRUE(IsBlocked(kStart + minutes(2)));
+  EXPECT_FALSE(IsBlocked(kStart + minutes(4)));
+  ledger_.Advance(kStart + minutes(4));
+  EXPECT_EQ(ledger_.BlockedRequests(), 0U);
+}
+
+TEST_F(CrashLedgerTest, UnblockLiftsBlock) {
+  for (std::uint32_t target = 1; target <= 3; ++target) {
+    ReportCrash(target);
+  }
+  ledger_.Unblock(kRequest);
+  EXPECT_FALSE(IsBlocked());
+  EXPECT_EQ(unblocked_, 1);
+}
+
+// Crashes of many different requests must not exhaust memory.
+TEST_F(CrashLedgerTest, EntryCountIsBounded) {
+  CrashLedger ledger({.most_requests = 10});
+  for (std::uint64_t number = 1; number <= 100; ++number) {
+    const auto request = RequestFingerprint::FromValue(number);
+    ledger.OnCrash(request, Target(1),
+                   kStart + milliseconds(static_cast<int>(number)));
+  }
+  EXPECT_EQ(ledger.CrashesOf(RequestFingerprint::FromValue(1)), 0U);
+  EXPECT_EQ(ledger.CrashesOf(RequestFingerprint::FromValue(100)), 1U);
+}
+
+}  // namespace
+}  // namespace medlarcroft::request_path
--- a/tests/unit/request_path/request_path_test.cc
+++ b/tests/unit/request_path/request_path_test.cc
@@ -271,5 +271,46 @@
   EXPECT_EQ(book_.Find({TargetName("t0")})->OwnOutstanding(), 0U);
 }
 
+// A blocked request is refused as not run with a retry time, while other
+// requests of the route are served.
+TEST_F(RequestPathTest, ABlockedRequestIsRefusedAndOthersAreServed) {
+  Configure(RequestKind::kIdempotent, 5);
+  const auto crashing = RequestFingerprint::Of({"crash"});
+  const auto ask = [&](RequestFingerprint fingerprint) {
+    return path_.Begin(
+        {.host = "h", .target = "/x", .fingerprint = fingerprint}, kStart);
+  };
+  for (std::uint32_t target = 1; target <= 3; ++target) {
+    path_.Crashes().OnCrash(crashing, TargetNumber{target}, kStart);
+  }
+  const Begun blocked = ask(crashing);
+  ASSERT_NE(EndingIn(blocked.step), nullptr);
+  EXPECT_EQ(EndingIn(blocked.step)->reason, EndReason::kCrashesTargets);
+  EXPECT_TRUE(EndingIn(blocked.step)->is_not_run);
+  EXPECT_GT(EndingIn(blocked.step)->retry_after, Duration(seconds(1)));
+  const Begun other = ask(RequestFingerprint::Of({"other"}));
+  EXPECT_TRUE(std::holds_alternative<SendAttempt>(other.step));
+}
+
+// A request that is blocked while a target runs it must not be retried, and
+// must not be reported as not run.
+TEST_F(RequestPathTest, ARequestBlockedInFlightIsNotSentAgain) {
+  Configure(RequestKind::kIdempotent, 5);
+  const auto crashing = RequestFingerprint::Of({"crash"});
+  const Begun begun = path_.Begin(
+      {.host = "h", .target = "/x", .fingerprint = crashing}, kStart);
+  for (std::uint32_t target = 1; target <= 3; ++target) {
+    path_.Crashes().OnReport(
+        {.request = crashing, .target = TargetNumber{target}}, kStart);
+  }
+  EXPECT_TRUE(std::holds_alternative<AwaitAttempt>(
+      path_.OnSlow(begun.ticket, kStart + seconds(1))));
+  const Step step = path_.OnAttemptEnd(begun.ticket, 1, AttemptEnd::kLost,
+                                       kStart + seconds(1));
+  ASSERT_NE(EndingIn(step), nullptr);
+  EXPECT_EQ(EndingIn(step)->reason, EndReason::kCrashesTargets);
+  EXPECT_FALSE(EndingIn(step)->is_not_run);
+}
+
 }  // namespace
 }  // namespace medlarcroft::request_path
