Show that hosts send a target more than the limit that it names

A target in need names the requests a second that it takes from all hosts together, and gets what it got before. Stand-in targets learn to name a limit.

--- a/tests/system/platform_standins.py
+++ b/tests/system/platform_standins.py
@@ -166,11 +166,13 @@
 
 class Target:
     """One target. `mode`: ok, slow (answers after `delay_s`), cut (runs, then closes without an answer). A request
-    whose path is in `crash_paths` crashes the target, which restarts on the same address after `restart_delay_s`."""
+    whose path is in `crash_paths` crashes the target, which restarts on the same address after `restart_delay_s`.
+    With `limit_per_s` set, answers name that rate limit."""
 
     def __init__(self, store, name, service, domain, address, slots=2):
         self.store, self.name, self.slots = store, name, slots
         self.mode, self.delay_s = "ok", 0.02
+        self.limit_per_s = None
         self.crash_paths, self.restart_delay_s = set(), 1.0
         self.on_crash = self.on_restart = None  # Used by a proxy in front of the target.
         self.base_name, self.crashes, self.terminated, self.is_stopped = name, 0, [], False
@@ -249,5 +251,7 @@
             handler.close_connection = True
             handler.connection.close()
             return
+        if self.limit_per_s is not None:
+            headers.append(("X-Medlarcroft-Server-Limit", f"{self.limit_per_s:g}"))
         handler.answer(200, handler.path.encode() + body,
                        headers + [("X-Medlarcroft-Server-Seal", "seal"), ("X-Medlarcroft-Server-Load", load)])
--- /dev/null
+++ b/tests/system/rate_limit_test.py
@@ -0,0 +1,93 @@
+"""medlar-node on loopback against a target that names the requests a second that it takes from all hosts."""
+
+import http.client
+import pathlib
+import tempfile
+import threading
+import time
+import unittest
+
+import platform_test
+from platform_standins import Store, Target
+from platform_test import ROUTES, Node, configuration, wait_for
+
+NET = platform_test.NET = "127.84"
+NODES, TARGETS = 6, 6
+LIMIT = 2.0
+KNOWN_S = 0.5  # A node that has passed a named limit on is bound after this.
+WINDOW_S = 4.0
+ALLOWED = 1.5 * LIMIT * WINDOW_S + 5
+
+
+class RateLimitTest(unittest.TestCase):
+    first_port = 18400
+
+    def setUp(self):
+        RateLimitTest.first_port += TARGETS
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.store = Store((f"{NET}.0.1", 0))
+        self.addCleanup(self.store.server.shutdown)
+        self.store.put_json("op", "config", configuration(1, ROUTES))
+        self.targets = []
+        for number in range(TARGETS):
+            target = Target(self.store, f"desk-{number}", "desk", f"z{number % 2 + 1}",
+                            (f"{NET}.2.1", self.first_port + number), 8)
+            self.targets.append(target)
+            self.addCleanup(target.stop)
+        self.nodes = {}
+        for number in range(1, NODES + 1):
+            self.start(number)
+        for node in self.nodes.values():
+            wait_for(node.is_ready)
+
+    def start(self, number):
+        node = Node(pathlib.Path(self.folder.name), number, self.store.server.server_port, region=f"r{number % 2 + 1}")
+        self.nodes[number] = node
+        self.addCleanup(lambda: (node.process.kill(), node.process.wait()))
+
+    def ask_for(self, length_s, per_second=40):
+        """@return the share that was served."""
+        statuses, callers = [], []
+
+        def ask(number, request):
+            try:
+                statuses.append(self.nodes[number].call(f"/lookup/{request}", request)[0].status)
+            except (OSError, http.client.HTTPException):
+                statuses.append(0)
+        end = time.monotonic() + length_s
+        while time.monotonic() < end:
+            request = f"r-{time.monotonic()}"
+            callers.append(threading.Thread(target=ask, args=(len(callers) % NODES + 1, request)))
+            callers[-1].start()
+            time.sleep(1 / per_second)
+        for caller in callers:
+            caller.join()
+        return statuses.count(200) / len(statuses)
+
+    def arrivals(self, target, since):
+        return [at for at, _ in target.ran_paths if at >= since]
+
+    def test_all_nodes_together_keep_a_limit_that_a_target_names(self):
+        # All nodes prefer one target for an object. It names a limit: each node hears of it by its own answers, and
+        # they must not send it more together.
+        self.ask_for(3.0)
+        limited = max(self.targets, key=lambda target: len(target.ran_paths))
+        limited.limit_per_s = LIMIT
+        named_at = time.monotonic()
+        served = self.ask_for(9.0)
+        arrivals = self.arrivals(limited, named_at + KNOWN_S)
+        most = max(len([at for at in arrivals if begin <= at < begin + WINDOW_S]) for begin in arrivals)
+        self.assertLessEqual(most, ALLOWED)
+        self.assertGreater(len(arrivals), LIMIT, "it gets hardly anything")
+        self.assertGreater(served, 0.97, "other targets have room")
+        # It needs no limit any more.
+        limited.limit_per_s = None
+        self.ask_for(4.0)
+        began = time.monotonic()
+        self.ask_for(3.0)
+        self.assertGreater(len(self.arrivals(limited, began)), 4 * LIMIT * 3.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
