Report a declared limit of 0 as a limit, and probe its target

Symptom: a target that declares that it accepts no requests was reported to the other hosts as unlimited. No host sent it the request whose answer would end the limit, which only expired after 60 to 90 s on all hosts.

Cause: a rate of 0 in a report denotes the end of a limit. Found by reading the code.

Change: limits below 0.1 requests per second are raised to this value. This is within the target's tolerance of five requests in 4 s.

--- a/lib/libmedlarcroft/source/request_path/rate_limits.cc
+++ b/lib/libmedlarcroft/source/request_path/rate_limits.cc
@@ -10,6 +10,10 @@
 
 // Relative change below which a limit is not published early.
 constexpr double kUnchangedTolerance = 0.1;
+// In requests per second. Lower limits are raised to this value: a target that
+// receives no requests cannot declare the end of its limit, and a rate of 0 in
+// a report denotes the end of a limit.
+constexpr double kMinRate = 0.1;
 // A report that a limit has ended is ignored this long after an answer that
 // declares the limit: the report may have been delayed.
 constexpr Duration kDelayedReportWindow = std::chrono::seconds(2);
@@ -61,14 +65,15 @@
     }
     return;
   }
-  Limit& known = Update(target, region, *limit, now);
+  const double rate = std::max(*limit, kMinRate);
+  Limit& known = Update(target, region, rate, now);
   known.answered_at = now;
-  if (!IsUnchanged(known.published_rate, *limit) ||
+  if (!IsUnchanged(known.published_rate, rate) ||
       now - known.published_at >= options_.repeat_period) {
-    known.published_rate = *limit;
+    known.published_rate = rate;
     known.published_at = now;
     if (observer_ != nullptr) {
-      observer_->OnPublish({.target = target, .requests_per_second = *limit});
+      observer_->OnPublish({.target = target, .requests_per_second = rate});
     }
   }
 }
@@ -86,7 +91,8 @@
     }
     return;
   }
-  Update(report.target, region, report.requests_per_second, now);
+  Update(report.target, region, std::max(report.requests_per_second, kMinRate),
+         now);
 }
 
 bool RateLimits::AllowsSend(TargetNumber target, MonotonicTime now) const {
