Prevent hosts without a share of a limit from accumulating requests

Symptom: after an idle period, hosts that only probe a limited target exceeded its limit.

Cause: each of these hosts could accumulate one request while there was no demand.

Change: these hosts send only within a time slot of their own, of one second in each period. They probe at a twentieth of the limit in total (previously a tenth). When a limit expires, on average at most one host per second resumes sending (previously all within half a minute).

Tests: BurstTable failed before for these sizes and passes now.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/rate_limits.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/rate_limits.h
@@ -60,8 +60,9 @@
 /// number grows with the limit. Rendezvous hashing selects the same senders on
 /// all hosts that know the same live hosts. Each sender's token bucket holds at
 /// most one request, which bounds the burst. The remaining hosts probe the
-/// target, at a tenth of the limit in total, to detect the end of a limit whose
-/// report was lost.
+/// target at a small fraction of the limit in total, to detect the end of a
+/// limit whose report was lost. They accumulate no requests while idle: each
+/// may send only within a short, periodic time slot with a random offset.
 class RateLimits {
  public:
   struct Options {
@@ -71,9 +72,10 @@
     double base_senders = 2;
     double senders_per_rps = 1.5;
     /// Fraction of a limit that all hosts without a share may send together.
-    double probe_fraction = 0.1;
-    /// A limit expires when it has not been confirmed for this long, plus up to
-    /// half of it at random, so that hosts do not resume sending all at once.
+    double probe_fraction = 0.05;
+    /// A limit expires when it has not been confirmed for this long, plus a
+    /// random delay of up to half of it, or one second per host if that is
+    /// longer, so that hosts do not resume sending all at once.
     Duration lifetime = std::chrono::seconds(60);
     /// Interval at which an unchanged limit is published again.
     Duration repeat_period = std::chrono::seconds(2);
@@ -124,6 +126,9 @@
     RegionName region;  ///< Of the target.
     double requests_per_second = 0;
     double own_rate = 0;
+    bool is_sender = false;    ///< This host has a share of the limit.
+    Duration probe_offset{0};  ///< Phase shift of this host's probe slots.
+    std::optional<MonotonicTime> last_sent_at;
     /// Token bucket level at `refilled_at`, in requests; at most one.
     double tokens = 0;
     MonotonicTime refilled_at;
@@ -142,7 +147,8 @@
   void Lift(TargetNumber target);
   void Refill(Limit& limit, MonotonicTime now) const;
   [[nodiscard]] double TokensAt(const Limit& limit, MonotonicTime now) const;
-  [[nodiscard]] double OwnRateOf(TargetNumber target, const Limit& limit) const;
+  [[nodiscard]] bool IsInProbeSlot(const Limit& limit, MonotonicTime now) const;
+  void UpdateShare(TargetNumber target, Limit& limit) const;
 
   Options options_;
   ports::RandomSource& random_;
--- a/lib/libmedlarcroft/source/request_path/rate_limits.cc
+++ b/lib/libmedlarcroft/source/request_path/rate_limits.cc
@@ -14,6 +14,13 @@
 // receives no requests cannot declare the end of its limit, and a rate of 0 in
 // a report denotes the end of a limit.
 constexpr double kMinRate = 0.1;
+// Length of the time slot in which a host without a share may send a probe.
+constexpr Duration kProbeSlotLength = std::chrono::seconds(1);
+// Expiry of a limit is spread over this duration for each known host.
+constexpr Duration kExpirySpreadPerHost = std::chrono::seconds(1);
+// Upper bound of the random offset of probe slots. Well above the longest
+// period of probes, so that the slots of different hosts are spread evenly.
+constexpr Duration kMaxProbeOffset = std::chrono::hours(1000);
 // A report that a limit has ended is ignored this long after an answer that
 // declares the limit: the report may have been delayed.
 constexpr Duration kDelayedReportWindow = std::chrono::seconds(2);
@@ -44,7 +51,7 @@
   hosts_ = std::move(hosts);
   for (auto& [target, limit] : limits_) {
     Refill(limit, now);
-    limit.own_rate = OwnRateOf(target, limit);
+    UpdateShare(target, limit);
   }
 }
 
@@ -100,7 +107,12 @@
     return true;
   }
   const auto found = limits_.find(target);
-  return found == limits_.end() || TokensAt(found->second, now) >= 1.0;
+  if (found == limits_.end()) {
+    return true;
+  }
+  const Limit& limit = found->second;
+  return limit.is_sender ? TokensAt(limit, now) >= 1.0
+                         : IsInProbeSlot(limit, now);
 }
 
 void RateLimits::OnSent(TargetNumber target, MonotonicTime now) {
@@ -108,6 +120,7 @@
   if (found != limits_.end()) {
     Refill(found->second, now);
     found->second.tokens = std::max(0.0, found->second.tokens - 1.0);
+    found->second.last_sent_at = now;
   }
 }
 
@@ -156,14 +169,18 @@
     // time do not send their first requests at the same time.
     limit.tokens = random_.NextUnit();
     limit.refilled_at = now;
+    const Duration expiry_spread = std::max(
+        options_.lifetime / 2, kExpirySpreadPerHost * hosts_.known_hosts);
     limit.expires_after =
         options_.lifetime +
-        FromSeconds(ToSeconds(options_.lifetime) * random_.NextUnit() / 2);
+        FromSeconds(ToSeconds(expiry_spread) * random_.NextUnit());
+    limit.probe_offset =
+        FromSeconds(ToSeconds(kMaxProbeOffset) * random_.NextUnit());
   }
   if (limit.requests_per_second != requests_per_second) {
     Refill(limit, now);
     limit.requests_per_second = requests_per_second;
-    limit.own_rate = OwnRateOf(target, limit);
+    UpdateShare(target, limit);
   }
   if (is_new && observer_ != nullptr) {
     observer_->OnLimited(target, requests_per_second, limit.own_rate);
@@ -187,13 +204,16 @@
   return std::min(1.0, limit.tokens + added);
 }
 
-double RateLimits::OwnRateOf(TargetNumber target, const Limit& limit) const {
-  const double probe_rate = options_.probe_fraction *
-                            limit.requests_per_second /
-                            std::max(hosts_.known_hosts, 1U);
-  if (limit.region != hosts_.own_region || hosts_.live_in_region.empty()) {
-    return probe_rate;
+bool RateLimits::IsInProbeSlot(const Limit& limit, MonotonicTime now) const {
+  const Duration period = FromSeconds(1.0 / limit.own_rate);
+  if (limit.last_sent_at && now - *limit.last_sent_at < period) {
+    return false;
   }
+  return (now.time_since_epoch() + limit.probe_offset) % period <
+         kProbeSlotLength;
+}
+
+void RateLimits::UpdateShare(TargetNumber target, Limit& limit) const {
   const auto senders = static_cast<std::size_t>(
       std::min(options_.base_senders +
                    options_.senders_per_rps * limit.requests_per_second,
@@ -202,9 +222,11 @@
   const auto rank = static_cast<std::size_t>(std::ranges::count_if(
       hosts_.live_in_region,
       [&](std::uint64_t host) { return OrderOf(host, target) > own; }));
-  return rank < senders
-             ? limit.requests_per_second / static_cast<double>(senders)
-             : probe_rate;
+  limit.is_sender = limit.region == hosts_.own_region && rank < senders;
+  limit.own_rate =
+      limit.is_sender ? limit.requests_per_second / static_cast<double>(senders)
+                      : options_.probe_fraction * limit.requests_per_second /
+                            std::max(hosts_.known_hosts, 1U);
 }
 
 }  // namespace medlarcroft::request_path
--- a/tests/unit/request_path/rate_limits_test.cc
+++ b/tests/unit/request_path/rate_limits_test.cc
@@ -188,5 +188,61 @@
   EXPECT_FALSE(limits_.AllowsSend(kTarget, later + seconds(9)));
 }
 
+struct BurstCase {
+  std::string name;
+  std::size_t hosts;
+  double limit;
+};
+
+class BurstTable : public testing::TestWithParam<BurstCase> {};
+
+// Hosts that only probe must not each accumulate a request while idle, or they
+// would send all of them in one burst when demand returns.
+TEST_P(BurstTable, DemandAfterAnIdlePeriodStaysWithinTheTolerance) {
+  constexpr int kSteps = 80;
+  constexpr Duration kStep = milliseconds(50);
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    fakes::SeededRandom random(seed);
+    std::vector<std::uint64_t> region;
+    for (std::uint64_t host = 1; host <= GetParam().hosts / 3; ++host) {
+      region.push_back(host);
+    }
+    const MonotonicTime later = kStart + std::chrono::minutes(30);
+    int sent = 0;
+    for (std::uint64_t host = 1; host <= GetParam().hosts; ++host) {
+      const bool is_in_region = host <= region.size();
+      RateLimits limits({}, random);
+      limits.SetHosts(
+          {.own_hash = host,
+           .own_region = is_in_region ? kOwnRegion : RegionName("far"),
+           .live_in_region = region,
+           .known_hosts = static_cast<std::uint32_t>(GetParam().hosts)},
+          kStart);
+      limits.OnReport(
+          {.target = kTarget, .requests_per_second = GetParam().limit},
+          kOwnRegion, kStart);
+      for (int step = 0; step < kSteps; ++step) {
+        const MonotonicTime now = later + step * kStep;
+        if (limits.AllowsSend(kTarget, now)) {
+          limits.OnSent(kTarget, now);
+          ++sent;
+        }
+      }
+    }
+    EXPECT_LE(sent, 6 * GetParam().limit + 5) << "seed " << seed;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    BurstTable,
+    testing::Values(BurstCase{"8_hosts", 8, 4.5},
+                    BurstCase{"58_hosts", 58, 2.2},
+                    BurstCase{"295_hosts_low_limit", 295, 0.7},
+                    BurstCase{"295_hosts_least_limit", 295, 0.1},
+                    BurstCase{"295_hosts", 295, 4.5},
+                    BurstCase{"295_hosts_high_limit", 295, 40}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace medlarcroft::request_path
