Emulate requests that crash targets, and targets that declare a rate limit

The emulator modelled neither fault, so policies could not be compared under them. A rate-limited target declares its limit in its answers. Hosts report both to each other with the delays of a deployment; repeated reports are not emulated.

--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_deployment.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_deployment.h
@@ -61,6 +61,12 @@
   kGone,         ///< Nothing answers; connections fail.
   kMoreCallers,  ///< Demand of all regions is `strength` times as high.
   kCutHosts,     ///< That part of the hosts neither tells nor hears of objects.
+  /// A request that crashes each target that runs it is sent `strength` times a
+  /// second, always with the same fingerprint, to random hosts.
+  kCrashingRequest,
+  /// Each affected target declares a rate limit of `strength` requests a
+  /// second, summed over all hosts.
+  kRateLimit,
 };
 
 /// @brief Something that goes wrong for a while.
--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_host.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_host.h
@@ -2,9 +2,11 @@
 #define MEDLARCROFT_EMULATION_EMULATED_HOST_H_
 
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <span>
 #include <string>
+#include <utility>
 
 #include "medlarcroft/emulation/emulated_deployment.h"
 #include "medlarcroft/ports/random_source.h"
@@ -23,8 +25,16 @@
 };
 
 /// @brief One host with the product's own decisions.
-class EmulatedHost final : public request_path::BookObserver {
+class EmulatedHost final : public request_path::BookObserver,
+                           public request_path::CrashObserver,
+                           public request_path::LimitObserver {
  public:
+  /// @brief Callbacks for the reports that this host publishes to the others.
+  struct ReportSinks {
+    std::function<void(const request_path::CrashReport&)> on_crash;
+    std::function<void(const request_path::LimitReport&)> on_limit;
+  };
+
   /// @param options its region is replaced by the host's.
   EmulatedHost(const EmulatedDeployment& deployment,
                const std::string& region,
@@ -35,14 +45,27 @@
   void Register(std::span<const request_path::TargetRecord> targets,
                 MonotonicTime now);
 
+  void SetReportSinks(ReportSinks sinks) { sinks_ = std::move(sinks); }
+
   [[nodiscard]] request_path::RequestPath& Path() { return path_; }
   [[nodiscard]] const std::string& Region() const { return region_; }
 
   void OnTargetChange(request_path::BookChange /*change*/,
                       const request_path::TargetRecord& /*target*/) override {}
+  void OnPublish(const request_path::CrashReport& report) override;
+  void OnBlocked(request_path::RequestFingerprint /*request*/,
+                 Duration /*blocked_for*/,
+                 bool /*is_own*/) override {}
+  void OnUnblocked(request_path::RequestFingerprint /*request*/) override {}
+  void OnPublish(const request_path::LimitReport& report) override;
+  void OnLimited(request_path::TargetNumber /*target*/,
+                 double /*requests_per_second*/,
+                 double /*own_rate*/) override {}
+  void OnLifted(request_path::TargetNumber /*target*/) override {}
 
  private:
   std::string region_;
+  ReportSinks sinks_;
   RepeatableRandom random_;
   routing::RouteTable routes_;
   request_path::TargetBook targets_;
--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_target.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_target.h
@@ -39,6 +39,8 @@
   std::optional<WorkId> Arrive(const EmulatedWork& work, OnDone done);
   /// @brief Its connection closed: the work ends, also unfinished.
   void Cancel(WorkId id);
+  /// @brief Drops all work and all remembered objects, as a new process does.
+  void Restart();
 
   void SetSlowdown(double slowdown) { slowdown_ = slowdown; }
 
--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
@@ -2,9 +2,13 @@
 #define MEDLARCROFT_EMULATION_EMULATION_H_
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "medlarcroft/emulation/emulated_deployment.h"
@@ -44,6 +48,8 @@
     Duration work{0};
     MonotonicTime arrived;
     std::uint32_t returns_left = 0;
+    request_path::RequestFingerprint fingerprint;
+    bool crashes_targets = false;
   };
   struct Send {
     std::size_t target = 0;
@@ -65,6 +71,16 @@
   void SetFault(const EmulatedFault& fault, bool is_on);
   void SetTargetFault(const EmulatedFault& fault, bool is_on);
   void SetCutHosts(double part);
+  void AskCrashingRequest(const EmulatedFault& fault);
+  /// @brief Fails all requests at the target and schedules its restart.
+  void CrashTarget(std::size_t target);
+  void RestartTarget(std::size_t target);
+  void RegisterTargets();
+  void ConnectReportSinks();
+  void AdvanceRateLimits();
+  void TellOtherHosts(std::size_t host,
+                      const std::function<void(EmulatedHost&)>& deliver);
+  void RecordLimitUse(std::size_t target);
   void ArriveLater(std::size_t kind, std::size_t region);
   [[nodiscard]] double RateAt(std::size_t kind,
                               std::size_t region,
@@ -103,6 +119,13 @@
     std::unique_ptr<EmulatedTarget> target;
     bool is_gone = false;
     double lost_part = 0;
+    std::optional<double> limit;
+    MonotonicTime limit_changed_at;
+    /// Requests within the rate limit window, while a limit is declared.
+    std::deque<MonotonicTime> arrivals;
+    /// Accepted since the last crash, including those that have ended.
+    std::vector<std::pair<RunningPointer, request_path::AttemptNumber>>
+        accepted_sends;
   };
 
   const EmulatedDeployment& deployment_;
@@ -117,6 +140,7 @@
   std::vector<std::vector<std::size_t>> hosts_by_region_;
   std::vector<bool> is_cut_;  ///< By host.
   double more_callers_ = 1.0;
+  std::uint64_t last_fingerprint_ = 0;
   EmulationFigures figures_;
 };
 
--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulation_figures.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulation_figures.h
@@ -1,6 +1,7 @@
 #ifndef MEDLARCROFT_EMULATION_EMULATION_FIGURES_H_
 #define MEDLARCROFT_EMULATION_EMULATION_FIGURES_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -53,6 +54,18 @@
     warm_runs_ += warm;
   }
 
+  void OnCrash() { ++crashes_; }
+  /// @param used requests that a rate-limited target received within a window,
+  /// as a fraction of those tolerated.
+  void OnLimitUse(double used) {
+    largest_limit_use_ = std::max(largest_limit_use_, used);
+  }
+
+  /// @return number of target crashes.
+  [[nodiscard]] std::uint64_t Crashes() const { return crashes_; }
+  /// @return the highest fraction of its tolerated requests that a rate-limited
+  /// target received within a window.
+  [[nodiscard]] double LargestLimitUse() const { return largest_limit_use_; }
   [[nodiscard]] std::uint64_t Requests() const { return requests_; }
   /// @return credit of the whole run.
   [[nodiscard]] double Whole() const { return whole_.Share(); }
@@ -85,6 +98,8 @@
   std::uint64_t served_ = 0;
   std::uint64_t refused_ = 0;
   std::uint64_t further_sends_ = 0;
+  std::uint64_t crashes_ = 0;
+  double largest_limit_use_ = 0;
   std::uint64_t runs_ = 0;
   std::uint64_t warm_runs_ = 0;
   Credit whole_;
--- a/lib/libmedlarcroft/source/adapters/emulation/deployment_schema.cc
+++ b/lib/libmedlarcroft/source/adapters/emulation/deployment_schema.cc
@@ -20,8 +20,9 @@
 constexpr double kMost = 1e6;
 constexpr std::array<std::string_view, 2> kKinds = {"idempotent",
                                                     "non-idempotent"};
-constexpr std::array<std::string_view, 5> kTroubles = {
-    "slow", "lost-answers", "gone", "more-callers", "cut-hosts"};
+constexpr std::array<std::string_view, 7> kTroubles = {
+    "slow",      "lost-answers",     "gone",      "more-callers",
+    "cut-hosts", "crashing-request", "rate-limit"};
 
 SettingsSchema<EmulatedRegion> MakeRegionSchema() {
   SettingsSchema<EmulatedRegion> schema;
@@ -112,8 +113,8 @@
       .Real("part", &EmulatedFault::part, {0, 1},
             {.description = "of the service's targets, or of the hosts"})
       .Real("strength", &EmulatedFault::strength, {0, 1000},
-            {.description = "times as slow, part of answers lost, or times as "
-                            "many callers"})
+            {.description = "times as slow, part of answers lost, times as "
+                            "many callers, or requests a second"})
       .DurationText("from", &EmulatedFault::from, kAnyTime,
                     {.description = "after the first callers"})
       .DurationText("until", &EmulatedFault::until, kAnyTime,
--- a/lib/libmedlarcroft/source/emulation/emulated_host.cc
+++ b/lib/libmedlarcroft/source/emulation/emulated_host.cc
@@ -72,6 +72,20 @@
       path_(InRegion(std::move(options), region), routes_, targets_, random_) {
   routes_.Apply(ConfigurationOf(deployment));
   path_.SetHostCount(HostsOf(deployment));
+  path_.Crashes().Observe(this);
+  path_.Limits().Observe(this);
+}
+
+void EmulatedHost::OnPublish(const request_path::CrashReport& report) {
+  if (sinks_.on_crash) {
+    sinks_.on_crash(report);
+  }
+}
+
+void EmulatedHost::OnPublish(const request_path::LimitReport& report) {
+  if (sinks_.on_limit) {
+    sinks_.on_limit(report);
+  }
 }
 
 void EmulatedHost::Register(std::span<const request_path::TargetRecord> targets,
--- a/lib/libmedlarcroft/source/emulation/emulated_target.cc
+++ b/lib/libmedlarcroft/source/emulation/emulated_target.cc
@@ -81,6 +81,12 @@
   std::erase_if(queue_, [&](const Waiting& other) { return other.id == id; });
 }
 
+void EmulatedTarget::Restart() {
+  running_.clear();
+  queue_.clear();
+  objects_.clear();
+}
+
 request_path::LoadReport EmulatedTarget::Report() const {
   return {.running = static_cast<std::uint32_t>(running_.size()),
           .waiting = static_cast<std::uint32_t>(queue_.size()),
--- a/lib/libmedlarcroft/source/emulation/emulation.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation.cc
@@ -6,8 +6,6 @@
 #include <utility>
 #include <variant>
 
-#include "medlarcroft/news/news_pace.h"
-
 namespace medlarcroft::emulation {
 
 namespace {
@@ -25,6 +23,8 @@
 constexpr Duration kUsualReturn = std::chrono::milliseconds(200);
 // Of the time that a caller has left, the most that it waits to come back.
 constexpr double kLongestReturn = 1.0 / 3;
+// From the arrival of a crashing request until its target crashes.
+constexpr Duration kCrashDelay = std::chrono::milliseconds(80);
 // A target that is gone is noticed as the connection fails.
 constexpr Duration kConnectLimit = std::chrono::milliseconds(250);
 
@@ -45,6 +45,7 @@
       figures_(deployment.window) {
   MakeTargets();
   MakeHosts(options);
+  ConnectReportSinks();
   PlanFaults();
 }
 
@@ -143,7 +144,9 @@
                     std::to_string(random_.NextBelow(asked.objects)),
           .work = FromSeconds(ToSeconds(asked.work) * factor),
           .arrived = events_.Now(),
-          .returns_left = asked.returns};
+          .returns_left = asked.returns,
+          .fingerprint =
+              request_path::RequestFingerprint::FromValue(++last_fingerprint_)};
 }
 
 EmulationFigures Emulation::Run() {
@@ -169,7 +172,8 @@
         .host = std::string(EmulatedSite()),
         .target = PathOf(*caller.kind),
         .object = caller.object,
-        .time_left = caller.kind->deadline - spent};
+        .time_left = caller.kind->deadline - spent,
+        .fingerprint = caller.fingerprint};
     const request_path::Begun begun =
         hosts_[host]->Path().Begin(request, events_.Now());
     if (begun.ticket == 0) {
@@ -240,42 +244,6 @@
   });
 }
 
-void Emulation::TellPlaced(const Running& running, const SendAttempt& attempt) {
-  for (const std::size_t other : hosts_by_region_[running.caller.region]) {
-    if (other == running.host || is_cut_[running.host] || is_cut_[other]) {
-      continue;
-    }
-    events_.After(deployment_.within_region,
-                  [this, other, target = request_path::NumberOf(attempt.target),
-                   object = request_path::ObjectKey(running.caller.object)] {
-                    hosts_[other]->Path().OnPlacedByOther(target, object);
-                  });
-  }
-}
-
-void Emulation::TellLoad(const Running& running,
-                         const request_path::TargetIdentity& target,
-                         const request_path::LoadReport& report) {
-  const std::vector<std::size_t>& hosts =
-      hosts_by_region_[running.caller.region];
-  if (!tells_loads_) {
-    return;
-  }
-  for (const std::size_t other : hosts) {
-    if (other == running.host || is_cut_[running.host] || is_cut_[other]) {
-      continue;
-    }
-    // In the mean a load waits half of each delay on its way.
-    const Duration waits = news::IsToldDirectly(hosts.size() - 1)
-                               ? news::kReportDelay / 2
-                               : news::kReportDelay / 2 + news::kDigestPeriod;
-    events_.After(
-        deployment_.within_region + waits, [this, other, target, report] {
-          hosts_[other]->Path().OnReport(target, report, events_.Now());
-        });
-  }
-}
-
 void Emulation::Deliver(const RunningPointer& running,
                         request_path::AttemptNumber attempt,
                         Duration way) {
@@ -290,9 +258,13 @@
     });
     return;
   }
+  if (placed.limit) {
+    RecordLimitUse(send.target);
+  }
   const bool is_lost = random_.NextUnit() < placed.lost_part;
   const auto done = [this, running, attempt, way,
                      is_lost](const request_path::LoadReport& report) {
+    running->sends.at(attempt).work = 0;
     events_.After(way, [this, running, attempt, is_lost, report] {
       const Send& ended = running->sends.at(attempt);
       if (!is_lost) {
@@ -300,6 +272,9 @@
             targets_[ended.target].record.Identity();
         hosts_[running->host]->Path().OnReport(target, report, events_.Now());
         TellLoad(*running, target, report);
+        hosts_[running->host]->Path().OnRateLimit(running->ticket, attempt,
+                                                  targets_[ended.target].limit,
+                                                  events_.Now());
       }
       EndSend(running, attempt,
               is_lost ? AttemptEnd::kLost : AttemptEnd::kAnswered);
@@ -312,6 +287,11 @@
                             done);
   if (work) {
     send.work = *work;
+    placed.accepted_sends.emplace_back(running, attempt);
+    if (running->caller.crashes_targets) {
+      events_.After(kCrashDelay,
+                    [this, target = send.target] { CrashTarget(target); });
+    }
     return;
   }
   events_.After(way, [this, running, attempt] {
@@ -370,6 +350,9 @@
 void Emulation::Conclude(const Caller& caller,
                          bool is_served,
                          bool is_refused) {
+  if (caller.crashes_targets) {
+    return;
+  }
   const Duration took = events_.Now() + deployment_.to_callers - caller.arrived;
   figures_.OnOutcome({.kind = caller.kind,
                       .region = deployment_.regions[caller.region].name,
--- a/lib/libmedlarcroft/source/emulation/emulation_faults.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_faults.cc
@@ -22,6 +22,11 @@
     case EmulatedTrouble::kCutHosts:
       SetCutHosts(is_on ? fault.part : 0.0);
       break;
+    case EmulatedTrouble::kCrashingRequest:
+      if (is_on) {
+        AskCrashingRequest(fault);
+      }
+      break;
     default:
       SetTargetFault(fault, is_on);
   }
@@ -59,6 +64,10 @@
       case EmulatedTrouble::kGone:
         placed.is_gone = is_on;
         break;
+      case EmulatedTrouble::kRateLimit:
+        placed.limit = is_on ? std::optional(fault.strength) : std::nullopt;
+        placed.limit_changed_at = events_.Now();
+        break;
       default:
         break;
     }
--- a/tests/unit/emulation/emulation_test.cc
+++ b/tests/unit/emulation/emulation_test.cc
@@ -149,5 +149,45 @@
   EXPECT_NE(FormatPlot(results).find("longest-wait 0.600"), std::string::npos);
 }
 
+// Guards against a crashing request taking down target after target: blocking
+// it must reduce both the crashes and the credit that other requests lose.
+TEST(EmulationTest, ACrashingRequestIsBlockedAndOthersAreServed) {
+  EmulatedDeployment deployment = Load("campos");
+  deployment.length = seconds(16);
+  const double without_fault = RunOnce(deployment).Whole();
+  deployment.faults = {{.trouble = EmulatedTrouble::kCrashingRequest,
+                        .service = deployment.services.front().name,
+                        .strength = 4,
+                        .from = seconds(3),
+                        .until = seconds(16)}};
+  const EmulationFigures with_blocking = RunOnce(deployment);
+  EmulationOptions options{.seed = 1};
+  options.path.crashes.crashes_to_block = 1'000'000;
+  const EmulationFigures without_blocking =
+      Emulation(deployment, options).Run();
+
+  EXPECT_GE(with_blocking.Crashes(), 3U);
+  EXPECT_LT(with_blocking.Crashes(), without_blocking.Crashes() / 3);
+  EXPECT_LT(without_fault - with_blocking.Whole(),
+            (without_fault - without_blocking.Whole()) / 2);
+}
+
+// Guards against hosts that respect a declared rate limit only individually
+// and exceed it together.
+TEST(EmulationTest, HostsTogetherKeepRateLimits) {
+  EmulatedDeployment deployment = Load("campos");
+  deployment.length = seconds(16);
+  deployment.faults = {{.trouble = EmulatedTrouble::kRateLimit,
+                        .service = deployment.services.front().name,
+                        .part = 0.2,
+                        .strength = 4.5,
+                        .from = seconds(3),
+                        .until = seconds(16)}};
+  const EmulationFigures figures = RunOnce(deployment);
+
+  EXPECT_GT(figures.LargestLimitUse(), 0.2);
+  EXPECT_LE(figures.LargestLimitUse(), 1.0);
+}
+
 }  // namespace
 }  // namespace medlarcroft::emulation
