--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -21,9 +21,6 @@
 // Longest Retry-After that is said: room changes sooner.
 constexpr double kLongestReturnSeconds = 2.0;
 
-// Seconds; shorter work is not told apart.
-constexpr double kLeastWork = 1e-4;
-
 bool IsRun(AttemptEnd end) {
   return end == AttemptEnd::kLost || end == AttemptEnd::kTimedOut;
 }
@@ -370,86 +367,6 @@
   return abandoned;
 }
 
-void RequestPath::Learn(const Request& request,
-                        const Attempt& attempt,
-                        AttemptEnd end,
-                        MonotonicTime now) {
-  ServiceTimes& times =
-      TimesOf(request.service, request.route->latency_objective);
-  TargetState* const target = targets_.Find(attempt.target);
-  if (target == nullptr) {
-    return;
-  }
-  std::optional<double> relative;
-  if (end == AttemptEnd::kAnswered || end == AttemptEnd::kTimedOut) {
-    const double seconds = ToSeconds(
-        now - attempt.sent_at - attempt.round_trip - attempt.expected_wait);
-    const double work = std::max(seconds, 0.0);
-    const bool was_warm = attempt.is_warm || times.LooksWarm(FromSeconds(work));
-    relative = work / std::max(ToSeconds(times.Work(was_warm)), kLeastWork);
-    const bool had_free_slot =
-        attempt.load_ahead < std::max(target->Record().slots, 1U);
-    if (end == AttemptEnd::kAnswered && had_free_slot) {
-      times.OnWork(was_warm, FromSeconds(work / target->RelativeTime()));
-    }
-  }
-  target->OnEnded(end, relative, now);
-  if (end == AttemptEnd::kOtherTarget) {
-    targets_.MarkReplaced(attempt.target);
-  }
-}
-
-void RequestPath::OnPlacedByOther(TargetNumber target, ObjectKey object) {
-  if (TargetState* const state = targets_.Find(target)) {
-    state->OnSentByOther(object);
-  }
-}
-
-void RequestPath::OnToldLoad(TargetNumber target,
-                             std::uint32_t requests,
-                             MonotonicTime now) {
-  if (TargetState* const state = targets_.Find(target)) {
-    TakeReport(*state, {.running = requests}, now);
-  }
-}
-
-void RequestPath::OnRateLimit(RequestTicket ticket,
-                              AttemptNumber attempt_number,
-                              std::optional<double> limit,
-                              MonotonicTime now) {
-  const auto found = requests_.find(ticket);
-  if (found == requests_.end()) {
-    return;
-  }
-  const Attempt& attempt = found->second.attempts.at(attempt_number - 1);
-  if (const TargetState* const target = targets_.Find(attempt.target)) {
-    limits_.OnAnswer(target->Number(), target->Region(), limit, attempt.sent_at,
-                     now);
-  }
-}
-
-void RequestPath::OnLimitReport(const LimitReport& report, MonotonicTime now) {
-  if (const TargetState* const target = targets_.Find(report.target)) {
-    limits_.OnReport(report, target->Region(), now);
-  }
-}
-
-void RequestPath::OnReport(const TargetIdentity& target,
-                           const LoadReport& report,
-                           MonotonicTime now) {
-  if (TargetState* const state = targets_.Find(target)) {
-    TakeReport(*state, report, now);
-  }
-}
-
-void RequestPath::TakeReport(TargetState& target,
-                             const LoadReport& report,
-                             MonotonicTime now) {
-  target.OnReport(report, now);
-  loads_[target.Record().service].OnReport(target.Region(), target.OthersLoad(),
-                                           now);
-}
-
 AttemptAllowance& RequestPath::AllowanceOf(const ServiceName& service) {
   return allowances_.try_emplace(service, options_.attempt_bound).first->second;
 }
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -87,6 +87,10 @@
   void OnRows(std::span<const rows::Row> rows) override;
 
  private:
+  // A row without a living host is taken away after this; until then the host
+  // counts among those that share what is bounded for all.
+  static constexpr Duration kLostAfter = std::chrono::seconds(40);
+
   struct Entry {
     ports::ListedHost host;
     double link_mbps = 0;
