Keep a newer block when an expired row is removed

A request that crashes targets again after its block has expired would have been sent on. The expired row stays in the hosts' table for up to ten and a half minutes, which had two effects: the new block was treated as already stored, so hosts that start did not learn of it; and when some host removed the expired row, all hosts treated the removal as an operator's command and lifted the new block. Found by code review, not by a failure.

A row now counts only until it expires: a new block replaces an expired row, and the removal of an expired row lifts no block.

--- a/programs/node/crash_sharing.cc
+++ b/programs/node/crash_sharing.cc
@@ -88,7 +88,7 @@
        {"blocked_for_ms", ToMilliseconds(blocked_for)}});
   if (is_own) {
     own_rows_[request] = {.until = parts_.loop.Clock().WallNow() + blocked_for,
-                          .is_stored = stored_rows_.contains(request)};
+                          .is_stored = HasUnexpiredRow(request)};
   }
 }
 
@@ -104,9 +104,13 @@
     return;
   }
   if (row.is_removed) {
+    // Removing an expired row must not lift a newer block of the same request.
+    const bool was_unexpired = HasUnexpiredRow(*request);
     stored_rows_.erase(*request);
-    own_rows_.erase(*request);
-    parts_.ledger.Unblock(*request);
+    if (was_unexpired) {
+      own_rows_.erase(*request);
+      parts_.ledger.Unblock(*request);
+    }
     return;
   }
   const auto decoded = platform::DecodeBlockedRequest(row.key, row.value);
@@ -121,12 +125,13 @@
   const WallTime until = ValueOf(decoded).until;
   stored_rows_[*request] = {
       .version = row.version,
+      .until = until,
       .remove_at =
           until + kRowExpiryMargin +
           FromSeconds(ToSeconds(kRowRemovalSpread) * parts_.random.NextUnit())};
   const auto own = own_rows_.find(*request);
   if (own != own_rows_.end()) {
-    own->second.is_stored = true;
+    own->second.is_stored = HasUnexpiredRow(*request);
   }
   const Duration left = until - parts_.loop.Clock().WallNow();
   if (left > Duration(0)) {
@@ -136,6 +141,12 @@
   }
 }
 
+bool CrashSharing::HasUnexpiredRow(RequestFingerprint request) const {
+  const auto stored = stored_rows_.find(request);
+  return stored != stored_rows_.end() &&
+         stored->second.until > parts_.loop.Clock().WallNow();
+}
+
 void CrashSharing::Tick() {
   const MonotonicTime now = parts_.loop.Now();
   const WallTime wall = parts_.loop.Clock().WallNow();
@@ -164,12 +175,15 @@
 // first one succeed; the others receive the row through the table.
 void CrashSharing::WriteRow(RequestFingerprint request, OwnRow& row) {
   row.written_at = parts_.loop.Now();
-  parts_.store.Write({.table = std::string(platform::kHostTable),
-                      .key = platform::KeyOfBlockedRequest(request),
-                      .value = platform::EncodeBlockedRequest(
-                          {.request = request, .until = row.until}),
-                      .expected_version = 0},
-                     [](const Result<Success, rows::RowFailure>&) {});
+  const auto stored = stored_rows_.find(request);
+  parts_.store.Write(
+      {.table = std::string(platform::kHostTable),
+       .key = platform::KeyOfBlockedRequest(request),
+       .value = platform::EncodeBlockedRequest(
+           {.request = request, .until = row.until}),
+       .expected_version =
+           stored == stored_rows_.end() ? 0 : stored->second.version},
+      [](const Result<Success, rows::RowFailure>&) {});
 }
 
 void CrashSharing::RemoveRow(RequestFingerprint request,
--- a/programs/node/crash_sharing.h
+++ b/programs/node/crash_sharing.h
@@ -57,9 +57,12 @@
   };
   struct StoredRow {
     std::uint64_t version = 0;
+    WallTime until;
     WallTime remove_at;
   };
 
+  [[nodiscard]] bool HasUnexpiredRow(
+      request_path::RequestFingerprint request) const;
   void Tick();
   void WriteRow(request_path::RequestFingerprint request, OwnRow& row);
   void RemoveRow(request_path::RequestFingerprint request,
