Mix bits for orders of targets and of senders in one place

The last steps of SplitMix64 stood in target_state.cc and in rate_limits.cc; both orders use the one in core/ now.

--- a/lib/libmedlarcroft/source/request_path/rate_limits.cc
+++ b/lib/libmedlarcroft/source/request_path/rate_limits.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "medlarcroft/core/mixed.h"
+
 namespace medlarcroft::request_path {
 
 namespace {
@@ -25,17 +27,8 @@
 // declares the limit: the report may have been delayed.
 constexpr Duration kDelayedReportWindow = std::chrono::seconds(2);
 
-// The finalizer of SplitMix64.
-std::uint64_t Mix(std::uint64_t number) {
-  constexpr std::uint64_t kFirstFactor = 0xbf58476d1ce4e5b9U;
-  constexpr std::uint64_t kSecondFactor = 0x94d049bb133111ebU;
-  number = (number ^ (number >> 30U)) * kFirstFactor;
-  number = (number ^ (number >> 27U)) * kSecondFactor;
-  return number ^ (number >> 31U);
-}
-
 std::uint64_t OrderOf(std::uint64_t host, TargetNumber target) {
-  return Mix(host ^ Mix(static_cast<std::uint64_t>(target)));
+  return Mixed(host ^ Mixed(static_cast<std::uint64_t>(target)));
 }
 
 bool IsUnchanged(double left, double right) {
--- a/lib/libmedlarcroft/source/request_path/target_state.cc
+++ b/lib/libmedlarcroft/source/request_path/target_state.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <utility>
 
+#include "medlarcroft/core/mixed.h"
+
 namespace medlarcroft::request_path {
 
 namespace {
@@ -40,16 +42,6 @@
          end == AttemptEnd::kTimedOut;
 }
 
-// The last steps of SplitMix64: each bit of the result depends on each of
-// `number`.
-std::uint64_t Mixed(std::uint64_t number) {
-  constexpr std::uint64_t kFirstFactor = 0xbf58476d1ce4e5b9U;
-  constexpr std::uint64_t kSecondFactor = 0x94d049bb133111ebU;
-  number = (number ^ (number >> 30U)) * kFirstFactor;
-  number = (number ^ (number >> 27U)) * kSecondFactor;
-  return number ^ (number >> 31U);
-}
-
 bool IsBadAnswer(AttemptEnd end) {
   return end == AttemptEnd::kTargetFailed || end == AttemptEnd::kNotRun;
 }
