Score shedding targets worse, however low their earlier latency

Of 30 orders, sent one after the other while one of four targets shed everything, 2 were refused as not run because the retry budget was spent.

Cause: placement draws two targets and sends the request to the one with the better score. A shed halves the slots of its target, but at least one slot stays, and the score is weighted by the target's earlier latency, by a factor of 0.25 to 4. A target that was fast before it shed can therefore keep the best score and get most requests first, and each of them costs a retry. Sheds change neither its latency nor its health. The class of fault is a target that refuses quickly and so looks like the best one.

Change: the score of a target that sheds is divided by the part of its share that is left, which halves with each shed and grows back within 2 s, as before. Ramps of targets that start or come back are unchanged.

--- a/lib/libmedlarcroft/include/medlarcroft/decision/placement.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/placement.h
@@ -25,7 +25,14 @@
 /// that is wrong can mislead only that far. The sum is weighed by the target's
 /// own measured latency, within a quarter and four times the mean.
 ///
-/// A target that is probed is scored as if it were well, with its whole share.
+/// The score of a target that recovers from sheds is also divided by the part
+/// of its share in use. Fewer slots alone are not enough: at least one stays
+/// usable, so a target with a low measured latency could keep the best score
+/// and spend the retry budget on requests that it sheds. The part halves with
+/// each shed and can fall below what the latency factor can offset.
+///
+/// A target that is probed is otherwise scored as if it were well, with its
+/// whole share.
 /// Failure: with its one usable slot and its old latency it looks busier than
 /// any other target. Symptom: under light load it is never chosen, so a target
 /// that has recovered stays out for good. One request at a time bounds the harm
--- a/lib/libmedlarcroft/include/medlarcroft/decision/slot_ramp.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/slot_ramp.h
@@ -24,6 +24,9 @@
   /// @return the slots of `share` in use now; at least 1 when `share` is.
   [[nodiscard]] std::uint32_t Usable(std::uint32_t share,
                                      MonotonicTime now) const;
+  /// @return the part of the share in use, in (0, 1], while the target recovers
+  /// from a shed; 1 otherwise.
+  [[nodiscard]] double PartAfterShed(MonotonicTime now) const;
 
  private:
   [[nodiscard]] double Part(MonotonicTime now) const;
@@ -31,6 +34,7 @@
   MonotonicTime start_{};
   MonotonicTime end_{};
   double from_ = 1.0;
+  bool is_after_shed_ = false;
 };
 
 }  // namespace medlarcroft::decision
--- a/lib/libmedlarcroft/source/decision/placement.cc
+++ b/lib/libmedlarcroft/source/decision/placement.cc
@@ -115,7 +115,8 @@
                             ? 1.0
                             : std::clamp(relative_latency, kLowestLatencyFactor,
                                          kHighestLatencyFactor);
-  return (own + others + 1.0) / (usable + held_by_others) * factor;
+  return (own + others + 1.0) / (usable + held_by_others) * factor /
+         target.ramp.PartAfterShed(now);
 }
 
 std::unique_ptr<PlacementStrategy> MakePlacement(PlacementKind kind) {
--- a/lib/libmedlarcroft/source/decision/slot_ramp.cc
+++ b/lib/libmedlarcroft/source/decision/slot_ramp.cc
@@ -5,14 +5,24 @@
 
 namespace medlarcroft::decision {
 
+namespace {
+
+// Keeps placement scores finite. Below 1/16, the ratio of the lowest to the
+// highest latency factor, so that a low latency cannot offset repeated sheds.
+constexpr double kMinPartAfterShed = 1.0 / 64;
+
+}  // namespace
+
 void SlotRamp::Start(MonotonicTime now, double from, Duration length) {
   start_ = now;
   end_ = now + length;
   from_ = from;
+  is_after_shed_ = false;
 }
 
 void SlotRamp::Halve(MonotonicTime now, Duration length) {
   Start(now, Part(now) / 2, length);
+  is_after_shed_ = true;
 }
 
 std::uint32_t SlotRamp::Usable(std::uint32_t share, MonotonicTime now) const {
@@ -23,6 +33,10 @@
   return std::clamp(slots, 1U, share);
 }
 
+double SlotRamp::PartAfterShed(MonotonicTime now) const {
+  return is_after_shed_ ? std::max(Part(now), kMinPartAfterShed) : 1.0;
+}
+
 double SlotRamp::Part(MonotonicTime now) const {
   if (!IsActive(now))
     return 1.0;
--- a/tests/unit/decision/request_scheduler_test.cc
+++ b/tests/unit/decision/request_scheduler_test.cc
@@ -103,6 +103,33 @@
   }
 }
 
+// Guards against sending most requests first to a target that sheds them all
+// but has the lowest measured latency, which spends the retry budget.
+TEST_F(RequestSchedulerTest, AFastTargetThatShedsDoesNotSpendTheRetryBudget) {
+  Configure(NonIdempotentService(Targets(4, 4)));
+  const TargetName fast("t0");
+  for (int i = 0; i < 100; ++i) {
+    const Dispatch dispatch = SubmitAndDispatch();
+    clock_.Advance(dispatch.target == fast ? milliseconds(4)
+                                           : milliseconds(20));
+    static_cast<void>(End(dispatch.attempt, AttemptOutcome::kAnswered));
+  }
+
+  int sheds = 0;
+  for (int i = 0; i < 60; ++i) {
+    Dispatch dispatch = SubmitAndDispatch();
+    if (dispatch.target == fast) {
+      ++sheds;
+      const NextStep step = End(dispatch.attempt, AttemptOutcome::kShed);
+      ASSERT_TRUE(std::holds_alternative<Dispatch>(step)) << sheds << " sheds";
+      dispatch = std::get<Dispatch>(step);
+    }
+    clock_.Advance(milliseconds(20));
+    static_cast<void>(End(dispatch.attempt, AttemptOutcome::kAnswered));
+  }
+  EXPECT_LE(sheds, 10);
+}
+
 TEST_F(RequestSchedulerTest, RetriesEndWithTheBudget) {
   Configure(Service(Targets(8, 8)));
 
