Do not clear a request's crash count when a target returns an error

Expected symptom: a request that crashes the targets that run it is forwarded for longer, and crashes further targets, when it also reaches targets that fail requests before running them. Found by reading the code; not observed in any run.

Cause: an answer clears a request on all hosts and makes them ignore its crashes for 2 s. Answers with status 500 or above also counted, although a target that fails some of its requests while its health check passes may send them without running anything. Each such answer therefore reset the crash count to 0 on all hosts.

Change: only answers with a status below 500 clear a request. A server error neither counts as a crash nor clears the request.

Why it works: a request that crashes whatever runs it never gets an answer below 500 that comes from running it. Requests that were merely running on the same target at the time are cleared by their next complete answer below 500, as before. A request that only ever gets server errors, and during which three targets exited, is now blocked; it was not served before.

Test: AServerErrorDoesNotClearARequestThatCrashesTargets failed before the change (not blocked after three crashes, each preceded by a server error) and passes now.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -22,7 +22,7 @@
 /// @brief How one attempt ended, as the transport saw it.
 enum class AttemptEnd {
   kAnswered,      ///< A whole answer, not a failure of the target.
-  kTargetFailed,  ///< A whole answer that reports a failure; it ran.
+  kTargetFailed,  ///< A whole answer that reports a failure; counts as run.
   kNotRun,        ///< The target says that it did not run it.
   kOtherTarget,   ///< Another target has the address; it did not run it.
   kNeverSent,     ///< No connection came about.
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -257,10 +257,10 @@
     ++request.arrivals;
   }
   request.may_have_run = request.may_have_run || IsRun(end);
-  if (end == AttemptEnd::kAnswered || end == AttemptEnd::kTargetFailed) {
-    crashes_.OnAnswered(request.fingerprint, now);
-  }
   if (end == AttemptEnd::kAnswered) {
+    // Server errors are excluded: a target may send one without running the
+    // request.
+    crashes_.OnAnswered(request.fingerprint, now);
     const PassOn pass_on{.attempt = attempt_number,
                          .abandoned = Abandon(request)};
     requests_.erase(found);
--- a/tests/unit/request_path/request_path_test.cc
+++ b/tests/unit/request_path/request_path_test.cc
@@ -292,6 +292,22 @@
   EXPECT_TRUE(std::holds_alternative<SendAttempt>(other.step));
 }
 
+// A server error, which a target may send without running the request, must
+// not reset the crash count of a request that crashes targets.
+TEST_F(RequestPathTest, AServerErrorDoesNotClearARequestThatCrashesTargets) {
+  Configure(RequestKind::kIdempotent, 5);
+  const auto crashing = RequestFingerprint::Of({"crash"});
+  for (std::uint32_t target = 1; target <= 3; ++target) {
+    const Begun begun = path_.Begin(
+        {.host = "h", .target = "/x", .fingerprint = crashing}, kStart);
+    static_cast<void>(
+        path_.OnAttemptEnd(begun.ticket, 1, AttemptEnd::kTargetFailed, kStart));
+    path_.Crashes().OnReport(
+        {.request = crashing, .target = TargetNumber{target}}, kStart);
+  }
+  EXPECT_TRUE(path_.Crashes().BlockedFor(crashing, kStart).has_value());
+}
+
 // A request that is blocked while a target runs it must not be retried, and
 // must not be reported as not run.
 TEST_F(RequestPathTest, ARequestBlockedInFlightIsNotSentAgain) {
