Evict blocked requests last from the crash ledger

Impact on callers: a request that crashes targets is forwarded again before its block expires.

Cause: the ledger tracks 1000 requests and evicts the one whose latest crash is oldest, even if it is blocked. When more than a thousand other requests crash their targets within a second, a host that learned of the block from the host table or from other hosts evicts it, and sends the request until it is informed again (within a second as long as a host that observed the crashes remains), restarts, or has counted three more crashes.

Fix: evict blocked requests last.

Test: BlocksAreEvictedLast failed before the change (no block after 100 other crashes in a ledger of 10) and passes now.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/crash_ledger.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/crash_ledger.h
@@ -72,6 +72,7 @@
     /// A crash is repeated for this long, for hosts that missed the report.
     Duration repeat_duration = std::chrono::seconds(5);
     /// Tracked requests; beyond this the one with the oldest crash is evicted.
+    /// Blocked requests are evicted only when all tracked requests are blocked.
     std::size_t most_requests = 1000;
   };
 
--- a/lib/libmedlarcroft/source/request_path/crash_ledger.cc
+++ b/lib/libmedlarcroft/source/request_path/crash_ledger.cc
@@ -1,6 +1,7 @@
 #include "medlarcroft/request_path/crash_ledger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace medlarcroft::request_path {
 
@@ -212,8 +213,12 @@
 }
 
 void CrashLedger::DropOldest() {
-  const auto oldest = std::ranges::min_element(
-      entries_, {}, [](const auto& kept) { return kept.second.crashed_at; });
+  // Requests that are not blocked sort first.
+  const auto oldest =
+      std::ranges::min_element(entries_, {}, [](const auto& kept) {
+        return std::pair(kept.second.blocked_until.has_value(),
+                         kept.second.crashed_at);
+      });
   entries_.erase(oldest);
 }
 
--- a/tests/unit/request_path/crash_ledger_test.cc
+++ b/tests/unit/request_path/crash_ledger_test.cc
@@ -191,6 +191,20 @@
   EXPECT_EQ(unblocked_, 1);
 }
 
+// Crashes of many other requests must not evict a blocked request.
+TEST_F(CrashLedgerTest, BlocksAreEvictedLast) {
+  CrashLedger ledger({.most_requests = 10});
+  ledger.OnReport({.kind = CrashReportKind::kBlocked,
+                   .request = kRequest,
+                   .blocked_for = minutes(3)},
+                  kStart);
+  for (std::uint64_t number = 1; number <= 100; ++number) {
+    ledger.OnCrash(RequestFingerprint::FromValue(number), Target(1),
+                   kStart + milliseconds(static_cast<int>(number)));
+  }
+  EXPECT_TRUE(ledger.BlockedFor(kRequest, kStart + seconds(1)).has_value());
+}
+
 // Crashes of many different requests must not exhaust memory.
 TEST_F(CrashLedgerTest, EntryCountIsBounded) {
   CrashLedger ledger({.most_requests = 10});
