Repeat all crash reports in turn

Effect on callers: a host that missed the datagram announcing the block of a request that crashes targets keeps sending that request until it reads the row from the hosts' table, or until another host hears of a further crash from it.

Cause: a host repeats at most 40 reports per second. When it had more (blocks last ten minutes, and crashes are repeated for 5 s), it took the first 40 in an order that stays the same while the requests do, so the others were never repeated.

Fix: each call continues where the previous one ended.

Test: RepeatsAllBlocksInTurn failed before the change (10 of 25 blocks repeated in three rounds of 10) and passes now.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/crash_ledger.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/crash_ledger.h
@@ -100,10 +100,10 @@
   void Advance(MonotonicTime now);
 
   /// @return at most `most` reports based on this host's own observations, to
-  /// be repeated for hosts that were disconnected, paused or restarted.
-  [[nodiscard]] std::vector<CrashReport> ReportsToRepeat(
-      std::size_t most,
-      MonotonicTime now) const;
+  /// be repeated for hosts that were disconnected, paused or restarted. If
+  /// there are more, successive calls cycle through them.
+  [[nodiscard]] std::vector<CrashReport> ReportsToRepeat(std::size_t most,
+                                                         MonotonicTime now);
   /// @return how many distinct targets crashed while running the request.
   [[nodiscard]] std::size_t CrashesOf(RequestFingerprint request) const;
   [[nodiscard]] std::size_t BlockedRequests() const;
@@ -146,6 +146,8 @@
   CrashObserver* observer_ = nullptr;
   std::unordered_map<RequestFingerprint, Entry> entries_;
   std::deque<Answer> answers_;  ///< Latest last.
+  /// Index of the first report that `ReportsToRepeat` returns next.
+  std::size_t next_repeat_index_ = 0;
 };
 
 }  // namespace medlarcroft::request_path
--- a/lib/libmedlarcroft/source/request_path/crash_ledger.cc
+++ b/lib/libmedlarcroft/source/request_path/crash_ledger.cc
@@ -91,7 +91,7 @@
 }
 
 std::vector<CrashReport> CrashLedger::ReportsToRepeat(std::size_t most,
-                                                      MonotonicTime now) const {
+                                                      MonotonicTime now) {
   std::vector<CrashReport> reports;
   for (const auto& [request, entry] : entries_) {
     if (entry.own_crashes.empty()) {
@@ -112,7 +112,13 @@
       }
     }
   }
-  reports.resize(std::min(reports.size(), most));
+  if (reports.size() > most) {
+    next_repeat_index_ %= reports.size();
+    std::ranges::rotate(reports, reports.begin() + static_cast<std::ptrdiff_t>(
+                                                       next_repeat_index_));
+    reports.resize(most);
+    next_repeat_index_ += most;
+  }
   return reports;
 }
 
--- a/tests/unit/request_path/crash_ledger_test.cc
+++ b/tests/unit/request_path/crash_ledger_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -191,6 +192,26 @@
   EXPECT_EQ(unblocked_, 1);
 }
 
+// Blocks beyond the limit per call must be repeated by later calls. Otherwise a
+// host that missed the report of such a block keeps sending the request.
+TEST_F(CrashLedgerTest, RepeatsAllBlocksInTurn) {
+  constexpr std::uint64_t kRequests = 25;
+  for (std::uint64_t number = 1; number <= kRequests; ++number) {
+    for (std::uint32_t target = 1; target <= 3; ++target) {
+      ledger_.OnCrash(RequestFingerprint::FromValue(number), Target(target),
+                      kStart);
+    }
+  }
+  std::set<RequestFingerprint> repeated;
+  for (int round = 0; round < 3; ++round) {
+    for (const CrashReport& report :
+         ledger_.ReportsToRepeat(10, kStart + seconds(round))) {
+      repeated.insert(report.request);
+    }
+  }
+  EXPECT_EQ(repeated.size(), kRequests);
+}
+
 // Crashes of many other requests must not evict a blocked request.
 TEST_F(CrashLedgerTest, BlocksAreEvictedLast) {
   CrashLedger ledger({.most_requests = 10});
