--- a/lib/libmedlarcroft/source/request_path/crash_ledger.cc
+++ b/lib/libmedlarcroft/source/request_path/crash_ledger.cc
@@ -114,8 +114,10 @@
   }
   if (reports.size() > most) {
     next_repeat_index_ %= reports.size();
-    std::ranges::rotate(reports, reports.begin() + static_cast<std::ptrdiff_t>(
-                                                       next_repeat_index_));
+    std::rotate(
+        reports.begin(),
+        reports.begin() + static_cast<std::ptrdiff_t>(next_repeat_index_),
+        reports.end());
     reports.resize(most);
     next_repeat_index_ += most;
   }
