Scale rate limits by the fraction of the region's hosts that are live

Expected impact: an overloaded target that declares a limit receives a multiple of it while hosts are disconnected from each other but still reach the target.

Cause: each host divided a limit among the hosts that it hears. A host that heard no others counted itself as the only one and used the whole limit; with half of the hosts disconnected individually, each of them did so.

Change: a host that hears only a fraction of the hosts listed for its region uses the same fraction of the limit and of its senders. However the hosts are partitioned, the shares of all sides add up to at most the limit, and the requests saved up in token buckets to at most those of all senders. A host that is alone in a large region only probes.

Cost: when hosts die, their fraction of a limit is unused until their rows are removed, 40 to 80 s later.

Tests: in LimitTable, disconnected hosts now count all the time. New cases disconnect half of the hosts for 10 s and pause a quarter for 4 s, with 8, 58 and 295 hosts. Before the change 11 cases failed: up to 96 requests in 4 s where 9 are allowed, 180 where 32 are, and 440 where 245 are. All pass now.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/rate_limits.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/rate_limits.h
@@ -30,6 +30,8 @@
   RegionName own_region;
   /// Name hashes of the live hosts of this region, including this host.
   std::vector<std::uint64_t> live_in_region;
+  /// Number of listed hosts of this region, live or not, including this host.
+  std::size_t known_in_region = 1;
   /// Number of listed hosts in all regions.
   std::uint32_t known_hosts = 1;
 
@@ -58,11 +60,14 @@
 /// of them could each save up a request and send it in the same burst. A limit
 /// is therefore divided equally among a few hosts of the target's region, whose
 /// number grows with the limit. Rendezvous hashing selects the same senders on
-/// all hosts that know the same live hosts. Each sender's token bucket holds at
-/// most one request, which bounds the burst. The remaining hosts probe the
-/// target at a small fraction of the limit in total, to detect the end of a
-/// limit whose report was lost. They accumulate no requests while idle: each
-/// may send only within a short, periodic time slot with a random offset.
+/// all hosts that know the same live hosts. A host scales the limit and the
+/// number of senders by the fraction of its region's hosts that it considers
+/// live, because hosts on the other side of a network partition may still reach
+/// the target. Each sender's token bucket holds at most one request, which
+/// bounds the burst. The remaining hosts probe the target at a small fraction
+/// of the limit in total, to detect the end of a limit whose report was lost.
+/// They accumulate no requests while idle: each may send only within a short,
+/// periodic time slot with a random offset.
 class RateLimits {
  public:
   struct Options {
--- a/lib/libmedlarcroft/source/emulation/emulation_reports.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_reports.cc
@@ -56,6 +56,7 @@
       request_path::LimitHosts hosts{
           .own_hash = HostHash(host),
           .own_region = RegionName(hosts_[host]->Region()),
+          .known_in_region = region.size(),
           .known_hosts = static_cast<std::uint32_t>(hosts_.size())};
       for (const std::size_t other : region) {
         if (other == host || (!is_cut_[host] && !is_cut_[other])) {
--- a/lib/libmedlarcroft/source/request_path/rate_limits.cc
+++ b/lib/libmedlarcroft/source/request_path/rate_limits.cc
@@ -207,19 +207,25 @@
 }
 
 void RateLimits::UpdateShare(TargetNumber target, Limit& limit) const {
-  const auto senders = static_cast<std::size_t>(
+  const std::size_t live = hosts_.live_in_region.size();
+  const std::size_t known = std::max(live, hosts_.known_in_region);
+  const auto senders_in_region = static_cast<std::size_t>(
       std::min(options_.base_senders +
                    options_.senders_per_rps * limit.requests_per_second,
-               static_cast<double>(hosts_.live_in_region.size())));
+               static_cast<double>(known)));
+  const std::size_t senders = senders_in_region * live / known;
   const std::uint64_t own = OrderOf(hosts_.own_hash, target);
   const auto rank = static_cast<std::size_t>(std::ranges::count_if(
       hosts_.live_in_region,
       [&](std::uint64_t host) { return OrderOf(host, target) > own; }));
   limit.is_sender = limit.region == hosts_.own_region && rank < senders;
-  limit.own_rate =
-      limit.is_sender ? limit.requests_per_second / static_cast<double>(senders)
-                      : options_.probe_fraction * limit.requests_per_second /
-                            std::max(hosts_.known_hosts, 1U);
+  const double live_fraction =
+      static_cast<double>(live) / static_cast<double>(known);
+  limit.own_rate = limit.is_sender
+                       ? limit.requests_per_second * live_fraction /
+                             static_cast<double>(senders)
+                       : options_.probe_fraction * limit.requests_per_second /
+                             std::max(hosts_.known_hosts, 1U);
 }
 
 }  // namespace medlarcroft::request_path
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -263,6 +263,7 @@
   request_path::LimitHosts hosts{
       .own_hash = membership::HashOf(table_.Self().host),
       .own_region = RegionName(settings_.region),
+      .known_in_region = HostsInRegion(),
       .known_hosts = KnownHosts()};
   hosts.live_in_region.push_back(hosts.own_hash);
   table_.VisitHeard([&](const membership::HeardHost& host) {
--- a/tests/unit/news/rate_limit_news_test.cc
+++ b/tests/unit/news/rate_limit_news_test.cc
@@ -54,19 +54,26 @@
     host_limits_[place] = std::make_unique<HostLimits>(*this, place);
     MarkFault(place);
   }
+  /// @brief Disconnects the host from all other hosts, but not from the target:
+  /// its requests still count against the limit.
   void Cut(std::size_t place, Duration length) {
     hosts_.Cut(place);
-    MarkFault(place);
+    MarkReachabilityChange(place);
     hosts_.After(length, [this, place] {
       hosts_.Heal(place);
-      MarkFault(place);
+      MarkReachabilityChange(place);
     });
   }
+  void Pause(std::size_t place, Duration length) {
+    hosts_.Pause(place, length);
+    MarkFault(place);
+    hosts_.After(length, [this, place] { MarkFault(place); });
+  }
   void EndLimit() { limited_since_.reset(); }
 
   /// @return the maximum number of requests in any `kWindow`. Counts only hosts
-  /// that had received the limit `kPropagationTime` before and had been without
-  /// faults for more than `kInTouchAfter`.
+  /// that had received the limit `kPropagationTime` before and had neither
+  /// restarted nor been paused for `kInTouchAfter`.
   [[nodiscard]] std::size_t MostInWindow() const {
     std::size_t most = 0;
     std::deque<MonotonicTime> window;
@@ -119,6 +126,9 @@
     /// First answer to this host that declared the limit.
     std::optional<MonotonicTime> limited_at;
     MonotonicTime fault_at{};  ///< Start or end of the latest fault.
+    /// Start or end of the latest period in which other hosts could not hear
+    /// this host.
+    MonotonicTime reachability_changed_at{};
   };
   struct Arrival {
     MonotonicTime at;
@@ -127,6 +137,10 @@
 
   void MarkFault(std::size_t place) {
     host_limits_[place]->fault_at = hosts_.Now();
+    MarkReachabilityChange(place);
+  }
+  void MarkReachabilityChange(std::size_t place) {
+    host_limits_[place]->reachability_changed_at = hosts_.Now();
   }
 
   [[nodiscard]] bool IsLiveFor(std::size_t place, std::size_t other) const {
@@ -134,19 +148,30 @@
       return true;
     }
     const bool is_undetected =
-        hosts_.Now() - host_limits_[other]->fault_at < kDetectionTime ||
-        hosts_.Now() - host_limits_[place]->fault_at < kDetectionTime;
-    return is_undetected || (!hosts_.IsCut(place) && !hosts_.IsCut(other));
+        hosts_.Now() - host_limits_[other]->reachability_changed_at <
+            kDetectionTime ||
+        hosts_.Now() - host_limits_[place]->reachability_changed_at <
+            kDetectionTime;
+    return is_undetected || (!hosts_.IsCut(place) && !hosts_.IsCut(other) &&
+                             !hosts_.IsPaused(other));
   }
 
   void Refresh(std::size_t place) {
+    hosts_.After(milliseconds(250), [this, place] { Refresh(place); });
+    if (hosts_.IsPaused(place)) {
+      return;
+    }
     LimitHosts hosts{
         .own_hash = place + 1,
         .own_region = RegionName(std::to_string(hosts_.RegionOf(place))),
         .known_hosts = static_cast<std::uint32_t>(hosts_.Size())};
+    hosts.known_in_region = 0;
     for (std::size_t other = 0; other < host_limits_.size(); ++other) {
-      if (hosts_.RegionOf(other) == hosts_.RegionOf(place) &&
-          IsLiveFor(place, other)) {
+      if (hosts_.RegionOf(other) != hosts_.RegionOf(place)) {
+        continue;
+      }
+      ++hosts.known_in_region;
+      if (IsLiveFor(place, other)) {
         hosts.live_in_region.push_back(other + 1);
       }
     }
@@ -156,7 +181,6 @@
       hosts_.At(place).TellLimits(
           host_limits_[place]->limits.ReportsToRepeat(hosts_.Now()));
     }
-    hosts_.After(milliseconds(250), [this, place] { Refresh(place); });
   }
 
   /// @brief Schedules the host's requests to the target at random intervals.
@@ -172,7 +196,7 @@
   void Send(std::size_t place) {
     HostLimits& host = *host_limits_[place];
     const MonotonicTime now = hosts_.Now();
-    if (!host.limits.AllowsSend(kTarget, now)) {
+    if (hosts_.IsPaused(place) || !host.limits.AllowsSend(kTarget, now)) {
       return;
     }
     host.limits.OnSent(kTarget, now);
@@ -184,6 +208,11 @@
   }
 
   void Answer(std::size_t place, MonotonicTime sent_at) {
+    if (hosts_.IsPaused(place)) {
+      hosts_.After(milliseconds(100),
+                   [this, place, sent_at] { Answer(place, sent_at); });
+      return;
+    }
     HostLimits& host = *host_limits_[place];
     std::optional<double> limit;
     if (limited_since_) {
@@ -288,6 +317,18 @@
           simulation.Cut(place, seconds(5));
         }
       });
+      add("half_disconnected", 0.05, [](LimitSimulation& simulation) {
+        for (std::size_t place = 1; place < simulation.Hosts().Size();
+             place += 2) {
+          simulation.Cut(place, seconds(10));
+        }
+      });
+      add("quarter_paused", 0.05, [](LimitSimulation& simulation) {
+        for (std::size_t place = 2; place < simulation.Hosts().Size();
+             place += 4) {
+          simulation.Pause(place, seconds(4));
+        }
+      });
     }
   }
   return cases;
