Apply blocked requests in time on hosts cut off from their reader

Symptom at the targets: hosts that are cut off from all other hosts, but not from the store and the targets, keep sending a request that the other hosts have blocked.

Cause: a block is announced by datagrams and by a row of the hosts' table. In a region of more than five hosts, one host reads the table for the others, which call it and wait up to 5 s for changes. A host that is cut off gives up that call, and reads the store itself, only 5.4 s after the call began; all hosts have 4 s.

Cost: where nothing changes, a call to the reader every 2 s instead of every 5 s, within the region. The calls to the store are unchanged.

Tests: CutOffTable cuts off a quarter of 8, 58 and 295 hosts from all others, with 16 requests a second.

--- a/lib/libmedlarcroft/include/medlarcroft/rows/follow_pace.h
+++ b/lib/libmedlarcroft/include/medlarcroft/rows/follow_pace.h
@@ -74,10 +74,16 @@
 /// Symptom: it does not count a host that joins, and spends more than its part
 /// of what all may send, until it gives the call up. Hosts join seldom, so the
 /// hold is longer than that of the other tables.
+///
+/// The table also holds blocked requests. Failure: a host loses its connection
+/// to the reader of its region, but not to the store. Symptom: it keeps sending
+/// a request that crashes targets until its call to the reader times out. That
+/// timeout, which includes `reader_wait`, and the host's own call to the store
+/// must fit in the time in which all hosts have to apply a block.
 inline constexpr FollowPace kPaceOfHostList{
     .wait = std::chrono::seconds(9),
     .pause_after_change = std::chrono::milliseconds(1000),
-    .reader_wait = std::chrono::seconds(5),
+    .reader_wait = std::chrono::seconds(2),
     .longest_pause = std::chrono::seconds(4)};
 
 /// Up to so many hosts of a region each read the store for themselves; in
--- a/tests/unit/news/crash_news_test.cc
+++ b/tests/unit/news/crash_news_test.cc
@@ -2,10 +2,12 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "hosts_of_regions.h"
+#include "medlarcroft/rows/follow_pace.h"
 
 namespace medlarcroft::news {
 namespace {
@@ -20,6 +22,11 @@
 constexpr Duration kInTouchAfter = seconds(4);
 constexpr Duration kRunTime = milliseconds(100);
 constexpr std::size_t kSendsAllowed = 3;
+// The longest time from storing a row until a host that is cut off from the
+// reader of its region reads the row from the store.
+constexpr Duration kBlockedRowDelay = rows::kPaceOfHostList.reader_wait +
+                                      rows::kPeerAnswerMargin +
+                                      rows::kAskAgainTime;
 
 /// @brief Simulates a request that crashes every target and is retried at
 /// random hosts of three regions, each with its own ledger.
@@ -48,6 +55,12 @@
       MarkRecovered(place);
     });
   }
+  /// @brief Disconnects the host from all other hosts. It still reaches the
+  /// targets and the store, so its late sends are counted.
+  void CutFromHostsOnly(std::size_t place) {
+    hosts_.Cut(place);
+    store_readers_.insert(place);
+  }
   void Pause(std::size_t place, Duration length) {
     hosts_.Pause(place, length);
     hosts_.After(length, [this, place] { MarkRecovered(place); });
@@ -91,8 +104,12 @@
       simulation.hosts_.At(place).TellCrashes(std::span(&report, 1));
     }
     void OnBlocked(RequestFingerprint /*request*/,
-                   Duration /*blocked_for*/,
-                   bool /*is_own*/) override {}
+                   Duration blocked_for,
+                   bool is_own) override {
+      if (is_own) {
+        simulation.StoreBlockedRow(blocked_for);
+      }
+    }
     void OnUnblocked(RequestFingerprint /*request*/) override {}
 
     CrashSimulation& simulation;
@@ -111,7 +128,7 @@
         ledgers_[place]->ledger.BlockedFor(kRequest, hosts_.Now())) {
       return;
     }
-    const bool is_cut = hosts_.IsCut(place);
+    const bool is_cut = hosts_.IsCut(place) && !store_readers_.contains(place);
     sends_.push_back(
         {.at = hosts_.Now(),
          .recovered_at = is_cut ? hosts_.Now() : recovered_at_[place]});
@@ -122,6 +139,22 @@
     });
   }
 
+  void StoreBlockedRow(Duration blocked_for) {
+    if (is_blocked_row_stored_) {
+      return;
+    }
+    is_blocked_row_stored_ = true;
+    hosts_.After(kBlockedRowDelay, [this, blocked_for] {
+      for (const std::size_t place : store_readers_) {
+        ledgers_[place]->ledger.OnReport(
+            {.kind = request_path::CrashReportKind::kBlocked,
+             .request = kRequest,
+             .blocked_for = blocked_for - kBlockedRowDelay},
+            hosts_.Now());
+      }
+    });
+  }
+
   void ScheduleRepeats(std::size_t place) {
     hosts_.After(kGlobalRepeatPeriod, [this, place] {
       if (!hosts_.IsPaused(place)) {
@@ -140,6 +173,9 @@
   std::vector<MonotonicTime> crashed_at_;
   std::vector<Send> sends_;
   std::uint32_t last_target_ = 0;
+  /// Hosts that hear no others and learn of blocks from the store.
+  std::set<std::size_t> store_readers_;
+  bool is_blocked_row_stored_ = false;
 };
 
 struct CrashCase {
@@ -166,6 +202,25 @@
   }
 }
 
+class CutOffTable : public testing::TestWithParam<std::size_t> {};
+
+// Guards against hosts that reach the store but no other host, and keep sending
+// a request that the other hosts have blocked.
+TEST_P(CutOffTable, CutOffHostsStopSendingTheRequest) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CrashSimulation simulation(
+        {.hosts = GetParam(), .lost_part = 0.05, .seed = seed});
+    for (std::size_t place = 0; place < GetParam(); place += 4) {
+      simulation.CutFromHostsOnly(place);
+    }
+    simulation.AskFor(seconds(12), milliseconds(60));
+    EXPECT_GE(simulation.Crashes(), 3U);
+    EXPECT_LE(simulation.LateSends(), kSendsAllowed) << "seed " << seed;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, CutOffTable, testing::Values(8, 58, 295));
+
 std::vector<CrashCase> CrashCases() {
   std::vector<CrashCase> cases;
   for (const std::size_t hosts : {8, 58, 295}) {
