Check API keys and tell targets the client account

Cause: the key of a request was read for its fingerprint only and handed on to the target, and client accounts in the configuration were skipped.

Change: routing holds client accounts (keys as digests, quota, priority, allowed regions), decoded at the edge with typed errors; a key is found in constant time. The request path finds the account, refuses unknown keys with 401, or with 503 and a time to retry while the configuration may be outdated, and keeps the account of the arrival for all sends. Allowed regions of route and account bind together. The key ends at the host, and only the host sets the account's header.

--- a/lib/libmedlarcroft/include/medlarcroft/core/identifiers.h
+++ b/lib/libmedlarcroft/include/medlarcroft/core/identifiers.h
@@ -36,6 +36,7 @@
 using HostName = Identifier<struct HostTag>;
 using FailureDomainName = Identifier<struct FailureDomainTag>;
 using RegionName = Identifier<struct RegionTag>;
+using ClientAccountName = Identifier<struct ClientAccountTag>;
 using BrandName = Identifier<struct BrandTag>;
 using TargetName = Identifier<struct TargetTag>;
 using ServiceName = Identifier<struct ServiceTag>;
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -37,6 +37,7 @@
   /// Time until the caller gives up; nullopt: the timeout of the route.
   std::optional<Duration> time_left;
   RequestFingerprint fingerprint;
+  std::optional<routing::ApiKeyDigest> api_key;
 };
 
 /// @brief Why a request ends without a target's response.
@@ -53,6 +54,11 @@
   kTimedOut,             ///< The time ended while a target had the request.
   kHostDraining,         ///< This host shuts down and takes no new requests.
   kRequestBlocked,       ///< The request is blocked because it crashed targets.
+  kKeyUnknown,           ///< No client account holds the API key, or there is
+                         ///< none and the route is not public.
+  kKeyUnknownYet,        ///< As above, but the configuration may be outdated.
+  kRegionForbidden,      ///< The route and the client account allow no region
+                         ///< in common.
 };
 
 /// @brief A final response that this host generates itself.
@@ -71,6 +77,7 @@
   AttemptNumber attempt = 0;
   TargetIdentity target;
   std::string address;
+  ClientAccountName account;  ///< Empty: none.
   RegionName region;
   Duration round_trip{0};  ///< To the target, as measured.
   Duration time_left{0};   ///< Remaining time, to be stated to the target.
@@ -100,6 +107,8 @@
   RequestTicket ticket = 0;  ///< 0: the request ended immediately.
   std::shared_ptr<const routing::Route> route;
   ServiceName service;
+  /// Holder of the API key; null: none.
+  std::shared_ptr<const routing::ClientAccount> account;
   Duration time_left{0};  ///< Delay after which `OnTimeout` must be called.
   Step step;
 };
@@ -211,6 +220,10 @@
   struct Request {
     std::shared_ptr<const routing::Route> route;
     ServiceName service;
+    /// Kept from arrival to the end, although the configuration may change.
+    std::shared_ptr<const routing::ClientAccount> account;
+    /// Regions whose targets may run the request; empty: all.
+    std::vector<RegionName> allowed_regions;
     ObjectKey object;
     RequestFingerprint fingerprint;
     MonotonicTime deadline;
@@ -221,6 +234,16 @@
     std::optional<AttemptNumber> failed_answer;
   };
 
+  /// @brief Finds the route and the client account.
+  /// @return why the request must not run; nullopt: it may.
+  [[nodiscard]] std::optional<RequestFailure> Authorize(
+      const CallerRequest& request,
+      RequestStart& start);
+  /// @return the refusal for `final_reason`, or for `temporary_reason` while
+  /// the configuration may be outdated.
+  [[nodiscard]] RequestFailure RefuseByConfiguration(
+      FailureReason final_reason,
+      FailureReason temporary_reason);
   [[nodiscard]] RetryBudgetShare& RetryBudgetOf(const ServiceName& service);
   [[nodiscard]] ServiceTimes& TimesOf(const ServiceName& service,
                                       Duration latency_objective);
--- a/lib/libmedlarcroft/include/medlarcroft/routing/route_table.h
+++ b/lib/libmedlarcroft/include/medlarcroft/routing/route_table.h
@@ -35,12 +35,14 @@
   [[nodiscard]] bool IsConfigured() const { return version_ > 0; }
   [[nodiscard]] std::uint64_t Version() const { return version_; }
   [[nodiscard]] const CallerLimits& Limits() const { return limits_; }
+  [[nodiscard]] const ClientAccountTable& Accounts() const { return accounts_; }
   /// @return the settings of a service, or null.
   [[nodiscard]] const ServiceRules* FindService(const ServiceName& name) const;
 
  private:
   std::uint64_t version_ = 0;
   CallerLimits limits_;
+  ClientAccountTable accounts_;
   std::unordered_map<ServiceName, ServiceRules> services_;
   // By host, longest prefix first.
   std::unordered_map<std::string, std::vector<std::shared_ptr<const Route>>>
--- a/lib/libmedlarcroft/include/medlarcroft/routing/routing_configuration.h
+++ b/lib/libmedlarcroft/include/medlarcroft/routing/routing_configuration.h
@@ -8,6 +8,7 @@
 
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/routing/client_account.h"
 
 namespace medlarcroft::routing {
 
@@ -36,6 +37,8 @@
   std::vector<WeightedService> weighted_services;  ///< Not empty.
   /// Whether targets process an object faster that they handled recently.
   bool is_sticky = false;
+  /// Whether requests need no API key.
+  bool is_public = false;
   /// Regions whose targets may run the requests; empty: all.
   std::vector<RegionName> allowed_regions;
 };
@@ -66,6 +69,8 @@
   std::vector<Route> routes;
   std::vector<ServiceRules> services;
   CallerLimits limits;
+  /// Empty: requests need no API key.
+  std::vector<ClientAccount> accounts;
 };
 
 }  // namespace medlarcroft::routing
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -233,8 +233,7 @@
 void RequestForwarder::End(ActiveRequest& active,
                            const RequestFailure& failure) {
   active.trace->OnEnding(failure);
-  parts_.telemetry.OnEnding(active.lines, active.decoded,
-                            active.start.route.get(), failure,
+  parts_.telemetry.OnEnding(active.lines, active.decoded, active.start, failure,
                             parts_.path.ConfigurationVersion(),
                             parts_.loop.Now() - active.started_at);
   active.exchange->Respond(
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -30,10 +30,11 @@
 constexpr MetricDescription kAnswerLatency = {
     "medlar_answer_seconds", "From a request's arrival to its whole answer."};
 
-constexpr std::array<std::string_view, 11> kEndReasonNames = {
-    "not-configured", "no-route",     "no-route-yet",   "no-target",
-    "no-room",        "too-late",     "retries-spent",  "may-have-run",
-    "timed-out",      "host-leaving", "crashes-targets"};
+constexpr std::array<std::string_view, 14> kEndReasonNames = {
+    "not-configured",  "no-route",        "no-route-yet",    "no-target",
+    "no-room",         "too-late",        "retries-spent",   "may-have-run",
+    "timed-out",       "host-leaving",    "crashes-targets", "key-unknown",
+    "key-unknown-yet", "region-forbidden"};
 constexpr std::array<std::string_view, 7> kAttemptEndNames = {
     "answered",   "target-failed", "not-run",  "other-target",
     "never-sent", "lost",          "timed-out"};
@@ -56,6 +57,7 @@
        .event = attempt.attempt == 1 ? "request-placed" : "request-sent-again"},
       {{"request", id},
        {"route", route.name},
+       {"account", attempt.account.Value()},
        {"attempt", attempt.attempt},
        {"target", attempt.target.name.Value()},
        {"incarnation", attempt.target.incarnation},
@@ -204,11 +206,12 @@
 
 void RequestTelemetry::OnEnding(RequestLogBuffer& lines,
                                 const DecodedRequest& call,
-                                const routing::Route* route,
+                                const request_path::RequestStart& start,
                                 const request_path::RequestFailure& failure,
                                 std::uint64_t configuration_version,
                                 Duration since_arrival) {
   const std::string_view name = NameOf(failure.reason);
+  const routing::Route* const route = start.route.get();
   const auto& best = failure.best;
   metrics_.CounterOf(kLocallyEndedRequests, {Label::OfConstant("reason", name)})
       .Add();
@@ -220,6 +223,8 @@
                    failure.is_not_run ? "request-refused" : "request-failed"),
       {{"request", call.id},
        {"route", route == nullptr ? std::string_view{} : route->name},
+       {"account", start.account == nullptr ? std::string_view{}
+                                            : start.account->name.Value()},
        {"path", call.request.target},
        {"reason", name},
        {"is_not_run", failure.is_not_run},
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.h
@@ -59,10 +59,10 @@
                 const routing::Route& route,
                 int status,
                 Duration since_arrival);
-  /// @param route null when no route matched.
+  /// @param start without a route when none matched.
   void OnEnding(RequestLogBuffer& lines,
                 const DecodedRequest& call,
-                const routing::Route* route,
+                const request_path::RequestStart& start,
                 const request_path::RequestFailure& failure,
                 std::uint64_t configuration_version,
                 Duration since_arrival);
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace medlarcroft::request_path {
@@ -25,6 +26,34 @@
   return end == AttemptEnd::kLost || end == AttemptEnd::kTimedOut;
 }
 
+/// @return the regions that both the route and the account allow; empty: all.
+std::vector<RegionName> AllowedRegions(const routing::Route& route,
+                                       const routing::ClientAccount* account) {
+  if (account == nullptr || account->allowed_regions.empty()) {
+    return route.allowed_regions;
+  }
+  if (route.allowed_regions.empty()) {
+    return account->allowed_regions;
+  }
+  std::vector<RegionName> common;
+  std::ranges::copy_if(route.allowed_regions, std::back_inserter(common),
+                       [&](const RegionName& region) {
+                         return std::ranges::find(account->allowed_regions,
+                                                  region) !=
+                                account->allowed_regions.end();
+                       });
+  return common;
+}
+
+/// @return whether some region may run requests of the account on the route.
+bool HaveCommonRegion(const routing::Route& route,
+                      const routing::ClientAccount* account) {
+  const bool is_restricted_twice = account != nullptr &&
+                                   !account->allowed_regions.empty() &&
+                                   !route.allowed_regions.empty();
+  return !is_restricted_twice || !AllowedRegions(route, account).empty();
+}
+
 bool ReachedTarget(AttemptEnd end) {
   return end != AttemptEnd::kNeverSent;
 }
@@ -46,19 +75,8 @@
 RequestStart RequestPath::Begin(const CallerRequest& request,
                                 MonotonicTime now) {
   RequestStart start;
-  if (!routes_.IsConfigured()) {
-    start.step = RequestFailure{.reason = FailureReason::kNotConfigured,
-                                .retry_after = RetryAfter(Duration(0))};
-    return start;
-  }
-  start.route = routes_.Find(request.host, request.target);
-  if (!start.route) {
-    RequestFailure failure{.reason = FailureReason::kNoRoute};
-    if (is_configuration_stale_) {
-      failure = {.reason = FailureReason::kNoRouteYet,
-                 .retry_after = RetryAfter(Duration(0))};
-    }
-    start.step = failure;
+  if (const auto failure = Authorize(request, start)) {
+    start.step = *failure;
     return start;
   }
   start.service = routes_.ChooseService(*start.route);
@@ -71,11 +89,14 @@
     return start;
   }
 
-  Request state{.route = start.route,
-                .service = start.service,
-                .object = ObjectKey(request.object),
-                .fingerprint = request.fingerprint,
-                .deadline = now + start.time_left};
+  Request state{
+      .route = start.route,
+      .service = start.service,
+      .account = start.account,
+      .allowed_regions = AllowedRegions(*start.route, start.account.get()),
+      .object = ObjectKey(request.object),
+      .fingerprint = request.fingerprint,
+      .deadline = now + start.time_left};
   start.step = SendFirst(state, now);
   if (std::holds_alternative<SendAttempt>(start.step)) {
     start.ticket = ++last_ticket_;
@@ -84,6 +105,47 @@
   return start;
 }
 
+std::optional<RequestFailure> RequestPath::Authorize(
+    const CallerRequest& request,
+    RequestStart& start) {
+  if (!routes_.IsConfigured()) {
+    return RequestFailure{.reason = FailureReason::kNotConfigured,
+                          .retry_after = RetryAfter(Duration(0))};
+  }
+  start.route = routes_.Find(request.host, request.target);
+  if (!start.route) {
+    return RefuseByConfiguration(FailureReason::kNoRoute,
+                                 FailureReason::kNoRouteYet);
+  }
+  const routing::ClientAccountTable& accounts = routes_.Accounts();
+  if (request.api_key) {
+    start.account = accounts.Find(*request.api_key);
+  }
+  const bool needs_account = !accounts.IsEmpty() && !start.route->is_public;
+  if (needs_account && !start.account) {
+    return RefuseByConfiguration(FailureReason::kKeyUnknown,
+                                 FailureReason::kKeyUnknownYet);
+  }
+  if (!HaveCommonRegion(*start.route, start.account.get())) {
+    return RequestFailure{.reason = FailureReason::kRegionForbidden};
+  }
+  return std::nullopt;
+}
+
+// Callers don't retry a request that is refused for a missing route or an
+// unknown key. While this host may have missed a change of the configuration,
+// it must not refuse a proper request for good, so callers are asked to retry.
+// A key that was withdrawn meanwhile is accepted until the host learns of it,
+// as a removed route is: a host that is cut off keeps serving.
+RequestFailure RequestPath::RefuseByConfiguration(
+    FailureReason final_reason,
+    FailureReason temporary_reason) {
+  if (!is_configuration_stale_) {
+    return {.reason = final_reason};
+  }
+  return {.reason = temporary_reason, .retry_after = RetryAfter(Duration(0))};
+}
+
 std::optional<Placement> RequestPath::Place(const Request& request,
                                             std::span<const RegionName> regions,
                                             MonotonicTime now) {
@@ -121,7 +183,7 @@
 
 std::optional<Placement> RequestPath::PlaceByRegionPlan(const Request& request,
                                                         MonotonicTime now) {
-  const auto& allowed = request.route->allowed_regions;
+  const auto& allowed = request.allowed_regions;
   if (!allowed.empty() || !options_.uses_region_plan) {
     return Place(request, allowed, now);
   }
@@ -189,6 +251,7 @@
       .attempt = number,
       .target = record.Identity(),
       .address = record.address,
+      .account = request.account ? request.account->name : ClientAccountName(),
       .region = target.Region(),
       .round_trip = distances_.RoundTrip(target.Region()),
       .time_left = std::max(request.deadline - now - kResponseMargin,
@@ -229,7 +292,7 @@
     return exhausted;
   }
   const std::optional<Placement> placement =
-      Place(request, request.route->allowed_regions, now);
+      Place(request, request.allowed_regions, now);
   if (!placement || placement->expected > request.deadline - now) {
     return exhausted;
   }
@@ -322,7 +385,7 @@
     return AwaitAttempt{};
   }
   const std::optional<Placement> placement =
-      Place(request, request.route->allowed_regions, now);
+      Place(request, request.allowed_regions, now);
   const Duration max_queue_wait = MaxQueueWait(request);
   if (!placement || placement->expected > request.deadline - now ||
       placement->expected_wait > max_queue_wait ||
--- a/lib/libmedlarcroft/source/routing/route_table.cc
+++ b/lib/libmedlarcroft/source/routing/route_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <numeric>
+#include <utility>
 
 namespace medlarcroft::routing {
 
@@ -32,6 +33,7 @@
   }
   version_ = configuration.version;
   limits_ = configuration.limits;
+  accounts_.Replace(std::move(configuration.accounts));
   services_.clear();
   for (ServiceRules& service : configuration.services) {
     services_.emplace(service.name, service);
--- a/tests/system/platform_standins.py
+++ b/tests/system/platform_standins.py
@@ -178,6 +178,7 @@
         self.on_crash = self.on_restart = None  # Used by a proxy in front of the target.
         self.base_name, self.crashes, self.terminated, self.is_stopped = name, 0, [], False
         self.executed_requests = []
+        self.executed_headers = []  # Of each executed request, as received.
         self.executed_paths = []  # (time, path) pairs, kept across restarts.
         self.running = 0
         self.lock = threading.Lock()
@@ -238,6 +239,7 @@
         with self.lock:
             self.running += 1
             self.executed_requests.append(request)
+            self.executed_headers.append(dict(handler.headers.items()))
             self.executed_paths.append((time.monotonic(), handler.path))
             crashes = handler.path in self.crash_paths
         time.sleep(self.delay_s)
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -75,11 +75,12 @@
         except OSError:
             return False
 
-    def call(self, path, request, method="GET", body=None, connection=None, object_key="7"):
+    def call(self, path, request, method="GET", body=None, connection=None, object_key="7", headers=None):
         connection = connection or http.client.HTTPConnection(*self.caller, timeout=WAIT_LIMIT_S)
         connection.request(method, path, body,
                            {"Host": HOST, "X-Medlarcroft-Attempt-Id": request,
-                            "X-Medlarcroft-Affinity-Key": object_key, "X-Medlarcroft-Deadline-Ms": "4000"})
+                            "X-Medlarcroft-Affinity-Key": object_key, "X-Medlarcroft-Deadline-Ms": "4000",
+                            **(headers or {})})
         answer = connection.getresponse()
         return answer, answer.read()
 
--- a/tests/unit/adapters/forward/request_telemetry_test.cc
+++ b/tests/unit/adapters/forward/request_telemetry_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
@@ -59,10 +60,11 @@
     }
     DecodedRequest call;
     call.id = id;
-    telemetry_.OnEnding(lines, call, &order_route_,
-                        {.reason = request_path::FailureReason::kMayHaveRun,
-                         .is_not_run = false},
-                        1, milliseconds(2));
+    telemetry_.OnEnding(
+        lines, call, {.route = std::make_shared<routing::Route>(order_route_)},
+        {.reason = request_path::FailureReason::kMayHaveRun,
+         .is_not_run = false},
+        1, milliseconds(2));
   }
 
   void RunAnsweredLookup(const std::string& id) {
--- a/tests/unit/platform/configuration_decoder_test.cc
+++ b/tests/unit/platform/configuration_decoder_test.cc
@@ -15,11 +15,14 @@
  {"resource_kind":"routes","metadata":{"name":"r-1"},"spec":{"host":"Menus.example","prefix":"/a/",
   "kind":"idempotent","timeout":"1200ms","target_latency":"0.6s","priority":2,
   "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
-  "max_attempts":2,"sticky":true,"allowed_regions":["kigali"]}},
+  "max_attempts":2,"sticky":true,"public":true,"allowed_regions":["kigali"]}},
  {"resource_kind":"routes","metadata":{"name":"r-2"},"spec":{"host":"orders.example","prefix":"/",
   "kind":"non_idempotent","timeout":"1500ms","service":"s3"}},
  {"resource_kind":"services","metadata":{"name":"s1"},"spec":{"health_path":"/h","max_connections":330,
   "cold":"3s","cold_per_s":5.6}},
+ {"resource_kind":"tenants","metadata":{"name":"schools"},"spec":{"api_keys":["key-1","key-2"],"priority":0,
+  "rate_per_s":399.5,"burst_size":40,"allowed_regions":["huye"]}},
+ {"resource_kind":"tenants","metadata":{"name":"canteens"},"spec":{"api_keys":["key-3"]}},
  {"resource_kind":"novelties","metadata":{},"spec":{}},
  {"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":1000,
   "header_timeout":"3000ms","idle_timeout":"15000ms"}}]})";
@@ -40,6 +43,8 @@
   EXPECT_TRUE(split.is_sticky);
   EXPECT_EQ(split.allowed_regions.at(0), RegionName("kigali"));
   const routing::Route& orders = configuration.routes[1];
+  EXPECT_TRUE(split.is_public);
+  EXPECT_FALSE(orders.is_public);
   EXPECT_EQ(orders.kind, routing::RequestKind::kNonIdempotent);
   EXPECT_EQ(orders.weighted_services.at(0).service, ServiceName("s3"));
   EXPECT_EQ(configuration.services.at(0).cold_time, seconds(3));
@@ -47,6 +52,24 @@
   EXPECT_EQ(configuration.limits.max_body_bytes, 1000U);
 }
 
+TEST(ConfigurationDecoderTest, ReadsClientAccounts) {
+  const auto decoded = DecodeConfiguration(kConfiguration);
+  ASSERT_TRUE(IsOk(decoded));
+  const auto& accounts = ValueOf(decoded).accounts;
+
+  ASSERT_EQ(accounts.size(), 2U);
+  EXPECT_EQ(accounts[0].name, ClientAccountName("schools"));
+  EXPECT_EQ(accounts[0].keys,
+            (std::vector{routing::ApiKeyDigest::Of("key-1"),
+                         routing::ApiKeyDigest::Of("key-2")}));
+  EXPECT_EQ(accounts[0].quota,
+            (routing::Quota{.requests_per_second = 399.5, .burst = 40}));
+  EXPECT_EQ(accounts[0].priority, 0);
+  EXPECT_EQ(accounts[0].allowed_regions, std::vector{RegionName("huye")});
+  EXPECT_TRUE(accounts[1].quota.IsUnlimited());
+  EXPECT_FALSE(accounts[1].priority);
+}
+
 struct BadInput {
   std::string name;
   std::string text;
@@ -92,9 +115,39 @@
             DecodeErrorKind::kWrongType},
         BadInput{"RegionIsNumber",
                  ReplaceInConfiguration(R"(["kigali"])", "[1]"),
-                 DecodeErrorKind::kWrongType}),
+                 DecodeErrorKind::kWrongType},
+        BadInput{"AccountWithoutName",
+                 ReplaceInConfiguration(R"({"name":"canteens"})", "{}"),
+                 DecodeErrorKind::kMissing},
+        BadInput{"AccountTwice",
+                 ReplaceInConfiguration("\"canteens\"", "\"schools\""),
+                 DecodeErrorKind::kDuplicate},
+        BadInput{"KeyOfTwoAccounts", ReplaceInConfiguration("key-3", "key-2"),
+                 DecodeErrorKind::kDuplicate},
+        BadInput{"EmptyKey", ReplaceInConfiguration("key-3", ""),
+                 DecodeErrorKind::kOutOfRange},
+        BadInput{"KeyIsNumber", ReplaceInConfiguration(R"(["key-3"])", "[3]"),
+                 DecodeErrorKind::kWrongType},
+        BadInput{"NegativeRate", ReplaceInConfiguration("399.5", "-1"),
+                 DecodeErrorKind::kOutOfRange},
+        BadInput{
+            "NegativeBurst",
+            ReplaceInConfiguration(R"("burst_size":40)", R"("burst_size":-4)"),
+            DecodeErrorKind::kOutOfRange},
+        BadInput{
+            "AccountPriorityIsText",
+            ReplaceInConfiguration(R"("priority":0)", R"("priority":"high")"),
+            DecodeErrorKind::kWrongType}),
     [](const auto& tested) { return tested.param.name; });
 
+// The error is logged, and keys must not reach the log.
+TEST(ConfigurationDecoderTest, ErrorsDoNotContainKeys) {
+  const auto decoded =
+      DecodeConfiguration(ReplaceInConfiguration("key-3", "key-2"));
+  ASSERT_FALSE(IsOk(decoded));
+  EXPECT_EQ(ErrorOf(decoded).field, "canteens.api_keys");
+}
+
 constexpr std::string_view kTarget =
     R"({"address":"10.0.0.9:80","born":1760000000123,"info":{"service":"s1","version":"v1","zone":"z","slots":7},)"
     R"("status":{"state":"in_service","sequence":4,"cold_remaining":"1500ms"}})";
--- a/tests/unit/platform/platform_codec_test.cc
+++ b/tests/unit/platform/platform_codec_test.cc
@@ -115,6 +115,46 @@
             "dish");
 }
 
+struct AccountHeaderCase {
+  std::string name;
+  ClientAccountName account;
+  std::optional<std::string> header;
+};
+
+class AccountHeaderTest : public testing::TestWithParam<AccountHeaderCase> {};
+
+// A caller sends a key and claims to be another account, in several headers and
+// spellings. The target receives the account that this host found, and no key.
+TEST_P(AccountHeaderTest, OnlyThisHostSetsTheAccountAndTheKeyStaysHere) {
+  HttpRequest call = MakeCall();
+  call.headers.Add("Api-Key", "secret");
+  call.headers.Add("api-key", "secret");
+  call.headers.Add("X-Medlarcroft-Tenant-Id", "forged");
+  call.headers.Add("x-medlarcroft-tenant-id", "forged");
+  request_path::SendAttempt attempt;
+  attempt.account = GetParam().account;
+
+  const std::string sent = PlatformCodec().EncodeAttempt(call, attempt);
+
+  EXPECT_EQ(sent.find("secret"), std::string::npos);
+  EXPECT_EQ(sent.find("X-Medlarcroft-Tenant-Id: forged"), std::string::npos);
+  EXPECT_EQ(sent.find("x-medlarcroft-tenant-id"), std::string::npos);
+  EXPECT_EQ(sent.find("X-Medlarcroft-Tenant-Id") != std::string::npos,
+            GetParam().header.has_value());
+  if (GetParam().header) {
+    EXPECT_NE(sent.find("\r\n" + *GetParam().header + "\r\n"),
+              std::string::npos);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    AccountHeaderTest,
+    testing::Values(AccountHeaderCase{"Account", ClientAccountName("schools"),
+                                      "X-Medlarcroft-Tenant-Id: schools"},
+                    AccountHeaderCase{"None", {}, std::nullopt}),
+    [](const auto& tested) { return tested.param.name; });
+
 struct ClassificationCase {
   std::string name;
   int status;
