Exchange no tokens where no account has a quota

Cause, found by reading: hosts of a deployment without quotas would delegate shares and exchange a message every 250 ms for nothing; a quota that appears before the list of hosts was applied would have given this host the whole of it until the next tick; and an issuer that is asked seldom could be replaced after three lost answers spread over hours.

Change: nothing is sent and no share used before some account has a quota and the hosts are known; unanswered requests older than a second no longer count.

Tests run: the 30 property tests of quotas passed. Not measured: what the messages would have cost elsewhere.

Conclusion: deployments without client accounts run as before.

--- a/lib/libmedlarcroft/include/medlarcroft/quota/quota_enforcer.h
+++ b/lib/libmedlarcroft/include/medlarcroft/quota/quota_enforcer.h
@@ -69,6 +69,8 @@
       std::span<const std::shared_ptr<const routing::ClientAccount>> accounts,
       MonotonicTime now);
   void SetHosts(QuotaHosts hosts) { hosts_ = std::move(hosts); }
+  /// @return whether any account has a quota. Otherwise nothing is sent.
+  [[nodiscard]] bool IsActive() const { return !lifetimes_.empty(); }
   /// @brief Asks all hosts that may use this host's share since its previous
   /// process delegated it. Call it once, with a current list of hosts. If all
   /// of them answer, the share is usable before the lease would have ended.
--- a/lib/libmedlarcroft/include/medlarcroft/quota/quota_hosts.h
+++ b/lib/libmedlarcroft/include/medlarcroft/quota/quota_hosts.h
@@ -13,8 +13,9 @@
 
 /// @brief The hosts among which quotas are divided, as known to one host.
 struct QuotaHosts {
-  /// Number of hosts that have a share of the quotas, this one included.
-  std::uint32_t listed = 1;
+  /// Number of hosts that have a share of the quotas, this one included; 0:
+  /// unknown.
+  std::uint32_t listed = 0;
   /// The live hosts of this host's group, in an order that all hosts share. The
   /// first one is the issuer of the group.
   std::vector<HostNumber> own_group;
--- a/lib/libmedlarcroft/source/quota/quota_enforcer.cc
+++ b/lib/libmedlarcroft/source/quota/quota_enforcer.cc
@@ -235,6 +235,9 @@
 }
 
 void QuotaEnforcer::Advance(MonotonicTime now) {
+  if (!IsActive() || hosts_.listed == 0) {
+    return;
+  }
   ExpireRequests(now);
   ChooseIssuer(now);
   const bool uses_own_share = IsOwnIssuer() && lease_.IsUsable(now);
@@ -377,7 +380,9 @@
                                 std::vector<TokenCount> wanted,
                                 MonotonicTime now) {
   IssuerContact& contact = contacts_[issuer];
-  if (contact.unanswered == 0) {
+  if (contact.unanswered == 0 ||
+      now - contact.unanswered_since > kMaxAnswerAge) {
+    contact.unanswered = 0;
     contact.unanswered_since = now;
   }
   ++contact.unanswered;
@@ -396,7 +401,7 @@
 std::optional<Delegation> QuotaEnforcer::DelegateTo(HostNumber issuer,
                                                     MonotonicTime now) {
   const IssuerContact& contact = contacts_[issuer];
-  const bool may_delegate = contact.time &&
+  const bool may_delegate = contact.time && hosts_.listed > 0 &&
                             now - contact.answered_at < kMaxAnswerAge &&
                             lease_.MayDelegate(issuer, now);
   if (!may_delegate) {
--- a/programs/node/quota_sharing.cc
+++ b/programs/node/quota_sharing.cc
@@ -43,6 +43,9 @@
 }
 
 void QuotaSharing::UpdateHosts() {
+  if (!enforcer_.IsActive()) {
+    return;
+  }
   const MonotonicTime now = parts_.loop.Now();
   quota::QuotaHosts hosts = quota::MakeQuotaHosts(
       parts_.peers.QuotaCandidates(), parts_.peers.OwnCandidate(), kQuotaGroup);
--- a/programs/node/quota_sharing.h
+++ b/programs/node/quota_sharing.h
@@ -37,6 +37,7 @@
   void SetAccounts(
       std::span<const std::shared_ptr<const routing::ClientAccount>> accounts) {
     enforcer_.SetAccounts(accounts, parts_.loop.Now());
+    UpdateHosts();
   }
   /// @brief Applies the hosts that are listed and live now.
   void UpdateHosts();
