--- a/tests/property/quota_world.cc
+++ b/tests/property/quota_world.cc
@@ -16,7 +16,6 @@
 constexpr Duration kFaultPeriod = std::chrono::milliseconds(100);
 constexpr Duration kMaxFault = std::chrono::seconds(6);
 constexpr Duration kRestartDelay = std::chrono::milliseconds(300);
-constexpr Duration kLivenessTimeout = std::chrono::milliseconds(2600);
 constexpr Duration kInTouchAfter = std::chrono::seconds(4);
 constexpr Duration kListReadTime = std::chrono::milliseconds(400);
 constexpr Duration kViewPeriod = std::chrono::milliseconds(250);
@@ -376,7 +375,7 @@
 
 void QuotaWorld::Deliver(Host& from,
                          HostNumber to,
-                         std::function<void(Host&)> apply) {
+                         const std::function<void(Host&)>& apply) {
   ++messages_;
   Host& receiver = *hosts_.at(to - 1);
   if (!AreConnected(from, receiver) ||
--- a/tests/property/quota_world.h
+++ b/tests/property/quota_world.h
@@ -91,7 +91,9 @@
   void Arrive(std::size_t account);
   void ScheduleArrival(std::size_t account);
   void DrawFaults();
-  void Deliver(Host& from, HostNumber to, std::function<void(Host&)> apply);
+  void Deliver(Host& from,
+               HostNumber to,
+               const std::function<void(Host&)>& apply);
   [[nodiscard]] bool AreConnected(const Host& left, const Host& right) const;
   [[nodiscard]] Duration Latency(const Host& from, const Host& to);
   [[nodiscard]] std::vector<std::shared_ptr<const routing::ClientAccount>>
