End the requests of callers that left

Cause: RequestEngine::Cancel dropped the request's callback, which alone resumes the suspended connection and writes the ledger. Evidence, on the code before: four orders left while queued keep medlar_http_in_flight at 5 with the scheduler's gauge at 0; the stop takes 20.1 s with requests_cut 4; a retry times out after 8 s. The callback now runs with what is known of the request, so both end wherever the cancelling comes from.

DisconnectedCallerTest (4 cases) and system_leaving_caller failed before and pass now.

--- a/lib/libmedlarcroft/include/medlarcroft/decision/request_scheduler.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/request_scheduler.h
@@ -64,6 +64,10 @@
   [[nodiscard]] std::vector<AttemptId> Cancel(RequestTicket ticket,
                                               MonotonicTime now);
 
+  /// @return whether the request may have run so far; kUnknown while an attempt
+  /// is running, and for a request that has ended.
+  [[nodiscard]] RunState RunStateOf(RequestTicket ticket) const;
+
   /// Dispatches, hedges and expires the requests that are due.
   [[nodiscard]] std::vector<Action> Advance(MonotonicTime now);
   /// @return when `Advance` is due, possibly in the past; nullopt if it is not
--- a/lib/libmedlarcroft/include/medlarcroft/decision/request_table.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/request_table.h
@@ -47,6 +47,7 @@
  public:
   RequestState& Add(ServiceIndex service);
   [[nodiscard]] RequestState* Find(RequestTicket ticket);
+  [[nodiscard]] const RequestState* Find(RequestTicket ticket) const;
   void Erase(RequestTicket ticket);
 
   void SetTimer(RequestState& request, MonotonicTime at);
--- a/lib/libmedlarcroft/source/adapters/entry/problem.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/problem.cc
@@ -48,6 +48,7 @@
                 "The target's answer was cut off, too large or not its own."},
     ProblemText{"claim-unsettled", 503,
                 "Whether the key was claimed could not be settled."},
+    ProblemText{"caller-gone", 499, "The caller closed its connection."},
 };
 
 struct RefusalText {
--- a/lib/libmedlarcroft/source/adapters/entry/problem.h
+++ b/lib/libmedlarcroft/source/adapters/entry/problem.h
@@ -33,6 +33,7 @@
   kAnswerLost,
   kAnswerUnusable,
   kClaimUnresolved,
+  kCallerDisconnected,
 };
 
 /// @return an `application/problem+json` response with the code's name.
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine.cc
@@ -89,17 +89,26 @@
 
 void RequestEngine::Cancel(decision::RequestTicket ticket,
                            bool is_kept_if_dispatched) {
-  const std::lock_guard lock(mutex_);
-  const auto found = in_flight_.find(ticket.id);
-  if (found == in_flight_.end()) {
-    return;
-  }
-  if (is_kept_if_dispatched && !found->second.attempts.empty()) {
-    return;
+  Replies replies;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = in_flight_.find(ticket.id);
+    if (found == in_flight_.end() || !found->second.done) {
+      return;
+    }
+    if (is_kept_if_dispatched && !found->second.attempts.empty()) {
+      return;
+    }
+    const decision::RunState run_state = scheduler_.RunStateOf(ticket);
+    CancelAttempts(scheduler_.Cancel(ticket, clock_.Now()));
+    replies.push_back({std::move(found->second.done),
+                       {.run_state = run_state,
+                        .response = MakeProblem(
+                            ProblemCode::kCallerDisconnected, run_state)}});
+    found->second.done = nullptr;
+    EraseIfFinished(ticket);
   }
-  CancelAttempts(scheduler_.Cancel(ticket, clock_.Now()));
-  found->second.done = nullptr;
-  EraseIfFinished(ticket);
+  RunCallbacks(std::move(replies));
 }
 
 void RequestEngine::OnTargetReport(const TargetName& target,
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine.h
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine.h
@@ -76,11 +76,12 @@
   /// once.
   decision::RequestTicket Submit(Submission submission);
 
-  /// @brief Cancels the request of a caller that disconnected; `done` will not
-  /// run.
-  /// @param is_kept_if_dispatched leaves a dispatched request running and still
-  /// calls `done`. Set it for non-idempotent requests, because a retry asks for
-  /// the result.
+  /// @brief Cancels the request of a caller that disconnected. `done` runs with
+  /// what is known of the request: the listener and the ledger hold it until
+  /// then, and a retry with the same idempotency key waits for it.
+  /// @param is_kept_if_dispatched leaves a dispatched request running until its
+  /// own end. Set it for non-idempotent requests, because a retry asks for the
+  /// result.
   void Cancel(decision::RequestTicket ticket, bool is_kept_if_dispatched);
 
   /// @brief Applies a target's own count of its outstanding requests, taken
--- a/lib/libmedlarcroft/source/decision/request_scheduler.cc
+++ b/lib/libmedlarcroft/source/decision/request_scheduler.cc
@@ -107,6 +107,13 @@
   return running;
 }
 
+RunState RequestScheduler::RunStateOf(RequestTicket ticket) const {
+  const RequestState* request = requests_.Find(ticket);
+  if (request == nullptr || !request->RunningAttempts().empty())
+    return RunState::kUnknown;
+  return request->run_state;
+}
+
 std::vector<Action> RequestScheduler::Advance(MonotonicTime now) {
   std::vector<Action> actions;
   targets_.Advance(now);
--- a/lib/libmedlarcroft/source/decision/request_table.cc
+++ b/lib/libmedlarcroft/source/decision/request_table.cc
@@ -31,6 +31,11 @@
   return found == requests_.end() ? nullptr : &found->second;
 }
 
+const RequestState* RequestTable::Find(RequestTicket ticket) const {
+  const auto found = requests_.find(ticket.id);
+  return found == requests_.end() ? nullptr : &found->second;
+}
+
 void RequestTable::Erase(RequestTicket ticket) {
   const auto found = requests_.find(ticket.id);
   if (found == requests_.end())
