Answer requests whose handler lost its responder

Callers of such a request got nothing, and a planned stop waited for its limit. Found by looking for the fault of cancelled requests elsewhere: the listener left the ending of a suspended connection to every handler. Now the release of the last responder answers 500, outcome unknown, so no connection can stay suspended.

HttpServerTest.RequestWithoutAnswerIsEnded timed out before and passes now. No handler of the product is known to do it.

--- a/lib/libmedlarcroft/source/adapters/http/http_server.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_server.cc
@@ -30,13 +30,21 @@
   return response;
 }
 
-/// It is unknown whether a request that a shutdown interrupts has run.
-HttpResponse MakeStoppingResponse() {
-  HttpResponse response = MakeProblemResponse(503, "stopping");
+HttpResponse MakeUnknownOutcomeResponse(int status, std::string_view code) {
+  HttpResponse response = MakeProblemResponse(status, code);
   response.headers.Set("Medlar-Outcome", "unknown");
   return response;
 }
 
+/// It is unknown whether a request that a shutdown interrupts has run.
+HttpResponse MakeStoppingResponse() {
+  return MakeUnknownOutcomeResponse(503, "stopping");
+}
+
+HttpResponse MakeUnansweredResponse() {
+  return MakeUnknownOutcomeResponse(500, "unanswered");
+}
+
 MHD_Result AddHeader(void* target,
                      MHD_ValueKind /*kind*/,
                      const char* name,
@@ -201,6 +209,16 @@
   std::shared_ptr<RequestContext> context;
 };
 
+// Guards against a handler that loses its responder without an answer: the
+// connection stayed suspended for good, the client got nothing, and a planned
+// stop waited for it. The last owner's release answers instead.
+std::shared_ptr<Responder> MakeResponder(
+    const std::shared_ptr<RequestContext>& context) {
+  return {context.get(), [context](Responder* responder) {
+            responder->Send(MakeUnansweredResponse());
+          }};
+}
+
 struct ServerCallbacks {
   static MHD_Result Queue(MHD_Connection* connection,
                           HttpServer& server,
@@ -271,8 +289,8 @@
                    MakeProblemResponse(413, "body-too-large"));
     }
 
-    auto response =
-        server.handler_.Handle(std::move(context->request), context);
+    auto response = server.handler_.Handle(std::move(context->request),
+                                           MakeResponder(context));
     if (response) {
       return Queue(connection, server, *response);
     }
--- a/tests/unit/adapters/http_server_test.cc
+++ b/tests/unit/adapters/http_server_test.cc
@@ -8,12 +8,15 @@
 namespace {
 
 /// Answers with the connection's id. For "/cut", the announced length exceeds
-/// the body sent.
+/// the body sent; for "/dropped", there is no answer.
 class IdHandler final : public HttpHandler {
  public:
   std::optional<HttpResponse> Handle(
       HttpRequest request,
       const std::shared_ptr<Responder>& /*responder*/) override {
+    if (request.path == "/dropped") {
+      return std::nullopt;
+    }
     HttpResponse response{.body = std::to_string(request.connection_id)};
     if (request.path == "/cut") {
       response.missing_bytes = 10;
@@ -57,5 +60,18 @@
   EXPECT_EQ(ErrorOf(result).failure, TransportFailure::kTruncated);
 }
 
+// Guards against connections that stay suspended for good after a handler has
+// lost its responder: their callers got nothing, and a stop waited for them.
+TEST_F(HttpServerTest, RequestWithoutAnswerIsEnded) {
+  const ClientResult result = client_.SendAndWait(
+      {.url =
+           "http://127.0.0.1:" + std::to_string(server_->Port()) + "/dropped",
+       .timeout = std::chrono::seconds(10)});
+
+  ASSERT_TRUE(IsOk(result));
+  EXPECT_EQ(ValueOf(result).status, 500);
+  EXPECT_EQ(ValueOf(result).headers.Find("Medlar-Outcome"), "unknown");
+}
+
 }  // namespace
 }  // namespace medlarcroft::adapters
