Keep headers that Connection names from targets and callers

A header meant for one connection was forwarded to the next. entryd stripped a fixed list; the node's reader of Connection is now the one copy, and one function selects what is forwarded to targets, back from them and between hosts.

RequestParser.DropsTheHeadersThatConnectionNames failed before (two of three headers) and passes now; the unit tests of both front ends pass.

--- a/lib/libmedlarcroft/source/adapters/entry/host_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/host_forwarder.cc
@@ -34,15 +34,9 @@
   forwarded.run_state =
       ParseRunState(answer.headers.Find(protocol::kOutcome).value_or(""));
   forwarded.response.status = answer.status;
-  for (const HttpHeader& field : answer.headers.Fields()) {
-    const bool is_own_header =
-        IsSameHeaderName(field.name, protocol::kOutcome) ||
-        IsSameHeaderName(field.name, protocol::kTarget) ||
-        IsSameHeaderName(field.name, protocol::kHost);
-    if (is_own_header || !IsStrippedHeader(field.name)) {
-      forwarded.response.headers.Add(field.name, field.value);
-    }
-  }
+  forwarded.response.headers = ForwardedHeaders(
+      answer.headers,
+      std::array{protocol::kOutcome, protocol::kTarget, protocol::kHost});
   forwarded.response.body = std::move(answer.body);
   forwarded.is_target_answer = forwarded.run_state == RunState::kRan;
   return forwarded;
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine_attempts.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine_attempts.cc
@@ -18,12 +18,8 @@
 HttpResponse ToResponse(ClientResponse answer,
                         decision::RunState run_state,
                         const TargetName& target) {
-  HttpResponse response{.status = answer.status};
-  for (const HttpHeader& field : answer.headers.Fields()) {
-    if (!IsStrippedHeader(field.name)) {
-      response.headers.Add(field.name, field.value);
-    }
-  }
+  HttpResponse response{.status = answer.status,
+                        .headers = ForwardedHeaders(answer.headers)};
   response.headers.Set(protocol::kOutcome, FormatRunState(run_state));
   response.headers.Set(protocol::kTarget, target.Value());
   response.body = std::move(answer.body);
--- a/lib/libmedlarcroft/source/adapters/entry/request_parser.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/request_parser.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstdint>
 #include <utility>
+#include <vector>
 
 #include "adapters/entry/protocol.h"
 
@@ -53,27 +54,34 @@
   return std::chrono::milliseconds(milliseconds);
 }
 
-HttpHeaders HeadersForTarget(const HttpHeaders& headers) {
-  HttpHeaders kept;
-  for (const HttpHeader& field : headers.Fields()) {
-    if (!IsStrippedHeader(field.name)) {
-      kept.Add(field.name, field.value);
-    }
-  }
-  return kept;
+template <typename Names>
+bool Contains(const Names& names, std::string_view name) {
+  return std::ranges::any_of(names, [name](const auto& other) {
+    return IsSameHeaderName(other, name);
+  });
+}
+
+bool IsReserved(std::string_view name) {
+  constexpr std::string_view kOwnPrefix = "medlar-";
+  return name.size() >= kOwnPrefix.size() &&
+         IsSameHeaderName(name.substr(0, kOwnPrefix.size()), kOwnPrefix);
 }
 
 }  // namespace
 
-bool IsStrippedHeader(std::string_view name) {
-  constexpr std::string_view kOwnPrefix = "medlar-";
-  const bool is_own =
-      name.size() >= kOwnPrefix.size() &&
-      IsSameHeaderName(name.substr(0, kOwnPrefix.size()), kOwnPrefix);
-  return is_own || std::any_of(kHopByHopHeaders.begin(), kHopByHopHeaders.end(),
-                               [name](std::string_view hop) {
-                                 return IsSameHeaderName(hop, name);
-                               });
+HttpHeaders ForwardedHeaders(const HttpHeaders& headers,
+                             std::span<const std::string_view> kept) {
+  const std::vector<std::string> named = HeadersNamedByConnection(headers);
+  HttpHeaders forwarded;
+  for (const HttpHeader& field : headers.Fields()) {
+    const bool is_stripped = IsReserved(field.name) ||
+                             Contains(kHopByHopHeaders, field.name) ||
+                             Contains(named, field.name);
+    if (!is_stripped || Contains(kept, field.name)) {
+      forwarded.Add(field.name, field.value);
+    }
+  }
+  return forwarded;
 }
 
 std::optional<std::string_view> ExtractServiceName(
@@ -127,7 +135,7 @@
   parsed.target_path = path.starts_with('/') ? "" : "/";
   parsed.target_path += path;
   parsed.method = std::move(request.method);
-  parsed.headers = HeadersForTarget(request.headers);
+  parsed.headers = ForwardedHeaders(request.headers);
   parsed.body = std::move(request.body);
   return parsed;
 }
--- a/lib/libmedlarcroft/source/adapters/entry/request_parser.h
+++ b/lib/libmedlarcroft/source/adapters/entry/request_parser.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -40,10 +41,13 @@
 [[nodiscard]] Result<ServiceRequest, ProblemCode> ParseServiceRequest(
     HttpRequest&& request);
 
-/// @return whether a header is removed from forwarded messages: a hop-by-hop
-/// header, one that the HTTP client sets itself, or one that is reserved for
-/// this system.
-[[nodiscard]] bool IsStrippedHeader(std::string_view name);
+/// @brief Selects the headers of a message that are forwarded: all but
+/// hop-by-hop headers, those that `Connection` names, those that the HTTP
+/// client sets itself, and those that are reserved for this system.
+/// @param kept names of reserved headers that are forwarded all the same.
+[[nodiscard]] HttpHeaders ForwardedHeaders(
+    const HttpHeaders& headers,
+    std::span<const std::string_view> kept = {});
 
 }  // namespace medlarcroft::adapters
 
--- a/lib/libmedlarcroft/source/adapters/event/http_serialization.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_serialization.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
 #include <vector>
 
@@ -22,21 +21,6 @@
     "Proxy-Authorization",
     "Content-Length"};
 
-std::vector<std::string> HeadersNamedByConnection(const HttpHeaders& headers) {
-  std::vector<std::string> names;
-  for (const HttpHeader& field : headers.Fields()) {
-    if (!IsSameHeaderName(field.name, "Connection")) {
-      continue;
-    }
-    for (const auto& token :
-         boost::beast::http::token_list(boost::beast::string_view(
-             field.value.data(), field.value.size()))) {
-      names.emplace_back(token.data(), token.size());
-    }
-  }
-  return names;
-}
-
 template <typename Names>
 bool Contains(const Names& names, std::string_view name) {
   return std::any_of(names.begin(), names.end(), [&](const auto& other) {
--- a/lib/libmedlarcroft/source/adapters/http/http_message.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_message.cc
@@ -1,6 +1,7 @@
 #include "adapters/http/http_message.h"
 
 #include <algorithm>
+#include <boost/beast/http/rfc7230.hpp>
 #include <cctype>
 
 namespace medlarcroft::adapters {
@@ -12,6 +13,21 @@
                     });
 }
 
+std::vector<std::string> HeadersNamedByConnection(const HttpHeaders& headers) {
+  std::vector<std::string> names;
+  for (const HttpHeader& field : headers.Fields()) {
+    if (!IsSameHeaderName(field.name, "Connection")) {
+      continue;
+    }
+    for (const auto& token :
+         boost::beast::http::token_list(boost::beast::string_view(
+             field.value.data(), field.value.size()))) {
+      names.emplace_back(token.data(), token.size());
+    }
+  }
+  return names;
+}
+
 void HttpHeaders::Add(std::string_view name, std::string_view value) {
   fields_.push_back({std::string(name), std::string(value)});
 }
--- a/lib/libmedlarcroft/source/adapters/http/http_message.h
+++ b/lib/libmedlarcroft/source/adapters/http/http_message.h
@@ -68,6 +68,11 @@
   std::size_t missing_bytes = 0;
 };
 
+/// @return the names in the Connection headers: fields that concern only the
+/// connection on which they came.
+[[nodiscard]] std::vector<std::string> HeadersNamedByConnection(
+    const HttpHeaders& headers);
+
 /// @return whether two header names are equal, ignoring case.
 [[nodiscard]] bool IsSameHeaderName(std::string_view left,
                                     std::string_view right);
--- a/tests/unit/adapters/entry/request_parser_test.cc
+++ b/tests/unit/adapters/entry/request_parser_test.cc
@@ -35,6 +35,23 @@
   EXPECT_FALSE(request.headers.Find("Medlar-Forward-Proof"));
 }
 
+// Guards against headers that a caller meant for its own connection reaching a
+// target, which would act on them for the connection to this host.
+TEST(RequestParser, DropsTheHeadersThatConnectionNames) {
+  const auto parsed = ParseServiceRequest(
+      MakeRequest("/v1/services/swap-ledger/a", {{"Medlar-Brand", "uwimana"},
+                                                 {"Connection", "close, X-Hop"},
+                                                 {"connection", "x-second"},
+                                                 {"x-hop", "1"},
+                                                 {"X-Second", "2"},
+                                                 {"X-Kept", "3"}}));
+
+  ASSERT_TRUE(IsOk(parsed));
+  EXPECT_FALSE(ValueOf(parsed).headers.Find("X-Hop"));
+  EXPECT_FALSE(ValueOf(parsed).headers.Find("X-Second"));
+  EXPECT_TRUE(ValueOf(parsed).headers.Find("X-Kept"));
+}
+
 struct InvalidRequestCase {
   const char* name;
   const char* target;
