Refuse a damaged head of the block map and say so

Hosts took a head that is no number for version 0, kept their old map for good and logged nothing. Only a whole number from 1 is a version now; a head or map that can't be read has a log line.

--- a/lib/libmedlarcroft/source/adapters/steer/platform_poller.cc
+++ b/lib/libmedlarcroft/source/adapters/steer/platform_poller.cc
@@ -26,9 +26,20 @@
 /// prefix of the objects that hold the versions.
 constexpr std::string_view kBlockMapHeadKey = "blocks/head";
 constexpr std::string_view kBlockMapObjectPrefix = "blocks/map-";
+constexpr std::size_t kMaxLoggedHeadBytes = 32;
 
 }  // namespace
 
+std::optional<std::uint64_t> ParseBlockMapVersion(std::string_view text) {
+  std::uint64_t version = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, version);
+  if (error != std::errc() || stop != end || version == 0) {
+    return std::nullopt;
+  }
+  return version;
+}
+
 Duration PlatformPoller::PollDue() {
   if (schedule_.IsDue(PlatformPoll::kCatalogueHead,
                       dependencies_.clock.Now())) {
@@ -73,27 +84,34 @@
     return;
   }
   const std::string& text = ValueOf(head).value;
-  std::uint64_t version = 0;
-  std::from_chars(text.data(), text.data() + text.size(), version);
-  if (version <= dependencies_.core.ClientBlockMap().Current()->Version()) {
+  const auto version = ParseBlockMapVersion(text);
+  if (!version) {
+    Log(LogLevel::kError, "block-map-head-unreadable",
+        {{"row_version", ValueOf(head).version},
+         {"text", std::string_view(text).substr(0, kMaxLoggedHeadBytes)}});
+    return;
+  }
+  if (*version <= dependencies_.core.ClientBlockMap().Current()->Version()) {
     return;
   }
 
   const auto object =
       dependencies_.objects.Get(std::string(kBlockMapObjectPrefix) + text);
   if (!IsOk(object) || !ValueOf(object)) {
+    Log(LogLevel::kError, "block-map-not-read",
+        {{"version", *version}, {"is_missing", IsOk(object)}});
     return;
   }
   auto map = steering::DecodeBlockMap(*ValueOf(object));
   if (!IsOk(map)) {
     Log(LogLevel::kError, "block-map-refused",
-        {{"version", version}, {"reason", steering::ToString(ErrorOf(map))}});
+        {{"version", *version}, {"reason", steering::ToString(ErrorOf(map))}});
     return;
   }
   const auto adopted =
       dependencies_.core.ClientBlockMap().Adopt(TakeValue(std::move(map)));
   if (IsOk(adopted)) {
-    Log(LogLevel::kInfo, "block-map-adopted", {{"version", version}});
+    Log(LogLevel::kInfo, "block-map-adopted", {{"version", *version}});
   }
 }
 
--- a/lib/libmedlarcroft/source/adapters/steer/platform_poller.h
+++ b/lib/libmedlarcroft/source/adapters/steer/platform_poller.h
@@ -2,6 +2,8 @@
 #define MEDLARCROFT_ADAPTERS_STEER_PLATFORM_POLLER_H_
 
 #include <cstdint>
+#include <optional>
+#include <string_view>
 
 #include "adapters/steer/catalogue_sync.h"
 #include "adapters/steer/steer_core.h"
@@ -15,6 +17,11 @@
 
 namespace medlarcroft::adapters {
 
+/// @return the version that the head row of the block map names, from 1;
+/// nullopt when the text is anything but a whole number.
+[[nodiscard]] std::optional<std::uint64_t> ParseBlockMapVersion(
+    std::string_view text);
+
 /// @brief Polls the platform for the catalogue's head, the host list and the
 /// client block map. The calls block, so they run on a thread of their own: a
 /// slow platform delays nothing else.
