Let logging restart while threads log

A second StartLogging freed the state that other threads were logging with: the process crashed. States are replaced through one atomic pointer and kept until the end of the process.

--- a/lib/libmedlarcroft/source/adapters/process/log.cc
+++ b/lib/libmedlarcroft/source/adapters/process/log.cc
@@ -7,9 +7,12 @@
 #include <log4cplus/logger.h>
 
 #include <array>
+#include <atomic>
 #include <ctime>
 #include <memory>
+#include <mutex>
 #include <utility>
+#include <vector>
 
 #include "adapters/process/event_rate_limit.h"
 #include "adapters/process/json_line.h"
@@ -44,9 +47,31 @@
   SystemClock clock;
 };
 
-std::unique_ptr<Logging>& Current() {
-  static std::unique_ptr<Logging> logging;
-  return logging;
+/// @brief The logging states of the process.
+///
+/// Guards against a restart of logging that frees the state with which another
+/// thread is logging: its line was damaged, or the process crashed. Replaced
+/// states are kept until the process ends; a process starts logging a few times
+/// at most.
+class LoggingHistory {
+ public:
+  [[nodiscard]] Logging* Current() const { return current_; }
+
+  void Replace(std::unique_ptr<Logging> logging) {
+    const std::lock_guard lock(mutex_);
+    current_ = logging.get();
+    states_.push_back(std::move(logging));
+  }
+
+ private:
+  std::mutex mutex_;
+  std::vector<std::unique_ptr<Logging>> states_;
+  std::atomic<Logging*> current_{nullptr};
+};
+
+LoggingHistory& History() {
+  static LoggingHistory history;
+  return history;
 }
 
 /// The message is already a complete line, so the layout only adds the newline.
@@ -118,19 +143,19 @@
     log4cplus::PropertyConfigurator::doConfigure(options.log4cplus_config);
   }
   logging->logger.setLogLevel(ToLog4cplusLevel(options.level));
-  Current() = std::move(logging);
+  History().Replace(std::move(logging));
 }
 
 void SetLogLevel(LogLevel level) {
-  if (Current()) {
-    Current()->logger.setLogLevel(ToLog4cplusLevel(level));
+  if (Logging* const logging = History().Current()) {
+    logging->logger.setLogLevel(ToLog4cplusLevel(level));
   }
 }
 
 void Log(LogLevel level,
          std::string_view event,
          std::initializer_list<LogField> fields) {
-  Logging* const logging = Current().get();
+  Logging* const logging = History().Current();
   if (logging == nullptr ||
       !logging->logger.isEnabledFor(ToLog4cplusLevel(level))) {
     return;
@@ -150,7 +175,7 @@
 
 void LogUnthrottled(const LogLine& line,
                     std::initializer_list<LogField> fields) {
-  Logging* const logging = Current().get();
+  Logging* const logging = History().Current();
   if (logging == nullptr ||
       !logging->logger.isEnabledFor(ToLog4cplusLevel(line.level))) {
     return;
--- a/lib/libmedlarcroft/source/adapters/process/log.h
+++ b/lib/libmedlarcroft/source/adapters/process/log.h
@@ -68,7 +68,7 @@
 };
 
 /// @brief Initializes logging. Events logged earlier are dropped. A later call
-/// replaces the configuration; it must not run while another thread logs.
+/// replaces the configuration, also while other threads log.
 void StartLogging(const LogOptions& options);
 
 /// @brief Changes the log level, for example on SIGHUP.
--- a/tests/unit/adapters/process/log_test.cc
+++ b/tests/unit/adapters/process/log_test.cc
@@ -3,7 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <nlohmann/json.hpp>
+#include <sstream>
+#include <thread>
+#include <vector>
 
 #include "adapters/process/event_rate_limit.h"
 #include "fakes/manual_clock.h"
@@ -71,6 +75,38 @@
   EXPECT_EQ(std::ranges::count(text, '\n'), 1) << text;
 }
 
+// Guards against a second start of logging that frees what other threads are
+// logging with: their lines were damaged, or the process crashed.
+TEST(LogTest, LoggingMayRestartWhileThreadsLog) {
+  LogOptions options = MakeOptions();
+  options.output = LogOutput::kStandardOutput;
+  options.events_per_second = 1'000'000;
+  testing::internal::CaptureStdout();
+  StartLogging(options);
+  std::atomic<bool> is_stopping{false};
+  std::vector<std::thread> threads;
+  for (int number = 0; number < 4; ++number) {
+    threads.emplace_back([&is_stopping] {
+      while (!is_stopping) {
+        Log(LogLevel::kInfo, "restarted", {{"count", 1}});
+      }
+    });
+  }
+  for (int start = 0; start < 5000; ++start) {
+    StartLogging(options);
+  }
+  is_stopping = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  StartLogging(MakeOptions());
+
+  std::istringstream lines(testing::internal::GetCapturedStdout());
+  for (std::string line; std::getline(lines, line);) {
+    ASSERT_TRUE(nlohmann::json::accept(line)) << line;
+  }
+}
+
 TEST(EventRateLimitTest, SuppressesAndCountsEventsAboveTheLimit) {
   fakes::ManualClock clock;
   EventRateLimit limit(2);
