Let no timer use a table server after its end

TableServer::Ask handed a bare this to a timer that can't be cancelled. The timer now holds a weak reference.

TableServerTest.TimerThatOutlivesTheServerDoesNothing aborted the test process before and passes now.

--- a/lib/libmedlarcroft/include/medlarcroft/replication/table_server.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/table_server.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -59,12 +60,15 @@
     RowsCallback answer;
   };
 
+  void AnswerPending(std::uint64_t number);
   void Answer(const PendingRequest& waiting);
 
   ports::Timers& timers_;
   FindTable find_table_;
   std::uint64_t last_request_id_ = 0;
   std::map<std::uint64_t, PendingRequest> pending_requests_;
+  /// Released with this object: a timer that fires later finds it gone.
+  std::shared_ptr<TableServer*> alive_ = std::make_shared<TableServer*>(this);
 };
 
 }  // namespace medlarcroft::replication
--- a/lib/libmedlarcroft/source/replication/table_server.cc
+++ b/lib/libmedlarcroft/source/replication/table_server.cc
@@ -29,10 +29,10 @@
   }
   const std::uint64_t number = ++last_request_id_;
   pending_requests_.emplace(number, std::move(pending));
-  timers_.RunAfter(wait, [this, number] {
-    const auto node = pending_requests_.extract(number);
-    if (!node.empty()) {
-      Answer(node.mapped());
+  // Timers can't be cancelled, and one may fire after this object's end.
+  timers_.RunAfter(wait, [alive = std::weak_ptr(alive_), number] {
+    if (const auto server = alive.lock()) {
+      (*server)->AnswerPending(number);
     }
   });
 }
@@ -45,10 +45,14 @@
     }
   }
   for (const std::uint64_t number : due) {
-    const auto node = pending_requests_.extract(number);
-    if (!node.empty()) {
-      Answer(node.mapped());
-    }
+    AnswerPending(number);
+  }
+}
+
+void TableServer::AnswerPending(std::uint64_t number) {
+  const auto node = pending_requests_.extract(number);
+  if (!node.empty()) {
+    Answer(node.mapped());
   }
 }
 
