Repeat a refused removal of a blocked request's row

Hosts that started later blocked a request that had been answered, since CrashSharing dropped the outcome of the removal.

CrashSharingTest.ARefusedRemovalIsRepeated failed before and passes now.

--- a/programs/node/crash_sharing.cc
+++ b/programs/node/crash_sharing.cc
@@ -34,6 +34,14 @@
     "medlar_blocked_requests",
     "Requests that are sent to no target, since they crash them."};
 
+void LogRowFailure(std::string_view event,
+                   RequestFingerprint request,
+                   replication::RowFailure failure) {
+  Log(LogLevel::kWarning, event,
+      {{"fingerprint", platform::FormatFingerprint(request)},
+       {"reason", replication::NameOf(failure)}});
+}
+
 }  // namespace
 
 CrashSharing::CrashSharing(const Parts& parts)
@@ -183,15 +191,41 @@
            {.request = request, .until = row.until}),
        .expected_version =
            stored == stored_rows_.end() ? 0 : stored->second.version},
-      [](const Result<Success, replication::RowFailure>&) {});
+      [request](const Result<Success, replication::RowFailure>& result) {
+        if (!IsOk(result)) {
+          LogRowFailure("blocked-request-not-stored", request, ErrorOf(result));
+        }
+      });
 }
 
 void CrashSharing::RemoveRow(RequestFingerprint request,
                              std::uint64_t version) {
-  parts_.store.Write({.table = std::string(platform::kHostTable),
-                      .key = platform::FormatBlockedRequestKey(request),
-                      .expected_version = version},
-                     [](const Result<Success, replication::RowFailure>&) {});
+  parts_.store.Write(
+      {.table = std::string(platform::kHostTable),
+       .key = platform::FormatBlockedRequestKey(request),
+       .expected_version = version},
+      [this, request,
+       version](const Result<Success, replication::RowFailure>& result) {
+        if (!IsOk(result)) {
+          OnRowNotRemoved(request, version, ErrorOf(result));
+        }
+      });
+}
+
+// Guards against a removal that the store refuses: a host that starts later
+// would read the row and block a request that has been answered. The removal is
+// repeated while the row has this version; a row that another host has changed
+// is told by the table.
+void CrashSharing::OnRowNotRemoved(RequestFingerprint request,
+                                   std::uint64_t version,
+                                   replication::RowFailure failure) {
+  LogRowFailure("blocked-request-not-removed", request, failure);
+  const auto stored = stored_rows_.find(request);
+  if (failure != replication::RowFailure::kConditionFailed &&
+      stored != stored_rows_.end() && stored->second.version == version) {
+    stored->second.remove_at =
+        parts_.loop.Clock().WallNow() + kRowWriteRetryPeriod;
+  }
 }
 
 }  // namespace medlarcroft::node
--- a/programs/node/crash_sharing.h
+++ b/programs/node/crash_sharing.h
@@ -67,6 +67,9 @@
   void WriteRow(request_path::RequestFingerprint request, OwnRow& row);
   void RemoveRow(request_path::RequestFingerprint request,
                  std::uint64_t version);
+  void OnRowNotRemoved(request_path::RequestFingerprint request,
+                       std::uint64_t version,
+                       replication::RowFailure failure);
 
   Parts parts_;
   std::map<request_path::RequestFingerprint, OwnRow> own_rows_;
--- a/tests/fakes/fake_store_server.h
+++ b/tests/fakes/fake_store_server.h
@@ -43,6 +43,9 @@
     removed_[key] = version;
     AnswerWaitingFeeds();
   }
+  [[nodiscard]] bool Contains(const std::string& key) const {
+    return rows_.contains(key);
+  }
   /// Discards the history up to now: feeds that start before it get status 410.
   void Compact() { oldest_ = version + 1; }
 
--- a/tests/unit/node/crash_sharing_test.cc
+++ b/tests/unit/node/crash_sharing_test.cc
@@ -121,5 +121,21 @@
   EXPECT_GT(ValueOf(stored).until, clock_.WallNow() + minutes(9));
 }
 
+// Guards against a removal that the store refuses and nobody repeats: hosts
+// that start later would block a request that has been answered.
+TEST_F(CrashSharingTest, ARefusedRemovalIsRepeated) {
+  const replication::Row row = RowUntil(minutes(5));
+  server_.Put(row.key, row.value);
+  loop_.After(milliseconds(500), [this] {
+    EXPECT_TRUE(IsBlocked());
+    server_.forced_status = 503;
+    crash_tracker_.OnAnswered(kRequest, loop_.Now());
+  });
+  loop_.After(milliseconds(1500), [this] { server_.forced_status.reset(); });
+  RunFor(milliseconds(9000));
+
+  EXPECT_FALSE(server_.Contains(row.key));
+}
+
 }  // namespace
 }  // namespace medlarcroft::node
