Start a new share of a limit at a random level

90 hosts that had only probed a limited target sent at once when a change of the live hosts gave each a share: each had saved up a request. A host that gets a share starts at a random level, as with a new limit.

--- a/lib/libmedlarcroft/source/request_path/rate_limits.cc
+++ b/lib/libmedlarcroft/source/request_path/rate_limits.cc
@@ -159,9 +159,6 @@
   lifted_at_.erase(target);
   if (is_new) {
     limit.region = region;
-    // Starts at a random level, so that hosts that learn of a limit at the same
-    // time do not send their first requests at the same time.
-    limit.tokens = random_.NextUnit();
     limit.refilled_at = now;
     const Duration expiry_spread = std::max(
         options_.lifetime / 2, kExpirySpreadPerHost * hosts_.known_hosts);
@@ -219,7 +216,14 @@
   const auto rank = static_cast<std::size_t>(std::ranges::count_if(
       hosts_.live_in_region,
       [&](std::uint64_t host) { return OrderOf(host, target) > own; }));
+  const bool was_sender = limit.is_sender;
   limit.is_sender = limit.region == hosts_.own_region && rank < senders;
+  // Starts at a random level, so that hosts that get a share at the same time
+  // do not send their first requests at the same time: each that only probed
+  // before has saved up one.
+  if (limit.is_sender && !was_sender) {
+    limit.tokens = random_.NextUnit();
+  }
   const double live_fraction =
       static_cast<double>(live) / static_cast<double>(known);
   limit.own_rate = limit.is_sender
--- a/tests/unit/request_path/rate_limits_test.cc
+++ b/tests/unit/request_path/rate_limits_test.cc
@@ -188,6 +188,39 @@
   EXPECT_FALSE(limits_.AllowsSend(kTarget, later + seconds(9)));
 }
 
+// Guards against bursts after changes of membership: each host that had only
+// probed kept a request for the moment at which it got a share.
+TEST_F(RateLimitsTest, HostThatGetsAShareStartsWithoutASavedRequest) {
+  constexpr double kLimit = 5;
+  std::vector<std::uint64_t> region;
+  for (std::uint64_t host = 1; host <= 99; ++host) {
+    region.push_back(host);
+  }
+  const MonotonicTime later = kStart + std::chrono::minutes(30);
+  int sent = 0;
+  for (const std::uint64_t host : region) {
+    RateLimits limits({}, random_);
+    LimitHosts hosts{.own_hash = host,
+                     .own_region = kOwnRegion,
+                     .live_in_region = region,
+                     .known_in_region = region.size(),
+                     .known_hosts = 99};
+    limits.SetHosts(hosts, kStart);
+    limits.OnReport({.target = kTarget, .requests_per_second = kLimit},
+                    kOwnRegion, kStart);
+    const double probe_rate = 0.05 * kLimit / 99;
+    if (limits.OwnRate(kTarget).value() > 1.01 * probe_rate) {
+      continue;
+    }
+    // Three hosts live: this one and two others, so that it gets a share.
+    hosts.live_in_region = {host, host % 99 + 1, (host + 1) % 99 + 1};
+    hosts.known_in_region = 3;
+    limits.SetHosts(hosts, later);
+    sent += limits.AllowsSend(kTarget, later) ? 1 : 0;
+  }
+  EXPECT_EQ(sent, 0);
+}
+
 struct BurstCase {
   std::string name;
   std::size_t hosts;
