Keep emulated targets away for the whole fault

Callers of the emulator were served during a fault that takes all targets away: the restart after a crash cleared the flag of the fault.

EmulationTest.CrashedTargetStaysUnreachableDuringItsFault failed before and passes now.

--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
@@ -120,7 +120,8 @@
     request_path::TargetRecord record;
     std::string service;
     std::unique_ptr<EmulatedTarget> target;
-    bool is_unreachable = false;
+    bool is_unreachable = false;  ///< By a fault.
+    bool has_crashed = false;     ///< And has not restarted.
     double loss_probability = 0;
     std::optional<double> limit;
     MonotonicTime limit_changed_at;
--- a/lib/libmedlarcroft/source/emulation/emulation.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation.cc
@@ -261,7 +261,7 @@
     return;
   }
   TargetInstance& instance = targets_[state.target];
-  if (instance.is_unreachable) {
+  if (instance.is_unreachable || instance.has_crashed) {
     events_.After(kConnectTimeout, [this, active, attempt] {
       EndAttempt(active, attempt, AttemptEnd::kNeverSent);
     });
--- a/lib/libmedlarcroft/source/emulation/emulation_reports.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_reports.cc
@@ -113,10 +113,10 @@
 
 void Emulation::CrashTarget(std::size_t target) {
   TargetInstance& instance = targets_[target];
-  if (instance.is_unreachable) {
+  if (instance.is_unreachable || instance.has_crashed) {
     return;
   }
-  instance.is_unreachable = true;
+  instance.has_crashed = true;
   instance.target->Restart();
   metrics_.OnCrash();
   const auto number = request_path::NumberOf(instance.record.Identity());
@@ -143,7 +143,7 @@
 
 void Emulation::RestartTarget(std::size_t target) {
   TargetInstance& instance = targets_[target];
-  instance.is_unreachable = false;
+  instance.has_crashed = false;
   ++instance.record.incarnation;
   RegisterTargets();
 }
--- a/tests/unit/emulation/emulation_test.cc
+++ b/tests/unit/emulation/emulation_test.cc
@@ -175,6 +175,34 @@
             (without_fault - without_blocking.OverallCredit()) / 2);
 }
 
+// Guards against targets that answer during a fault that takes them away: one
+// that had crashed just before was back after its restart.
+TEST(EmulationTest, CrashedTargetStaysUnreachableDuringItsFault) {
+  EmulatedDeployment deployment = Load("campos");
+  deployment.duration = seconds(20);
+  deployment.faults = {{.type = EmulatedFaultType::kCrashingRequest,
+                        .service = deployment.services.front().name,
+                        .strength = 20,
+                        .from = seconds(3),
+                        .until = seconds(8)},
+                       {.type = EmulatedFaultType::kUnreachable,
+                        .fraction = 1,
+                        .strength = 1,
+                        .from = seconds(8),
+                        .until = seconds(30)}};
+  EmulationOptions options{.seed = 1};
+  options.path.crashes.crashes_to_block = 1'000'000;
+  const EmulationMetrics metrics = Emulation(deployment, options).Run();
+
+  EXPECT_GT(metrics.Crashes(), 3U);
+  const std::vector<double> credits = metrics.ByWindow();
+  ASSERT_GT(credits.size(), 6U);
+  // The last quarter of the windows lies well within the fault.
+  for (std::size_t i = 3 * credits.size() / 4; i < credits.size(); ++i) {
+    EXPECT_EQ(credits[i], 0.0) << "window " << i;
+  }
+}
+
 // Guards against hosts that each respect a declared rate limit but exceed it
 // together.
 TEST(EmulationTest, HostsTogetherRespectRateLimits) {
