Reserve slots for accounts that may run in some regions only

Cause: the plan of regions divided slots that the bound account takes. Quotas now say, alike on every host and before the first request, how much demand is bound to which regions, and the plan divides what is left; it moves nothing in reaction. Without restricted accounts nothing changes.

ClientAccountTest.RequestsLeaveARegionThatAnAccountFills failed before.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/region_plan.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/region_plan.h
@@ -42,7 +42,14 @@
   /// @brief Moves the plan towards its desired shares as far as the rate limit
   /// allows.
   /// @param slots a region without slots gets no requests.
-  void Advance(const RegionSlots& slots, MonotonicTime now);
+  /// @param free_slots those of `slots` that are left for the requests that the
+  /// plan divides.
+  void Advance(const RegionSlots& slots,
+               const RegionSlots& free_slots,
+               MonotonicTime now);
+  void Advance(const RegionSlots& slots, MonotonicTime now) {
+    Advance(slots, slots, now);
+  }
 
   /// @brief Records whether the planned region had capacity for a request.
   /// @param region_with_capacity another region with capacity when `planned`
@@ -68,7 +75,8 @@
   /// @return the current shares with the overflow moved to the regions that
   /// have capacity; nullopt when there is no overflow.
   [[nodiscard]] std::optional<RegionShares> SharesAfterOverflow() const;
-  void DropEmptyRegions(const RegionSlots& slots);
+  void DropEmptyRegions(const RegionSlots& slots,
+                        const RegionSlots& free_slots);
   void Decay(Duration elapsed);
   void MoveTowards(const RegionShares& desired, double max_shift);
 
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -16,6 +16,7 @@
 #include "medlarcroft/core/time.h"
 #include "medlarcroft/ports/random_source.h"
 #include "medlarcroft/quota/quota_gate.h"
+#include "medlarcroft/request_path/bound_demand.h"
 #include "medlarcroft/request_path/crash_tracker.h"
 #include "medlarcroft/request_path/placement_policy.h"
 #include "medlarcroft/request_path/rate_limits.h"
@@ -286,6 +287,8 @@
       MonotonicTime now);
   [[nodiscard]] Duration MaxQueueWait(const Request& request) const;
   [[nodiscard]] RegionSlots SlotsOf(const ServiceName& service);
+  /// @return the demand that the configuration in force binds to regions.
+  [[nodiscard]] std::span<const BoundDemand> BoundDemands();
   [[nodiscard]] Step Send(Request& request,
                           const Placement& placement,
                           MonotonicTime now);
@@ -338,6 +341,8 @@
   std::map<ServiceName, RetryBudgetShare> retry_budgets_;
   std::map<ServiceName, ServiceTimes> times_;
   std::map<ServiceName, RegionPlan> plans_;
+  std::vector<BoundDemand> bound_demands_;
+  std::uint64_t bound_demands_version_ = 0;  ///< Of the configuration.
   std::map<ServiceName, RegionLoad> loads_;
 };
 
--- a/lib/libmedlarcroft/source/request_path/region_plan.cc
+++ b/lib/libmedlarcroft/source/request_path/region_plan.cc
@@ -41,17 +41,19 @@
 RegionPlan::RegionPlan(RegionName own_region, const RegionPlanOptions& options)
     : own_region_(std::move(own_region)), options_(options) {}
 
-void RegionPlan::Advance(const RegionSlots& slots, MonotonicTime now) {
+void RegionPlan::Advance(const RegionSlots& slots,
+                         const RegionSlots& free_slots,
+                         MonotonicTime now) {
   if (shares_.empty()) {
-    shares_ = SharesBySlots(slots);
+    shares_ = SharesBySlots(free_slots);
     advanced_at_ = now;
   }
-  DropEmptyRegions(slots);
+  DropEmptyRegions(slots, free_slots);
   const Duration elapsed = std::max(now - advanced_at_, Duration(0));
   advanced_at_ = now;
   Decay(elapsed);
   const std::optional<RegionShares> adjusted = SharesAfterOverflow();
-  MoveTowards(adjusted ? *adjusted : SharesBySlots(slots),
+  MoveTowards(adjusted ? *adjusted : SharesBySlots(free_slots),
               options_.max_shift_per_second * ToSeconds(elapsed));
 }
 
@@ -125,7 +127,8 @@
   return shares;
 }
 
-void RegionPlan::DropEmptyRegions(const RegionSlots& slots) {
+void RegionPlan::DropEmptyRegions(const RegionSlots& slots,
+                                  const RegionSlots& free_slots) {
   double dropped = 0;
   for (auto& [region, share] : shares_) {
     const auto found = slots.find(region);
@@ -136,11 +139,8 @@
   if (dropped <= 0) {
     return;
   }
-  double total_slots = 0;
-  for (const auto& [region, count] : slots) {
-    total_slots += count;
-  }
-  for (const auto& [region, count] : slots) {
+  const double total_slots = Sum(free_slots);
+  for (const auto& [region, count] : free_slots) {
     if (count > 0) {
       shares_[region] += dropped * count / total_slots;
     }
--- /dev/null
+++ b/lib/libmedlarcroft/source/request_path/request_path_placement.cc
@@ -0,0 +1,103 @@
+// RequestPath: chooses the region and the target of a request.
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "medlarcroft/request_path/request_path.h"
+
+namespace medlarcroft::request_path {
+
+std::optional<Placement> RequestPath::Place(const Request& request,
+                                            std::span<const RegionName> regions,
+                                            MonotonicTime now) {
+  std::vector<TargetIdentity> excluded;
+  for (const Attempt& attempt : request.attempts) {
+    excluded.push_back(attempt.target);
+  }
+  return ChooseTarget(
+      targets_.Usable(request.service),
+      {.object = request.object,
+       .is_sticky = request.route->is_sticky,
+       .times = TimesOf(request.service, request.route->latency_objective),
+       .distances = distances_,
+       .loads = loads_[request.service],
+       .cold_send_limit = ColdSendLimit(request.service),
+       .limits = &limits_,
+       .excluded = excluded,
+       .allowed_regions = regions,
+       .options = options_.placement},
+      now, options_.rule == nullptr ? lowest_cost_ : *options_.rule);
+}
+
+Duration RequestPath::MaxQueueWait(const Request& request) const {
+  return FromSeconds(options_.max_queue_wait *
+                     ToSeconds(request.route->latency_objective));
+}
+
+std::span<const BoundDemand> RequestPath::BoundDemands() {
+  if (bound_demands_version_ != routes_.Version()) {
+    bound_demands_version_ = routes_.Version();
+    bound_demands_ = BoundDemandsOf(routes_.Accounts().Accounts());
+  }
+  return bound_demands_;
+}
+
+RegionSlots RequestPath::SlotsOf(const ServiceName& service) {
+  RegionSlots slots;
+  for (const RegionTargets& region : targets_.Usable(service)) {
+    slots[region.region] = region.slots;
+  }
+  return slots;
+}
+
+std::optional<Placement> RequestPath::PlaceByRegionPlan(const Request& request,
+                                                        MonotonicTime now) {
+  const auto& allowed = request.allowed_regions;
+  if (!allowed.empty() || !options_.uses_region_plan) {
+    return Place(request, allowed, now);
+  }
+  if (targets_.Usable(request.service).empty()) {
+    return std::nullopt;
+  }
+  RegionPlan& plan = plans_
+                         .try_emplace(request.service, options_.own_region,
+                                      options_.region_plan)
+                         .first->second;
+  const RegionSlots slots = SlotsOf(request.service);
+  plan.Advance(slots, FreeSlots(slots, BoundDemands()), now);
+  const std::uint64_t key =
+      request.object.IsEmpty() ? random_.Next() : request.object.Value();
+  const RegionName region = plan.Choose(key);
+  const std::optional<Placement> planned =
+      Place(request, std::span(&region, 1), now);
+  const Duration max_queue_wait = MaxQueueWait(request);
+  if (planned && planned->expected_wait <= max_queue_wait) {
+    plan.Observe(region, std::nullopt);
+    return planned;
+  }
+  const std::optional<Placement> best = Place(request, {}, now);
+  std::optional<RegionName> region_with_capacity;
+  if (best && best->expected_wait <= max_queue_wait) {
+    region_with_capacity = best->target->Region();
+  }
+  plan.Observe(region, region_with_capacity);
+  return planned ? planned : best;
+}
+
+ServiceTimes& RequestPath::TimesOf(const ServiceName& service,
+                                   Duration latency_objective) {
+  return times_.try_emplace(service, latency_objective).first->second;
+}
+
+std::uint32_t RequestPath::ColdSendLimit(const ServiceName& service) const {
+  const routing::ServiceRules* const rules = routes_.FindService(service);
+  if (rules == nullptr) {
+    return 1;
+  }
+  const double total_rate =
+      rules->cold_requests_per_second * options_.cold_over +
+      options_.cold_extra;
+  return static_cast<std::uint32_t>(total_rate / host_count_);
+}
+
+}  // namespace medlarcroft::request_path
--- a/tests/unit/request_path/client_account_test.cc
+++ b/tests/unit/request_path/client_account_test.cc
@@ -264,5 +264,25 @@
         RegionCase{"Disjoint", {kHere}, {kThere}, {}}),
     [](const auto& tested) { return tested.param.name; });
 
+// Guards against refusing requests that may run anywhere because their region
+// is full with an account that may run nowhere else, while others have room.
+TEST_F(ClientAccountTest, RequestsLeaveARegionThatAnAccountFills) {
+  ClientAccount bound = AccountWithKey("bound");
+  bound.allowed_regions = {kHere};
+  bound.quota.requests_per_second = 40;
+  ClientAccount free = AccountWithKey("free");
+  free.name = ClientAccountName("free");
+  free.quota.requests_per_second = 60;
+  Configure({bound, free});
+  while (std::holds_alternative<SendAttempt>(Begin("bound").step)) {
+  }
+
+  for (int i = 0; i < 4; ++i) {
+    const RequestStart start = Begin("free", "/closed/" + std::to_string(i));
+    ASSERT_TRUE(std::holds_alternative<SendAttempt>(start.step)) << i;
+    EXPECT_NE(std::get<SendAttempt>(start.step).region, kHere);
+  }
+}
+
 }  // namespace
 }  // namespace medlarcroft::request_path
