End the daemons without waiting for log threads

Operators saw stopped nodes stay until they were killed, and their successors start seconds late; the cause was inferred.

steerd and entryd left through the same wait. They now end as the node does, by one function. That they hung was not seen; on loopback the wait ends, so no test of ours fails without it. system_daemon checks exit and status 0.

--- a/lib/libmedlarcroft/source/adapters/process/daemon_main.h
+++ b/lib/libmedlarcroft/source/adapters/process/daemon_main.h
@@ -8,6 +8,7 @@
 
 #include "adapters/process/daemon_loop.h"
 #include "adapters/process/log.h"
+#include "adapters/process/process_exit.h"
 #include "adapters/process/program_options.h"
 #include "adapters/process/settings_schema.h"
 #include "adapters/process/system_clock.h"
@@ -68,8 +69,8 @@
 }
 
 /// @brief Implements a daemon's `main`: parses the command line, loads the
-/// settings and runs the node.
-/// @return the exit status of the process.
+/// settings, runs the node and ends the process.
+/// @return the exit status of a process that did not run the node.
 template <typename Node, typename Settings>
 int RunDaemonProgram(const ProgramIdentity& identity,
                      const SettingsSchema<Settings>& schema,
@@ -83,7 +84,7 @@
   if (!IsOk(start)) {
     return ErrorOf(start);
   }
-  return RunNode<Node>(identity, schema, ValueOf(start));
+  ExitWithoutLogThreads(RunNode<Node>(identity, schema, ValueOf(start)));
 }
 
 }  // namespace medlarcroft::adapters
--- a/programs/node/main.cc
+++ b/programs/node/main.cc
@@ -1,5 +1,4 @@
 // medlar-node: runs one host of medlarcroft on the users' platform.
-#include <cstdlib>
 #include <iostream>
 #include <span>
 
@@ -7,6 +6,7 @@
 #include "adapters/process/daemon_signals.h"
 #include "adapters/process/log.h"
 #include "adapters/process/node_settings.h"
+#include "adapters/process/process_exit.h"
 #include "adapters/process/program_options.h"
 #include "adapters/process/settings_document.h"
 #include "adapters/process/system_clock.h"
@@ -72,10 +72,5 @@
   if (!IsOk(start)) {
     return medlarcroft::ErrorOf(start);
   }
-  const int status = Run(ValueOf(start));
-  // At a normal exit the log library waits for its worker threads, which may
-  // fail to end on a host with one slow core. The stopped process would then
-  // stay until it is killed, and its successor would start seconds later. All
-  // log lines are written by now, so nothing is lost by not waiting.
-  std::quick_exit(status);
+  adapters::ExitWithoutLogThreads(Run(ValueOf(start)));
 }
