Send nothing for callers that have left

A host that was held up reads such requests, sent them on at once, and came to the end of the connections in a later round of its loop. The forwarder now asks the socket before each send.

--- a/lib/libmedlarcroft/source/adapters/event/http_listener.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.h
@@ -36,6 +36,9 @@
   /// @brief Runs `task` when the client closes its connection before the
   /// response.
   virtual void OnCallerGone(std::function<void()> task) = 0;
+  /// @return whether the client has closed its connection, also when the event
+  /// loop has not come to notice it.
+  [[nodiscard]] virtual bool IsCallerGone() const = 0;
 };
 
 /// @brief Handles the requests of a listener.
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -144,6 +144,11 @@
   });
 }
 
+bool HttpServerConnection::IsCallerGone() const {
+  return listener_ == nullptr || phase_ != Phase::kServing ||
+         stream_.HasPeerClosed();
+}
+
 void HttpServerConnection::RejectRequest(int status) {
   phase_ = Phase::kServing;
   keeps_alive_ = false;
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
@@ -32,6 +32,8 @@
     on_client_disconnected_ = std::move(task);
   }
 
+  [[nodiscard]] bool IsCallerGone() const override;
+
   void OnBytes(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
 
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
@@ -92,6 +92,16 @@
   }
 }
 
+bool TcpStream::HasPeerClosed() const {
+  if (descriptor_ < 0) {
+    return true;
+  }
+  char byte = 0;
+  const ssize_t count =
+      ::recv(descriptor_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && !WouldBlock());
+}
+
 void TcpStream::Close() {
   if (failure_timer_ != 0) {
     loop_.Cancel(failure_timer_);
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -107,6 +107,13 @@
 void RequestForwarder::Send(RequestTicket ticket,
                             ActiveRequest& active,
                             const SendAttempt& attempt) {
+  // Guards against sending what nobody waits for: a host that was held up reads
+  // requests after their callers have left, and comes to the end of their
+  // connections later. The targets worked on all of them.
+  if (active.exchange->IsCallerGone()) {
+    OnCallerGone(ticket);
+    return;
+  }
   parts_.telemetry.OnSend(active.lines, active.decoded.id, *active.start.route,
                           attempt);
   if (attempt.should_announce && parts_.on_placed) {
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -2,6 +2,8 @@
 three procedures of docs/OPERATIONS.md that lead from the id of a failed request to its cause."""
 
 import http.client
+import signal
+import os
 import json
 import pathlib
 import subprocess
@@ -183,6 +185,20 @@
         wait_for(lambda: self.node.log_lines_of("gone-1")[-1]["event"] == "request-cancelled")
         self.assertEqual(lines[0]["event"], "request-placed")
 
+    # Guards against requests that reach a target although their caller has left: a host that was held up read
+    # them, sent them on, and only then learned that nobody waits for the answer.
+    def test_request_of_a_caller_that_left_before_it_was_read_is_not_sent(self):
+        os.kill(self.node.process.pid, signal.SIGSTOP)
+        for number in range(5):
+            connection = http.client.HTTPConnection(*self.node.caller, timeout=WAIT_LIMIT_S)
+            connection.request("GET", f"/lookup/{number}",
+                               headers={"Host": HOST, "X-Medlarcroft-Attempt-Id": f"left-{number}"})
+            connection.close()
+        os.kill(self.node.process.pid, signal.SIGCONT)
+        wait_for(lambda: all(self.node.log_lines_of(f"left-{number}")[-1]["event"] == "request-cancelled"
+                             for number in range(5)))
+        self.assertEqual([self.runs(f"left-{number}") for number in range(5)], [0] * 5)
+
     # The three procedures of docs/OPERATIONS.md.
 
     def test_log_explains_rejection_despite_idle_targets(self):
