Place no order whose caller has left

The fault of the node's forwarder in entryd: an entry host that was held up placed orders whose callers had closed their connections.

--- a/lib/libmedlarcroft/source/adapters/entry/service_request_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/service_request_handler.cc
@@ -273,6 +273,17 @@
 }
 
 void ServiceRequestHandler::PlaceLocally(RequestContext context) {
+  const bool is_idempotent =
+      context.service->config.request_class.IsIdempotent();
+  // Guards against sending what nobody waits for: a host that was held up reads
+  // requests after their callers have left. The monitor notices it only a
+  // fraction of a second later. A request that may be repeated may have run in
+  // the failure domain to which it was shifted before.
+  if (context.responder->IsClientDisconnected()) {
+    RespondWithProblem(context, ProblemCode::kCallerDisconnected,
+                       is_idempotent ? RunState::kUnknown : RunState::kNotRun);
+    return;
+  }
   const Duration time_left = context.deadline - dependencies_.clock.Now();
   const bool is_shifted_in =
       context.forward &&
@@ -282,8 +293,6 @@
                                    .time_left = time_left,
                                    .is_shifted_in = is_shifted_in,
                                    .done = std::move(context.done)});
-  const bool is_idempotent =
-      context.service->config.request_class.IsIdempotent();
   if (ticket.id != 0) {
     dependencies_.caller_monitor.Add(ticket, context.responder, !is_idempotent);
   }
--- a/tests/system/leaving_caller_test.py
+++ b/tests/system/leaving_caller_test.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 
+from callers import runs_by_key
 from deployment import http as send, is_running, stop_all, wait_until
 from small_deployment import SERVICES, SLOTS, start_small_deployment
 
@@ -16,7 +17,10 @@
 SLOW_TARGET_MS = 2500
 ORDER_TIMEOUT_SECONDS = 8
 
+
 class LeavingCallerTest(unittest.TestCase):
+    """All tests share one deployment; the last one stops an entry host."""
+
     @classmethod
     def setUpClass(cls):
         cls.deployment = start_small_deployment("system-leaving-caller", NETWORK)
@@ -47,11 +51,11 @@
         for target in self.state["targets"]:
             send("PUT", target["url"] + "/control/faults", b'{"latency_ms": %d}' % milliseconds)
 
-    def leave_while_queued(self, key):
-        """Sends an order and closes the connection before the order is dispatched."""
+    def leave(self, key, wait_seconds):
+        """Sends an order and closes the connection without waiting for the answer."""
         connection = http.client.HTTPConnection(self.address)
         connection.request("POST", self.path, b"{}", self.headers(key))
-        time.sleep(0.1)
+        time.sleep(wait_seconds)
         connection.close()
 
     def open_requests(self):
@@ -59,6 +63,18 @@
         text = send("GET", self.entryd["url"] + "/metrics")[2]
         return int(float(re.search(r"^medlar_http_in_flight (\S+)$", text, re.M)[1])) - 1
 
+    # Guards against orders that reach a target although their caller has left: a host that was held up
+    # read them, sent them on, and only then learned that nobody waits for the answer.
+    def test_order_of_a_caller_that_left_before_it_was_read_is_not_sent(self):
+        keys = [self.key() for _ in range(SLOTS)]
+        os.kill(self.entryd["pid"], signal.SIGSTOP)
+        for key in keys:
+            self.leave(key, wait_seconds=0)
+        os.kill(self.entryd["pid"], signal.SIGCONT)
+        wait_until("every request to end", lambda: self.open_requests() == 0)
+        runs = runs_by_key(self.state)
+        self.assertEqual([runs.get(key, 0) for key in keys], [0] * SLOTS)
+
     # Guards against orders that never end: callers who closed their connection while their order was
     # queued got no answer to a retry, and a planned stop waited for its whole limit.
     def test_order_of_a_caller_that_left_can_be_retried(self):
@@ -70,7 +86,7 @@
         time.sleep(0.1)
         left = [self.key() for _ in range(SLOTS)]
         for key in left:
-            self.leave_while_queued(key)
+            self.leave(key, wait_seconds=0.1)
         self.set_latency(0)
         for thread in busy:
             thread.join()
