--- a/lib/libmedlarcroft/include/medlarcroft/request_path/region_plan.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/region_plan.h
@@ -17,6 +17,9 @@
 /// @brief Fractions of the requests, by region; they sum to 1.
 using RegionShares = std::map<RegionName, double>;
 
+/// @return the sum over all regions.
+[[nodiscard]] double Sum(const std::map<RegionName, double>& values);
+
 /// @brief Limits how fast a plan may change.
 struct RegionPlanOptions {
   /// Fraction of the requests that may change region, per second.
--- a/lib/libmedlarcroft/source/adapters/entry/host_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/host_forwarder.cc
@@ -1,6 +1,7 @@
 #include "adapters/entry/host_forwarder.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "adapters/entry/protocol.h"
--- a/lib/libmedlarcroft/source/adapters/http/http_server.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_server.cc
@@ -119,7 +119,7 @@
 
   void Send(HttpResponse response) override {
     const std::lock_guard lock(mutex_);
-    if (response_ || connection_ == nullptr) {
+    if (std::exchange(has_responded_, true) || connection_ == nullptr) {
       return;
     }
     response_ = std::move(response);
@@ -163,6 +163,11 @@
     connection_ = nullptr;
   }
 
+  bool HasResponded() const {
+    const std::lock_guard lock(mutex_);
+    return has_responded_;
+  }
+
   HttpRequest request;
   std::size_t max_body_bytes = 0;
   bool is_body_too_large = false;
@@ -176,6 +181,7 @@
   MHD_Connection* connection_;
   MHD_socket socket_;
   bool is_suspended_ = false;
+  bool has_responded_ = false;
   std::optional<HttpResponse> response_;
 };
 
@@ -214,8 +220,10 @@
 // stop waited for it. The last owner's release answers instead.
 std::shared_ptr<Responder> MakeResponder(
     const std::shared_ptr<RequestContext>& context) {
-  return {context.get(), [context](Responder* responder) {
-            responder->Send(MakeUnansweredResponse());
+  return {context.get(), [context](Responder* /*responder*/) {
+            if (!context->HasResponded()) {
+              context->Send(MakeUnansweredResponse());
+            }
           }};
 }
 
--- a/lib/libmedlarcroft/source/request_path/bound_demand.cc
+++ b/lib/libmedlarcroft/source/request_path/bound_demand.cc
@@ -32,14 +32,6 @@
   return sum;
 }
 
-double Total(const RegionSlots& slots) {
-  double total = 0;
-  for (const auto& [region, count] : slots) {
-    total += count;
-  }
-  return total;
-}
-
 }  // namespace
 
 std::vector<BoundDemand> BoundDemandsOf(Accounts accounts) {
@@ -66,7 +58,7 @@
 
 RegionSlots FreeSlots(const RegionSlots& slots,
                       std::span<const BoundDemand> demands) {
-  const double total = Total(slots);
+  const double total = Sum(slots);
   RegionSlots free = slots;
   for (const BoundDemand& demand : demands) {
     const double usable = SlotsIn(slots, demand.regions);
@@ -82,7 +74,7 @@
       }
     }
   }
-  return Total(free) > 0 ? free : slots;
+  return Sum(free) > 0 ? free : slots;
 }
 
 }  // namespace medlarcroft::request_path
--- a/lib/libmedlarcroft/source/request_path/region_plan.cc
+++ b/lib/libmedlarcroft/source/request_path/region_plan.cc
@@ -28,6 +28,8 @@
   return (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53;
 }
 
+}  // namespace
+
 double Sum(const std::map<RegionName, double>& values) {
   double sum = 0;
   for (const auto& [region, value] : values) {
@@ -36,8 +38,6 @@
   return sum;
 }
 
-}  // namespace
-
 RegionPlan::RegionPlan(RegionName own_region, const RegionPlanOptions& options)
     : own_region_(std::move(own_region)), options_(options) {}
 
