--- a/tests/unit/adapters/process/log_test.cc
+++ b/tests/unit/adapters/process/log_test.cc
@@ -84,8 +84,10 @@
   testing::internal::CaptureStdout();
   StartLogging(options);
   std::atomic<bool> is_stopping{false};
+  constexpr int kThreads = 4;
   std::vector<std::thread> threads;
-  for (int number = 0; number < 4; ++number) {
+  threads.reserve(kThreads);
+  for (int number = 0; number < kThreads; ++number) {
     threads.emplace_back([&is_stopping] {
       while (!is_stopping) {
         Log(LogLevel::kInfo, "restarted", {{"count", 1}});
