--- a/lib/libmedlarcroft/source/adapters/steer/platform_poller.cc
+++ b/lib/libmedlarcroft/source/adapters/steer/platform_poller.cc
@@ -86,9 +86,9 @@
   const std::string& text = ValueOf(head).value;
   const auto version = ParseBlockMapVersion(text);
   if (!version) {
+    const std::string start = text.substr(0, kMaxLoggedHeadBytes);
     Log(LogLevel::kError, "block-map-head-unreadable",
-        {{"row_version", ValueOf(head).version},
-         {"text", std::string_view(text).substr(0, kMaxLoggedHeadBytes)}});
+        {{"row_version", ValueOf(head).version}, {"text", start}});
     return;
   }
   if (*version <= dependencies_.core.ClientBlockMap().Current()->Version()) {
--- a/lib/libmedlarcroft/source/request_path/bound_demand.cc
+++ b/lib/libmedlarcroft/source/request_path/bound_demand.cc
@@ -50,6 +50,7 @@
     fractions[std::move(regions)] += rate / all;
   }
   std::vector<BoundDemand> demands;
+  demands.reserve(fractions.size());
   for (const auto& [regions, fraction] : fractions) {
     demands.push_back({.regions = regions, .fraction = fraction});
   }
