Show that a host uses a removed target after its own cut

Callers saw a request reach a target 2,126 ms after the store had acknowledged that it leaves; 2,000 are allowed.

The listener of the target table takes timers in place of an event loop, so that the test runs in virtual time; nothing else changes in the product.

--- a/programs/node/routing_table_listeners.cc
+++ b/programs/node/routing_table_listeners.cc
@@ -101,11 +101,11 @@
       unreadable.emplace_back(row.key);
     }
   }
-  targets_.ReplaceAll(targets, unreadable, LapseGraceEnd(), loop_.Now());
+  targets_.ReplaceAll(targets, unreadable, LapseGraceEnd(), timers_.Now());
 }
 
 void TargetTableListener::OnRows(std::span<const replication::Row> rows) {
-  const MonotonicTime now = loop_.Now();
+  const MonotonicTime now = timers_.Now();
   for (const replication::Row& row : rows) {
     if (row.is_removed) {
       logged_unreadable_versions_.erase(row.key);
@@ -136,14 +136,14 @@
 
 std::optional<MonotonicTime> TargetTableListener::LapseGraceEnd() const {
   if (!store_back_at_ ||
-      loop_.Now() - *store_back_at_ > kReregistrationPeriod) {
+      timers_.Now() - *store_back_at_ > kReregistrationPeriod) {
     return std::nullopt;
   }
   return *store_back_at_ + kReregistrationPeriod;
 }
 
 void TargetTableListener::OnStoreRecovered(Duration away) {
-  store_back_at_ = loop_.Now();
+  store_back_at_ = timers_.Now();
   LoggingTableListener::OnStoreRecovered(away);
 }
 
--- a/programs/node/routing_table_listeners.h
+++ b/programs/node/routing_table_listeners.h
@@ -9,6 +9,7 @@
 
 #include "adapters/event/event_loop.h"
 #include "logging_table_listener.h"
+#include "medlarcroft/ports/timers.h"
 #include "medlarcroft/request_path/target_directory.h"
 #include "medlarcroft/routing/route_table.h"
 
@@ -46,9 +47,9 @@
 /// @brief Applies the rows of the target registry to the known targets.
 class TargetTableListener final : public LoggingTableListener {
  public:
-  TargetTableListener(adapters::EventLoop& loop,
+  TargetTableListener(ports::Timers& timers,
                       request_path::TargetDirectory& targets)
-      : LoggingTableListener("targets"), loop_(loop), targets_(targets) {}
+      : LoggingTableListener("targets"), timers_(timers), targets_(targets) {}
 
   void OnTable(std::span<const replication::Row> rows) override;
   void OnRows(std::span<const replication::Row> rows) override;
@@ -62,7 +63,7 @@
   /// outage; nullopt: there was no recent outage.
   [[nodiscard]] std::optional<MonotonicTime> LapseGraceEnd() const;
 
-  adapters::EventLoop& loop_;
+  ports::Timers& timers_;
   request_path::TargetDirectory& targets_;
   std::optional<MonotonicTime> store_back_at_;
   // Versions of the unreadable entries that were logged. Each entry is logged
--- a/tests/property/model_store.h
+++ b/tests/property/model_store.h
@@ -32,13 +32,17 @@
   kPartitioned,  ///< No message passes in either direction.
   /// Connections stay open and calls are accepted, but never answered; calls
   /// that the store held before are answered afterwards.
-  kHung
+  kHung,
+  kIsolated  ///< As `kPartitioned`, and from the other hosts too.
 };
 
 /// @brief The store's only table with its whole history, which a test can
-/// compact. The value of each row is the version that wrote it.
+/// compact. The value of each row is the version that wrote it, unless the
+/// store is created with another one.
 class ModelStore {
  public:
+  explicit ModelStore(std::string value = "") : value_(std::move(value)) {}
+
   void Put(const std::string& key) { Change(key, false); }
   void Remove(const std::string& key) { Change(key, true); }
   void CompactHistory() { oldest_ = newest_; }
@@ -103,12 +107,14 @@
  private:
   void Change(const std::string& key, bool is_removed) {
     ++newest_;
+    const std::string value = value_.empty() ? std::to_string(newest_) : value_;
     history_[key].push_back({.key = key,
-                             .value = is_removed ? "" : std::to_string(newest_),
+                             .value = is_removed ? "" : value,
                              .version = newest_,
                              .is_removed = is_removed});
   }
 
+  const std::string value_;
   std::uint64_t newest_ = 0;
   std::uint64_t oldest_ = 0;
   std::map<std::string, std::vector<Row>> history_;
@@ -171,6 +177,10 @@
       RowsCallback callback) {
     const auto call = StartCall(from, question.wait + question.answer_margin,
                                 std::move(callback));
+    if (AccessOf(from) == StoreAccess::kIsolated ||
+        AccessOf(to) == StoreAccess::kIsolated) {
+      return;
+    }
     time_.At(to, time_.Now() + kPeerLatency, [this, from, question, ask, call] {
       ask(question,
           [this, from, call](const Result<RowBatch, RowFailure>& rows) {
@@ -260,6 +270,11 @@
              });
   }
 
+  [[nodiscard]] bool IsPartitioned(int host) const {
+    return AccessOf(host) == StoreAccess::kPartitioned ||
+           AccessOf(host) == StoreAccess::kIsolated;
+  }
+
   /// A message sent while the host is partitioned arrives afterwards, unless
   /// the keep-alive probes of its connection have failed by then.
   void Transmit(int host,
@@ -268,7 +283,7 @@
                 std::function<void()> arrive) {
     time_.At(VirtualTime::kNoHost, time_.Now() + DrawLatency(),
              [this, host, call, probe_deadline, arrive = std::move(arrive)] {
-               if (AccessOf(host) != StoreAccess::kPartitioned) {
+               if (!IsPartitioned(host)) {
                  arrive();
                } else if (time_.Now() < probe_deadline) {
                  Transmit(host, call, probe_deadline, arrive);
--- a/tests/property/table_following_schedule.h
+++ b/tests/property/table_following_schedule.h
@@ -203,6 +203,8 @@
         return "partitioned";
       case StoreAccess::kHung:
         return "store hangs for host";
+      case StoreAccess::kIsolated:
+        return "isolated";
     }
     return "";
   }
--- a/tests/property/table_following_world.h
+++ b/tests/property/table_following_world.h
@@ -2,6 +2,7 @@
 #define MEDLARCROFT_TESTS_PROPERTY_TABLE_FOLLOWING_WORLD_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -62,19 +63,57 @@
   int lost_readers = 0;
 };
 
+/// @brief What one process of a host received, and who else is told of it.
+class ForwardingListener final : public TableListener {
+ public:
+  ForwardingListener(TableListener& first,
+                     std::unique_ptr<TableListener> second)
+      : first_(first), second_(std::move(second)) {}
+
+  void OnTable(std::span<const Row> rows) override {
+    first_.OnTable(rows);
+    second_->OnTable(rows);
+  }
+  void OnRows(std::span<const Row> rows) override {
+    first_.OnRows(rows);
+    second_->OnRows(rows);
+  }
+  void OnCallFailed(const FailedCall& call) override {
+    second_->OnCallFailed(call);
+  }
+  void OnStoreRecovered(Duration outage_time) override {
+    second_->OnStoreRecovered(outage_time);
+  }
+  void OnReaderLost(RowFailure failure, std::uint64_t known_version) override {
+    first_.OnReaderLost(failure, known_version);
+    second_->OnReaderLost(failure, known_version);
+  }
+
+ private:
+  TableListener& first_;
+  std::unique_ptr<TableListener> second_;
+};
+
 /// @brief The hosts of one region.
 class Region {
  public:
+  /// @return what a host's process does with the rows that it receives.
+  using MakeListener =
+      std::function<std::unique_ptr<TableListener>(int host,
+                                                   ports::Timers& timers)>;
+
   Region(VirtualTime& time,
          ModelNetwork& network,
          int hosts,
          const FollowTiming& timing,
          std::uint64_t seed,
-         int other_readers_asked = 0)
+         int other_readers_asked = 0,
+         MakeListener make_listener = {})
       : time_(time),
         network_(network),
         pace_(timing),
         other_readers_asked_(other_readers_asked),
+        make_listener_(std::move(make_listener)),
         random_(seed) {
     hosts_.resize(static_cast<std::size_t>(hosts));
     for (int host = 0; host < hosts; ++host) {
@@ -101,11 +140,18 @@
         process->timers, [follower = &process->follower](std::string_view) {
           return *follower ? (*follower)->ServeFollowers() : FreshTable{};
         });
+    if (make_listener_) {
+      process->forwarding = std::make_unique<ForwardingListener>(
+          process->received, make_listener_(host, process->timers));
+    }
+    TableListener& listener =
+        process->forwarding ? static_cast<TableListener&>(*process->forwarding)
+                            : process->received;
     process->follower = std::make_unique<TableFollower>(
         TableFollower::Parts{.timers = process->timers,
                              .store = process->source,
                              .random = random_,
-                             .listener = process->received},
+                             .listener = listener},
         OptionsOf(host));
     process->follower->Mirror().OnChange(
         [teller = process->teller.get()] { teller->OnChange("t"); });
@@ -153,6 +199,7 @@
     HostRowSource source;
     PeerReaders readers;
     ReceivedRows received;
+    std::unique_ptr<ForwardingListener> forwarding;
     std::unique_ptr<TableFollower> follower;
     std::unique_ptr<TableServer> teller;
     std::optional<MonotonicTime> paused_since;
@@ -236,6 +283,7 @@
   ModelNetwork& network_;
   FollowTiming pace_;
   int other_readers_asked_;
+  MakeListener make_listener_;
   const std::map<FailureDomainName, RegionName> regions_{
       {kDomain, RegionName("r")}};
   fakes::SeededRandom random_;
