Tell a host's own cut from an outage of the store by evidence

What callers saw: a request reached a target 2,126 ms after the store had acknowledged that it leaves; 2,000 are allowed.

Cause: a host took each entry that was missing within 2.2 s of its own return for one that had expired while the store was away, although only the host had been cut off.

Change: the store stamps its answers with its steady clock, and hosts tell each other the span in which it answered without a pause in which entries could expire. A span that covers a host's own pause proves that nothing expired. Where nobody can be asked, the time ends before the host counts as in touch again. Both follow from the settings; the heartbeat of targets is a new one.

ExpiredTargetsTest holds what the old time was for.

--- a/lib/libmedlarcroft/include/medlarcroft/replication/follow_timing.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/follow_timing.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/replication/row_expiry.h"
 #include "medlarcroft/replication/row_source.h"
 
 namespace medlarcroft::replication {
@@ -120,12 +121,32 @@
   return std::max(kMinPause, in_touch_after - kCallAndApplyTime);
 }
 
+/// @brief The promises of a deployment that the times of its hosts must keep.
+struct FollowBounds {
+  /// See `MaxHold`.
+  Duration in_touch_after{0};
+  /// Interval at which targets renew their entries.
+  Duration target_heartbeat{0};
+};
+
+/// @brief The longest hold between whose answers no outage of the store can
+/// hide in which entries of targets expire.
+[[nodiscard]] constexpr Duration MaxHoldBetweenExpiries(
+    const FollowTiming& timing,
+    Duration target_heartbeat) {
+  return RowExpiryFor(target_heartbeat, Duration(0)).shortest_outage -
+         timing.pause_after_change - kStoreLatencyMargin;
+}
+
 [[nodiscard]] constexpr FollowTiming FollowTimingFor(
     std::size_t hosts_in_region,
-    Duration in_touch_after) {
+    const FollowBounds& bounds) {
+  const Duration in_touch_after = bounds.in_touch_after;
   FollowTiming timing = hosts_in_region > kMaxDirectReaders ? kSharedReadTiming
                                                             : kDirectReadTiming;
-  timing.wait = std::min(timing.wait, MaxHold(in_touch_after));
+  timing.wait =
+      std::min({timing.wait, MaxHold(in_touch_after),
+                MaxHoldBetweenExpiries(timing, bounds.target_heartbeat)});
   if (hosts_in_region > kMaxDirectReaders) {
     timing.first_retry_pause_of_followers = std::chrono::milliseconds(600);
     timing.max_retry_pause_of_followers = MaxRetryPause(in_touch_after);
--- a/lib/libmedlarcroft/include/medlarcroft/replication/row.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/row.h
@@ -10,6 +10,7 @@
 
 #include "medlarcroft/core/result.h"
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/replication/store_availability.h"
 
 namespace medlarcroft::replication {
 
@@ -32,6 +33,8 @@
   bool is_full_table = false;
   /// The store's steady clock when it answered; absent in other hosts' answers.
   std::optional<Duration> store_time;
+  /// In answers of other hosts: when the store is known to have answered.
+  std::optional<AvailableTime> store_available;
 };
 
 /// @brief Why a call failed.
--- a/lib/libmedlarcroft/include/medlarcroft/replication/store_clock.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/store_clock.h
@@ -29,6 +29,12 @@
     return *origin_ + store_time;
   }
 
+  /// @return this host's time when the store's clock was `store_time`; nullopt
+  /// before the first answer.
+  [[nodiscard]] std::optional<MonotonicTime> TimeOf(Duration store_time) const {
+    return origin_ ? std::optional(*origin_ + store_time) : std::nullopt;
+  }
+
  private:
   /// Liveness probes close a connection sooner than this, so a longer delay
   /// means that the store's clock has started anew.
--- a/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
@@ -14,7 +14,9 @@
 #include "medlarcroft/ports/timers.h"
 #include "medlarcroft/replication/follow_timing.h"
 #include "medlarcroft/replication/row.h"
+#include "medlarcroft/replication/row_expiry.h"
 #include "medlarcroft/replication/row_source.h"
+#include "medlarcroft/replication/store_availability.h"
 #include "medlarcroft/replication/store_clock.h"
 #include "medlarcroft/replication/table_mirror.h"
 #include "medlarcroft/replication/table_server.h"
@@ -44,6 +46,10 @@
   virtual void OnCallFailed(const FailedCall& call) = 0;
   /// The store answers again, `outage_time` after the first failed call to it.
   virtual void OnStoreRecovered(Duration outage_time) = 0;
+  /// Until then, a missing row may have expired during an outage of the store
+  /// and be written again; nullopt: the store has not been away for long
+  /// enough. Called before rows that the outage may have affected.
+  virtual void OnExpiryKnown(std::optional<MonotonicTime> /*until*/) {}
   /// The host that read for this one failed. This host reads the store itself
   /// for a while.
   virtual void OnReaderLost(RowFailure failure,
@@ -58,6 +64,8 @@
   struct Options {
     std::string table;
     FollowTiming timing;
+    /// For tables whose rows expire.
+    std::optional<RowExpiry> expiry;
     /// Requests rows from another host while the store does not answer this
     /// one. Empty when rows are not to be requested from hosts.
     std::function<void(const RowsRequest& request, RowsCallback callback)>
@@ -116,10 +124,15 @@
   void OnReaderLost(RowFailure failure);
   /// @return whether the rows are at least as new as the known ones.
   bool ApplyPeerRows(const RowBatch& rows);
+  void ApplyPeerAvailability(const RowBatch& rows);
   void OnChanges(const Result<RowBatch, RowFailure>& result);
   void OnFailure(RowFailure failure);
   [[nodiscard]] Duration PauseAfterFailure(std::uint32_t failures_before) const;
   void OnAnswer(std::optional<Duration> store_time);
+  void OnAvailabilityChange();
+  /// @return until when a missing row may only have expired; nullopt: it was
+  /// removed.
+  [[nodiscard]] std::optional<MonotonicTime> ExpiryEnd() const;
   void RequestPeerRows();
   void OnPeerRows(const Result<RowBatch, RowFailure>& result);
   void After(Duration delay, void (TableFollower::*next)());
@@ -138,6 +151,11 @@
   /// When the store was last called.
   MonotonicTime called_at_{};
   StoreClock store_clock_;
+  StoreAvailability availability_;
+  /// This host was certainly not in touch with the store before then, by its
+  /// own last outage.
+  MonotonicTime out_of_touch_at_{};
+  std::optional<MonotonicTime> expiry_end_;  ///< As last reported.
   /// When the store gave its own last answer, as estimated by `store_clock_`.
   std::optional<MonotonicTime> store_answered_at_;
   /// The pending call to a reader. The answers of all other such calls are
--- a/lib/libmedlarcroft/include/medlarcroft/replication/table_mirror.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/table_mirror.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -45,6 +46,8 @@
   bool is_loading = false;
   /// How long the table counts as fresh unless the store answers again.
   Duration fresh_for{0};
+  /// When the store is known to have answered hosts.
+  std::optional<AvailableTime> store_available;
 };
 
 }  // namespace medlarcroft::replication
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_directory.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_directory.h
@@ -77,6 +77,9 @@
   /// next valid entry suffices, because a live target writes one within about a
   /// heartbeat; estimates about the target are kept until then.
   void Suspend(const TargetName& target);
+  /// @brief Retains targets until `end` at most, after their entries turned out
+  /// to have been removed, or the store to have been back for longer.
+  void LimitRetention(MonotonicTime end, MonotonicTime now);
   /// @brief Removes retained targets whose time is over.
   void Advance(MonotonicTime now);
 
--- a/lib/libmedlarcroft/source/adapters/process/node_settings.cc
+++ b/lib/libmedlarcroft/source/adapters/process/node_settings.cc
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr SettingRange kUpToOneDay{1, 86'400'000};
+// A shorter one would leave hosts no time to hold their calls to the store.
+constexpr SettingRange kHeartbeat{500, 86'400'000};
 
 SettingsSchema<DomainRegion> MakeDomainSchema() {
   SettingsSchema<DomainRegion> schema;
@@ -62,6 +64,11 @@
                "time without errors of the store and the host "
                "after which the host must have received everything that the "
                "store has acknowledged"})
+      .DurationText(
+          "target_heartbeat", &NodeBounds::target_heartbeat, kHeartbeat,
+          {.description = "interval at which targets renew their entries in "
+                          "the store; an entry expires after three without a "
+                          "renewal"})
       .DurationText(
           "target_left_within", &NodeBounds::target_left_within, kUpToOneDay,
           {.description = "maximum time from the store's notice that a target "
--- a/lib/libmedlarcroft/source/adapters/process/node_settings.h
+++ b/lib/libmedlarcroft/source/adapters/process/node_settings.h
@@ -37,6 +37,9 @@
   /// Once the store and a host have worked without errors for this long, the
   /// host must have received everything that the store has acknowledged.
   Duration in_touch_after = std::chrono::seconds(4);
+  /// Interval at which targets renew their entries in the store. An entry that
+  /// is not renewed three times in a row expires.
+  Duration target_heartbeat = std::chrono::milliseconds(1500);
   /// Maximum time from the store's notice that a target is leaving to the last
   /// request that may reach that target.
   Duration target_left_within = std::chrono::milliseconds(2500);
--- a/lib/libmedlarcroft/source/replication/table_follower.cc
+++ b/lib/libmedlarcroft/source/replication/table_follower.cc
@@ -20,7 +20,9 @@
 }  // namespace
 
 TableFollower::TableFollower(const Parts& parts, Options options)
-    : parts_(parts), options_(std::move(options)) {}
+    : parts_(parts),
+      options_(std::move(options)),
+      availability_(options_.expiry.value_or(RowExpiry{}).shortest_outage) {}
 
 TableFollower::~TableFollower() {
   *self_ = nullptr;
@@ -168,9 +170,48 @@
     parts_.listener.OnStoreRecovered(outage_time);
   }
   answered_at_ = now;
+  const std::optional<MonotonicTime> answered_before = store_answered_at_;
   store_answered_at_ =
       store_time ? store_clock_.EstimateAnswerTime(*store_time, now) : now;
   is_catching_up_ = false;
+  if (!options_.expiry) {
+    return;
+  }
+  const bool is_after_gap =
+      availability_.OnAnswer(store_time.value_or(now.time_since_epoch()));
+  if (is_after_gap && answered_before) {
+    out_of_touch_at_ = std::max(out_of_touch_at_, *answered_before);
+  }
+  OnAvailabilityChange();
+}
+
+// After a host's own loss of the store, a target that was removed meanwhile or
+// is removed next would look like one that expired while the store was away,
+// and get requests for seconds longer than its departure allows. The store's
+// answers to other hosts tell the two apart. Where no other host can be asked,
+// the time ends before this host counts as in touch again.
+void TableFollower::OnAvailabilityChange() {
+  const std::optional<MonotonicTime> end = ExpiryEnd();
+  if (end != expiry_end_) {
+    expiry_end_ = end;
+    parts_.listener.OnExpiryKnown(end);
+  }
+  if (end && !is_requesting_from_peers_) {
+    RequestPeerRows();
+  }
+}
+
+std::optional<MonotonicTime> TableFollower::ExpiryEnd() const {
+  if (!availability_.HasGap()) {
+    return std::nullopt;
+  }
+  const RowExpiry& expiry = *options_.expiry;
+  const MonotonicTime now = parts_.timers.Now();
+  const MonotonicTime returned_at =
+      store_clock_.TimeOf(availability_.Current()->since).value_or(now);
+  const MonotonicTime end = std::min(returned_at + expiry.rewritten_within,
+                                     out_of_touch_at_ + expiry.in_touch_after);
+  return end > now ? std::optional(end) : std::nullopt;
 }
 
 Duration TableFollower::PauseAfterFailure(std::uint32_t failures_before) const {
@@ -189,6 +230,7 @@
 void TableFollower::OnFailure(RowFailure failure) {
   const MonotonicTime now = parts_.timers.Now();
   is_catching_up_ = false;
+  out_of_touch_at_ = std::max(out_of_touch_at_, called_at_);
   parts_.listener.OnCallFailed({.failure = failure,
                                 .call_time = now - called_at_,
                                 .known_version = version_,
@@ -213,9 +255,11 @@
 // leave, are evacuated or lost their warm objects, and deny routes that were
 // added. So it reads from other hosts in the meantime. Rows older than its own
 // are ignored, and a host that itself gets no answers from the store does not
-// answer.
+// answer. After the return, other hosts are asked whether the store was away
+// for them too.
 void TableFollower::RequestPeerRows() {
-  is_requesting_from_peers_ = disconnected_since_ && options_.ask_peer;
+  const bool is_needed = disconnected_since_ || ExpiryEnd();
+  is_requesting_from_peers_ = is_needed && options_.ask_peer;
   if (!is_requesting_from_peers_) {
     return;
   }
@@ -229,8 +273,20 @@
 
 void TableFollower::OnPeerRows(const Result<RowBatch, RowFailure>& result) {
   After(kPeerRequestPause, &TableFollower::RequestPeerRows);
-  if (disconnected_since_ && IsOk(result)) {
+  if (!IsOk(result)) {
+    return;
+  }
+  if (disconnected_since_) {
     (void)ApplyPeerRows(ValueOf(result));
+  } else {
+    ApplyPeerAvailability(ValueOf(result));
+  }
+}
+
+void TableFollower::ApplyPeerAvailability(const RowBatch& rows) {
+  if (options_.expiry && rows.store_available) {
+    availability_.OnKnownByPeer(*rows.store_available);
+    OnAvailabilityChange();
   }
 }
 
@@ -239,6 +295,7 @@
     return false;
   }
   answered_at_ = parts_.timers.Now();
+  ApplyPeerAvailability(rows);
   if (rows.is_full_table) {
     version_ = rows.newest_version;
     has_table_ = true;
@@ -333,7 +390,9 @@
                              FreshnessLimit(options_.timing) -
                              parts_.timers.Now();
   return remaining > Duration(0)
-             ? FreshTable{.mirror = &mirror_, .fresh_for = remaining}
+             ? FreshTable{.mirror = &mirror_,
+                          .fresh_for = remaining,
+                          .store_available = availability_.Current()}
              : FreshTable{};
 }
 
--- a/lib/libmedlarcroft/source/replication/table_server.cc
+++ b/lib/libmedlarcroft/source/replication/table_server.cc
@@ -1,6 +1,7 @@
 #include "medlarcroft/replication/table_server.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace medlarcroft::replication {
@@ -57,12 +58,14 @@
 }
 
 void TableServer::Answer(const PendingRequest& waiting) {
-  const TableMirror* const mirror = find_table_(waiting.table).mirror;
-  if (mirror == nullptr) {
+  const FreshTable table = find_table_(waiting.table);
+  if (table.mirror == nullptr) {
     waiting.answer(RowFailure::kRefused);
     return;
   }
-  waiting.answer(mirror->ChangesSince(waiting.known_version));
+  RowBatch rows = table.mirror->ChangesSince(waiting.known_version);
+  rows.store_available = table.store_available;
+  waiting.answer(std::move(rows));
 }
 
 }  // namespace medlarcroft::replication
--- a/lib/libmedlarcroft/source/request_path/target_directory.cc
+++ b/lib/libmedlarcroft/source/request_path/target_directory.cc
@@ -189,6 +189,15 @@
   usable_.clear();
 }
 
+void TargetDirectory::LimitRetention(MonotonicTime end, MonotonicTime now) {
+  for (auto& [id, entry] : targets_) {
+    if (entry.retained_until) {
+      entry.retained_until = std::min(*entry.retained_until, end);
+    }
+  }
+  Advance(now);
+}
+
 void TargetDirectory::Advance(MonotonicTime now) {
   std::vector<TargetName> expired;
   for (const auto& [id, entry] : targets_) {
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -61,6 +61,11 @@
   return regions;
 }
 
+replication::FollowBounds FollowBoundsOf(const adapters::NodeBounds& bounds) {
+  return {.in_touch_after = bounds.in_touch_after,
+          .target_heartbeat = bounds.target_heartbeat};
+}
+
 request_path::RequestPath::Options PathOptions(
     const adapters::NodeSettings& settings) {
   const adapters::NodeBounds& bounds = settings.bounds;
@@ -261,9 +266,15 @@
 
 replication::TableFollower::Options Node::FollowerOptions(
     const std::string& table) {
+  const adapters::NodeBounds& bounds = settings_.bounds;
+  std::optional<replication::RowExpiry> expiry;
+  if (table == platform::kTargetTableName) {
+    expiry = replication::RowExpiryFor(bounds.target_heartbeat,
+                                       bounds.in_touch_after - kTickPeriod);
+  }
   return {.table = table,
-          .timing =
-              replication::FollowTimingFor(1, settings_.bounds.in_touch_after),
+          .timing = replication::FollowTimingFor(1, FollowBoundsOf(bounds)),
+          .expiry = expiry,
           .ask_peer =
               [this](const replication::RowsRequest& rows_request,
                      replication::RowsCallback callback) {
@@ -335,7 +346,7 @@
 
 void Node::UpdateFollowTiming() {
   const replication::FollowTiming timing = replication::FollowTimingFor(
-      peers_.HostsInRegion(), settings_.bounds.in_touch_after);
+      peers_.HostsInRegion(), FollowBoundsOf(settings_.bounds));
   for (replication::TableFollower* const follower :
        {&operator_follower_, &target_follower_}) {
     follower->SetTiming(timing);
--- a/programs/node/routing_table_listeners.cc
+++ b/programs/node/routing_table_listeners.cc
@@ -15,10 +15,6 @@
 using adapters::Log;
 using adapters::LogLevel;
 
-// Time after a store outage by which live targets whose entries expired have
-// registered again.
-constexpr Duration kReregistrationPeriod = std::chrono::milliseconds(2200);
-
 void LogUnreadable(std::string_view event,
                    const replication::Row& row,
                    const platform::DecodeError& fault) {
@@ -101,7 +97,7 @@
       unreadable.emplace_back(row.key);
     }
   }
-  targets_.ReplaceAll(targets, unreadable, LapseGraceEnd(), timers_.Now());
+  targets_.ReplaceAll(targets, unreadable, ExpiryEnd(), timers_.Now());
 }
 
 void TargetTableListener::OnRows(std::span<const replication::Row> rows) {
@@ -109,7 +105,7 @@
   for (const replication::Row& row : rows) {
     if (row.is_removed) {
       logged_unreadable_versions_.erase(row.key);
-      targets_.Remove(TargetName(row.key), LapseGraceEnd());
+      targets_.Remove(TargetName(row.key), ExpiryEnd());
     } else if (const auto target = Decode(row)) {
       targets_.Put(*target, now);
     } else {
@@ -134,17 +130,17 @@
   return std::nullopt;
 }
 
-std::optional<MonotonicTime> TargetTableListener::LapseGraceEnd() const {
-  if (!store_back_at_ ||
-      timers_.Now() - *store_back_at_ > kReregistrationPeriod) {
-    return std::nullopt;
-  }
-  return *store_back_at_ + kReregistrationPeriod;
+std::optional<MonotonicTime> TargetTableListener::ExpiryEnd() const {
+  const bool is_over = expiry_end_ && timers_.Now() >= *expiry_end_;
+  return is_over ? std::nullopt : expiry_end_;
 }
 
-void TargetTableListener::OnStoreRecovered(Duration away) {
-  store_back_at_ = timers_.Now();
-  LoggingTableListener::OnStoreRecovered(away);
+void TargetTableListener::OnExpiryKnown(std::optional<MonotonicTime> until) {
+  const MonotonicTime now = timers_.Now();
+  expiry_end_ = until;
+  targets_.LimitRetention(until.value_or(now), now);
+  Log(LogLevel::kInfo, "entries-may-have-expired",
+      {{"for_ms", ToMilliseconds(until ? *until - now : Duration(0))}});
 }
 
 }  // namespace medlarcroft::node
--- a/programs/node/routing_table_listeners.h
+++ b/programs/node/routing_table_listeners.h
@@ -53,19 +53,19 @@
 
   void OnTable(std::span<const replication::Row> rows) override;
   void OnRows(std::span<const replication::Row> rows) override;
-  void OnStoreRecovered(Duration away) override;
+  void OnExpiryKnown(std::optional<MonotonicTime> until) override;
 
  private:
   /// @return the decoded target entry, or nullopt when it can't be decoded.
   [[nodiscard]] std::optional<request_path::TargetRecord> Decode(
       const replication::Row& row);
-  /// @return until when a missing entry may only have expired during a store
-  /// outage; nullopt: there was no recent outage.
-  [[nodiscard]] std::optional<MonotonicTime> LapseGraceEnd() const;
+  /// @return until when a missing entry may only have expired during an outage
+  /// of the store; nullopt: it was removed.
+  [[nodiscard]] std::optional<MonotonicTime> ExpiryEnd() const;
 
   ports::Timers& timers_;
   request_path::TargetDirectory& targets_;
-  std::optional<MonotonicTime> store_back_at_;
+  std::optional<MonotonicTime> expiry_end_;  ///< As last reported.
   // Versions of the unreadable entries that were logged. Each entry is logged
   // once, although it is seen each time the table is read.
   std::map<std::string, std::uint64_t> logged_unreadable_versions_;
--- a/tests/property/hung_store_property_test.cc
+++ b/tests/property/hung_store_property_test.cc
@@ -15,6 +15,12 @@
   }
 }
 
+FollowTiming TimingOf(int hosts) {
+  return FollowTimingFor(
+      static_cast<std::size_t>(hosts),
+      {.in_touch_after = seconds(4), .target_heartbeat = kTargetHeartbeat});
+}
+
 class HungStore : public testing::TestWithParam<ScheduleOptions> {};
 
 // The store hangs several times, for all hosts and at times for one, in
@@ -61,7 +67,7 @@
   VirtualTime time;
   ModelStore store;
   ModelNetwork network(time, store, 1);
-  Region region(time, network, 2, FollowTimingFor(2, seconds(4)), 2);
+  Region region(time, network, 2, TimingOf(2), 2);
   const MonotonicTime start = time.Now();
   time.RunUntil(start + seconds(1));
   store.Put("configuration");
@@ -120,9 +126,7 @@
   VirtualTime time;
   ModelStore store;
   ModelNetwork network(time, store, 1);
-  Region region(
-      time, network, GetParam(),
-      FollowTimingFor(static_cast<std::size_t>(GetParam()), seconds(4)), 2);
+  Region region(time, network, GetParam(), TimingOf(GetParam()), 2);
   time.RunUntil(time.Now() + seconds(1));
   for (Duration passed{0}; passed < kNormalPhase; passed += milliseconds(50)) {
     time.RunUntil(time.Now() + milliseconds(50));
--- a/tests/property/removed_target_property_test.cc
+++ b/tests/property/removed_target_property_test.cc
@@ -58,7 +58,8 @@
         OtherReadersAsked(bounds.target_left_within),
         [this](int host, ports::Timers& timers) {
           return MakeListener(host, timers);
-        });
+        },
+        RowExpiryFor(kTargetHeartbeat, bounds.in_touch_after - kTickPeriod));
     PlanCuts();
     PlanRemovals();
   }
@@ -79,12 +80,14 @@
   static constexpr Duration kLength = seconds(30);
   static constexpr Duration kStep = milliseconds(20);
   // As in medlar-node, which lets the directory forget targets that often.
+  static constexpr Duration kTargetHeartbeat = milliseconds(1500);
   static constexpr Duration kTickPeriod = milliseconds(250);
 
   static std::string NameOf(int target) { return "t" + std::to_string(target); }
   static FollowTiming TimingOf(const RemovalCase& bounds) {
     return FollowTimingFor(static_cast<std::size_t>(bounds.hosts),
-                           bounds.in_touch_after);
+                           {.in_touch_after = bounds.in_touch_after,
+                            .target_heartbeat = kTargetHeartbeat});
   }
 
   std::unique_ptr<TableListener> MakeListener(int host, ports::Timers& timers) {
@@ -206,6 +209,77 @@
   }
 }
 
+/// @brief Two hosts, and a store whose outage expires all entries.
+class ExpiredTargetsTest : public testing::Test {
+ protected:
+  ExpiredTargetsTest() {
+    store_.Put("a");
+    store_.Put("b");
+    region_ = std::make_unique<Region>(
+        time_, network_, 2,
+        FollowTimingFor(2, {.in_touch_after = seconds(4),
+                            .target_heartbeat = milliseconds(1500)}),
+        2, 0,
+        [this](int host, ports::Timers& timers) {
+          auto& directory = directories_.at(static_cast<std::size_t>(host));
+          directory = std::make_unique<TargetDirectory>(
+              request_path::DomainRegions{
+                  {FailureDomainName("z"), RegionName("r")}},
+              observer_);
+          return std::make_unique<node::TargetTableListener>(timers,
+                                                             *directory);
+        },
+        RowExpiryFor(milliseconds(1500), seconds(4)));
+  }
+
+  void RunFor(Duration time) { time_.RunUntil(time_.Now() + time); }
+  void SetAccess(StoreAccess access) {
+    network_.SetAccess(0, access);
+    network_.SetAccess(1, access);
+  }
+  [[nodiscard]] std::size_t CountUsable(int host) {
+    TargetDirectory& directory =
+        *directories_.at(static_cast<std::size_t>(host));
+    directory.Advance(time_.Now());
+    std::size_t usable = 0;
+    for (const auto& region : directory.Usable(ServiceName("desk"))) {
+      usable += region.targets.size();
+    }
+    return usable;
+  }
+
+  VirtualTime time_;
+  ModelStore store_{kEntry};
+  ModelNetwork network_{time_, store_, 1};
+  IgnoringObserver observer_;
+  std::array<std::unique_ptr<TargetDirectory>, 2> directories_;
+  std::unique_ptr<Region> region_;
+};
+
+// Guards against refusing all callers for seconds after an outage of the store,
+// in which the entries of live targets expired.
+TEST_F(ExpiredTargetsTest, StayUsableUntilTheyHadTimeToReregister) {
+  RunFor(seconds(3));
+  SetAccess(StoreAccess::kRefused);
+  RunFor(seconds(6));
+  store_.Remove("a");
+  store_.Remove("b");
+  SetAccess(StoreAccess::kNormal);
+  network_.OnCommit();
+  for (Duration passed{0}; passed < milliseconds(1900);
+       passed += milliseconds(100)) {
+    RunFor(milliseconds(100));
+    ASSERT_EQ(CountUsable(0), 2U) << ToSeconds(passed);
+    ASSERT_EQ(CountUsable(1), 2U) << ToSeconds(passed);
+  }
+
+  store_.Put("a");
+  network_.OnCommit();
+  RunFor(seconds(2));
+  EXPECT_EQ(CountUsable(0), 1U);
+  EXPECT_EQ(CountUsable(1), 1U);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Bounds,
     RemovedTarget,
--- a/tests/property/table_following_schedule.h
+++ b/tests/property/table_following_schedule.h
@@ -22,6 +22,7 @@
 
 inline constexpr Duration kFaultPhase = seconds(24);
 inline constexpr Duration kRecoveryPhase = seconds(10);
+inline constexpr Duration kTargetHeartbeat = milliseconds(1500);
 
 /// @brief Parameters of a schedule.
 struct ScheduleOptions {
@@ -48,7 +49,8 @@
                 network_,
                 options.hosts,
                 FollowTimingFor(static_cast<std::size_t>(options.hosts),
-                                options.recovery_time),
+                                {.in_touch_after = options.recovery_time,
+                                 .target_heartbeat = kTargetHeartbeat}),
                 seed + 2,
                 OtherReadersAsked(options.propagation_limit)) {
     faulty_until_.resize(static_cast<std::size_t>(options.hosts), time_.Now());
--- a/tests/property/table_following_world.h
+++ b/tests/property/table_following_world.h
@@ -84,6 +84,9 @@
   void OnStoreRecovered(Duration outage_time) override {
     second_->OnStoreRecovered(outage_time);
   }
+  void OnExpiryKnown(std::optional<MonotonicTime> until) override {
+    second_->OnExpiryKnown(until);
+  }
   void OnReaderLost(RowFailure failure, std::uint64_t known_version) override {
     first_.OnReaderLost(failure, known_version);
     second_->OnReaderLost(failure, known_version);
@@ -108,12 +111,14 @@
          const FollowTiming& timing,
          std::uint64_t seed,
          int other_readers_asked = 0,
-         MakeListener make_listener = {})
+         MakeListener make_listener = {},
+         std::optional<RowExpiry> expiry = std::nullopt)
       : time_(time),
         network_(network),
         pace_(timing),
         other_readers_asked_(other_readers_asked),
         make_listener_(std::move(make_listener)),
+        expiry_(expiry),
         random_(seed) {
     hosts_.resize(static_cast<std::size_t>(hosts));
     for (int host = 0; host < hosts; ++host) {
@@ -237,6 +242,7 @@
     return {
         .table = "t",
         .timing = pace_,
+        .expiry = expiry_,
         .ask_peer =
             [this, host](const RowsRequest& question, RowsCallback callback) {
               ProcessOf(host).readers.AskSomeReader(question,
@@ -284,6 +290,7 @@
   FollowTiming pace_;
   int other_readers_asked_;
   MakeListener make_listener_;
+  std::optional<RowExpiry> expiry_;
   const std::map<FailureDomainName, RegionName> regions_{
       {kDomain, RegionName("r")}};
   fakes::SeededRandom random_;
--- a/tests/unit/dist/deploy_template_test.cc
+++ b/tests/unit/dist/deploy_template_test.cc
@@ -20,12 +20,13 @@
   text << file.rdbuf();
   std::string settings = text.str();
   const std::vector<std::pair<std::string, std::string>> values = {
-      {R"(\{\{[#/](zones|bounds\.quota_window)\}\})", ""},
+      {R"(\{\{[#/](zones|heartbeat|bounds\.quota_window)\}\})", ""},
       {R"(\{\{@\}\})", "zone-a"},
       {R"(\{\{\.\}\})", "region-a"},
       {R"(\{\{(listen\.\w+|platform\.address)\|json\}\})", "\"127.0.0.1:80\""},
       {R"(\{\{bounds\.(budget_window|quota_window|grace|ttl_max|stable_window|drain)\|json\}\})",
        "\"5s\""},
+      {R"(\{\{heartbeat\|json\}\})", "\"2s\""},
       {R"(\{\{\w+\|json\}\})", "\"name\""},
       {R"(\{\{ip\}\})", "127.0.0.1"},
       {R"(\{\{port_range\.0\}\})", "7540"},
@@ -46,6 +47,7 @@
   EXPECT_EQ(ValueOf(parsed).bounds.stop_limit, std::chrono::seconds(5));
   EXPECT_EQ(ValueOf(parsed).bounds.in_touch_after, std::chrono::seconds(5));
   EXPECT_EQ(ValueOf(parsed).bounds.target_left_within, std::chrono::seconds(5));
+  EXPECT_EQ(ValueOf(parsed).bounds.target_heartbeat, std::chrono::seconds(2));
   EXPECT_EQ(ValueOf(parsed).bounds.quota_window, std::chrono::seconds(5));
   EXPECT_EQ(ValueOf(parsed).bounds.quota_overage, 0.2);
   ASSERT_EQ(ValueOf(parsed).domains.size(), 1U);
--- a/tests/unit/node/routing_table_listeners_test.cc
+++ b/tests/unit/node/routing_table_listeners_test.cc
@@ -91,6 +91,7 @@
   listener_.OnCallFailed({.failure = replication::RowFailure::kUnreachable});
   clock_.Advance(seconds(9));
   listener_.OnStoreRecovered(seconds(9));
+  listener_.OnExpiryKnown(clock_.Now() + milliseconds(2200));
   listener_.OnRows(std::vector{Removed("a"), Removed("b")});
   EXPECT_EQ(CountUsable(), 2U);
 
@@ -110,6 +111,7 @@
   listener_.OnCallFailed(
       {.failure = replication::RowFailure::kHistoryUnavailable});
   listener_.OnStoreRecovered(seconds(5));
+  listener_.OnExpiryKnown(clock_.Now() + milliseconds(2200));
   listener_.OnTable(std::vector<replication::Row>{});
   EXPECT_EQ(CountUsable(), 1U);
 
@@ -117,6 +119,19 @@
   EXPECT_EQ(CountUsable(), 0U);
 }
 
+// Guards against requests to a removed target that a host keeps as expired
+// until other hosts prove that the store was never away.
+TEST_F(TargetTableListenerTest,
+       ARetainedTargetIsDroppedOnceItsRemovalIsProved) {
+  listener_.OnTable(std::vector{Registered("a"), Registered("b")});
+  listener_.OnExpiryKnown(clock_.Now() + milliseconds(2200));
+  listener_.OnRows(std::vector{Removed("a")});
+  EXPECT_EQ(CountUsable(), 2U);
+
+  listener_.OnExpiryKnown(std::nullopt);
+  EXPECT_EQ(CountUsable(), 1U);
+}
+
 // While the store answers, a removed entry did not merely expire: the target
 // gets no further requests.
 TEST_F(TargetTableListenerTest, ARemovedTargetIsDroppedAtOnceWithoutAnOutage) {
@@ -269,6 +284,7 @@
   listener_.OnCallFailed({.failure = replication::RowFailure::kUnreachable});
   clock_.Advance(seconds(9));
   listener_.OnStoreRecovered(seconds(9));
+  listener_.OnExpiryKnown(clock_.Now() + milliseconds(2200));
   listener_.OnTable(std::vector<replication::Row>{});
   EXPECT_EQ(CountUsable(), 1U);
 
