Fit a reader's holds into the time for leaving targets

What callers could see: in a region with a reader, hosts go on sending to a target that leaves for 2.4 s and a call of their own, where 2.0 are allowed.

Cause: the reader's hold and that of its followers were sized for 2.5 s. The reader may lose the store and then fail just before it would have said so, and its followers find out only when their call to it is given up.

Change: both holds come from the time within which hosts must act on a change. Where that is 3 s or more they stay as they were.

--- a/lib/libmedlarcroft/include/medlarcroft/replication/follow_timing.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/follow_timing.h
@@ -62,11 +62,7 @@
 
 /// For regions in which one host reads for the others.
 ///
-/// The reader may be disconnected from the store and then fail before its rows
-/// count as outdated. All its followers then act on old rows for the sum of
-/// both times: 900 + 500 ms until the reader reports it, and 600 + 400 ms until
-/// a call to a dead reader is given up. That sum and a call of their own stay
-/// below 2.5 s, within which leaving targets and configurations must be known.
+/// `LimitSharedHolds` limits both holds.
 inline constexpr FollowTiming kSharedReadTiming{
     .wait = std::chrono::milliseconds(900),
     .pause_after_change = std::chrono::milliseconds(250)};
@@ -125,6 +121,8 @@
 struct FollowBounds {
   /// See `MaxHold`.
   Duration in_touch_after{0};
+  /// Time in which hosts in touch with the store must act on a change.
+  Duration changes_known_within{0};
   /// Interval at which targets renew their entries.
   Duration target_heartbeat{0};
 };
@@ -138,6 +136,24 @@
          timing.pause_after_change - kStoreLatencyMargin;
 }
 
+/// @brief Limits the holds of a region with a reader, so that its hosts know of
+/// changes in time.
+///
+/// The reader may lose the store and then fail before its rows count as
+/// outdated. All its followers then act on old rows until the reader would have
+/// reported it, then until their call to it is given up, and until a call of
+/// their own is answered.
+constexpr void LimitSharedHolds(FollowTiming& timing,
+                                Duration changes_known_within) {
+  constexpr Duration kMinHold = std::chrono::milliseconds(100);
+  const Duration holds = std::max(
+      2 * kMinHold, changes_known_within - timing.pause_after_change -
+                        kStoreLatencyMargin - kPeerAnswerMargin - kRetryTime);
+  const Duration reader_wait = holds * 2 / 5;
+  timing.reader_wait = std::min(timing.reader_wait, reader_wait);
+  timing.wait = std::min(timing.wait, holds - reader_wait);
+}
+
 [[nodiscard]] constexpr FollowTiming FollowTimingFor(
     std::size_t hosts_in_region,
     const FollowBounds& bounds) {
@@ -148,6 +164,7 @@
       std::min({timing.wait, MaxHold(in_touch_after),
                 MaxHoldBetweenExpiries(timing, bounds.target_heartbeat)});
   if (hosts_in_region > kMaxDirectReaders) {
+    LimitSharedHolds(timing, bounds.changes_known_within);
     timing.first_retry_pause_of_followers = std::chrono::milliseconds(600);
     timing.max_retry_pause_of_followers = MaxRetryPause(in_touch_after);
   }
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -63,6 +63,7 @@
 
 replication::FollowBounds FollowBoundsOf(const adapters::NodeBounds& bounds) {
   return {.in_touch_after = bounds.in_touch_after,
+          .changes_known_within = bounds.target_left_within,
           .target_heartbeat = bounds.target_heartbeat};
 }
 
--- a/tests/property/hung_store_property_test.cc
+++ b/tests/property/hung_store_property_test.cc
@@ -16,9 +16,10 @@
 }
 
 FollowTiming TimingOf(int hosts) {
-  return FollowTimingFor(
-      static_cast<std::size_t>(hosts),
-      {.in_touch_after = seconds(4), .target_heartbeat = kTargetHeartbeat});
+  return FollowTimingFor(static_cast<std::size_t>(hosts),
+                         {.in_touch_after = seconds(4),
+                          .changes_known_within = milliseconds(2500),
+                          .target_heartbeat = kTargetHeartbeat});
 }
 
 class HungStore : public testing::TestWithParam<ScheduleOptions> {};
--- a/tests/property/removed_target_property_test.cc
+++ b/tests/property/removed_target_property_test.cc
@@ -87,6 +87,7 @@
   static FollowTiming TimingOf(const RemovalCase& bounds) {
     return FollowTimingFor(static_cast<std::size_t>(bounds.hosts),
                            {.in_touch_after = bounds.in_touch_after,
+                            .changes_known_within = bounds.target_left_within,
                             .target_heartbeat = kTargetHeartbeat});
   }
 
@@ -218,6 +219,7 @@
     region_ = std::make_unique<Region>(
         time_, network_, 2,
         FollowTimingFor(2, {.in_touch_after = seconds(4),
+                            .changes_known_within = milliseconds(2500),
                             .target_heartbeat = milliseconds(1500)}),
         2, 0,
         [this](int host, ports::Timers& timers) {
--- a/tests/property/table_following_schedule.h
+++ b/tests/property/table_following_schedule.h
@@ -45,14 +45,16 @@
       : options_(options),
         random_(seed),
         network_(time_, store_, seed + 1),
-        region_(time_,
-                network_,
-                options.hosts,
-                FollowTimingFor(static_cast<std::size_t>(options.hosts),
-                                {.in_touch_after = options.recovery_time,
-                                 .target_heartbeat = kTargetHeartbeat}),
-                seed + 2,
-                OtherReadersAsked(options.propagation_limit)) {
+        region_(
+            time_,
+            network_,
+            options.hosts,
+            FollowTimingFor(static_cast<std::size_t>(options.hosts),
+                            {.in_touch_after = options.recovery_time,
+                             .changes_known_within = options.propagation_limit,
+                             .target_heartbeat = kTargetHeartbeat}),
+            seed + 2,
+            OtherReadersAsked(options.propagation_limit)) {
     faulty_until_.resize(static_cast<std::size_t>(options.hosts), time_.Now());
     const MonotonicTime end = time_.Now() + kFaultPhase;
     PlanChanges(end);
