Tell other hosts only times of the store's own clock

A store that sends no clock would have had hosts exchange times of their own clocks, which differ between machines: a host could take an outage for its own cut, and drop live targets whose entries expired. The platform's store always sends one; found by reading the stand-in, which sent 0.

--- a/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
@@ -130,6 +130,7 @@
   [[nodiscard]] Duration PauseAfterFailure(std::uint32_t failures_before) const;
   void OnAnswer(std::optional<Duration> store_time);
   void OnAvailabilityChange();
+  [[nodiscard]] std::optional<AvailableTime> AvailabilityForPeers() const;
   /// @return until when a missing row may only have expired; nullopt: it was
   /// removed.
   [[nodiscard]] std::optional<MonotonicTime> ExpiryEnd() const;
--- a/lib/libmedlarcroft/source/replication/table_follower.cc
+++ b/lib/libmedlarcroft/source/replication/table_follower.cc
@@ -366,6 +366,12 @@
   }
 }
 
+std::optional<AvailableTime> TableFollower::AvailabilityForPeers() const {
+  // Without the store's clock, the times are this host's own.
+  const bool has_store_clock = store_clock_.TimeOf(Duration(0)).has_value();
+  return has_store_clock ? availability_.Current() : std::nullopt;
+}
+
 FreshTable TableFollower::ServeFollowers() {
   served_others_at_ = parts_.timers.Now();
   direct_read_until_ = *served_others_at_ + kDirectReadTime;
@@ -392,7 +398,7 @@
   return remaining > Duration(0)
              ? FreshTable{.mirror = &mirror_,
                           .fresh_for = remaining,
-                          .store_available = availability_.Current()}
+                          .store_available = AvailabilityForPeers()}
              : FreshTable{};
 }
 
