Show that hosts that reach no target refuse all callers

Callers of hosts that had lost their links to all targets were served 0 of 559 first attempts, those of other hosts 1,327 of 1,327.

The store's stand-in serves views with other addresses of targets, and tells a clock.

--- a/tests/soak/faulty_link.py
+++ b/tests/soak/faulty_link.py
@@ -33,6 +33,25 @@
         self.listener.close()
         return address
 
+    def hang(self):
+        """New connections are not established, and open ones transmit nothing. Returns the address for `unhang`."""
+        address = self.refuse()
+        self.mode = "silent"
+        # The kernel drops further connection attempts once the queue of a listener that accepts nothing is full.
+        self.full_listener = socket.create_server(address, backlog=0)
+        self.fillers = [socket.socket() for _ in range(4)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        return address
+
+    def unhang(self, address):
+        for filler in self.fillers:
+            filler.close()
+        self.full_listener.close()
+        self.listen(address)
+        self.mode = "pass"
+
     def set(self, mode):
         """Sets the mode for all data from now on; `reset` also resets open connections."""
         self.mode = mode
--- a/tests/system/platform_standins.py
+++ b/tests/system/platform_standins.py
@@ -119,7 +119,30 @@
             pass
         return True
 
-    def _get(self, handler):
+    def serve_view(self, address, target_addresses):
+        """Serves the rows on another address, with other addresses of targets: {target's name: address}."""
+        store = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                store._get(self, target_addresses)
+
+            def do_POST(self):
+                store._post(self)
+
+        server = _Server(address, Handler)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return server
+
+    @staticmethod
+    def _with_other_address(row, addresses):
+        if row["key"] not in addresses or "value" not in row:
+            return row
+        entry = json.loads(base64.b64decode(row["value"]))
+        entry["address"] = addresses[row["key"]]
+        return {**row, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
+
+    def _get(self, handler, target_addresses=None):
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if self._is_call_dropped(handler):
@@ -139,7 +162,10 @@
             rows = self._changes(query["table"], after)
             if after == 0:
                 rows = [row for row in rows if not row.get("removed")]
-            body = {"rows": rows, "has_more": False, "schema_version": self.version, "now": "0ms"}
+            if target_addresses and query["table"] == "servers":
+                rows = [self._with_other_address(row, target_addresses) for row in rows]
+            now = "%dms" % (time.monotonic() * 1000)
+            body = {"rows": rows, "has_more": False, "schema_version": self.version, "now": now}
         if self.error_status:
             handler.answer(self.error_status)
             return
