--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -24,6 +24,7 @@
 #include "medlarcroft/request_path/retry_budget_share.h"
 #include "medlarcroft/request_path/service_times.h"
 #include "medlarcroft/request_path/target_directory.h"
+#include "medlarcroft/request_path/target_reach.h"
 #include "medlarcroft/routing/route_table.h"
 
 namespace medlarcroft::request_path {
@@ -66,6 +67,8 @@
                          ///< within the quota.
   kRegionForbidden,      ///< The route and the client account allow no region
                          ///< in common.
+  kTargetsOutOfReach,    ///< This host is cut off from all targets, and no
+                         ///< other host sent for it.
 };
 
 /// @brief A final response that this host generates itself.
@@ -95,6 +98,9 @@
   std::optional<Duration> hedge_after;
   Placement placement;
   std::optional<Duration> report_age;
+  /// Region of the host that must send it, since this host is cut off from the
+  /// targets; empty: this host sends it.
+  RegionName helper_region;
 };
 
 /// @brief Forward the target's response to the caller, and cancel the other
@@ -159,6 +165,7 @@
     double max_queue_wait = 0.6;
     CrashTracker::Options crashes;
     RateLimits::Options limits;
+    TargetReach::Options reach;
   };
 
   RequestPath(const Options& options,
@@ -209,9 +216,26 @@
   void OnReportedLoad(TargetNumber target,
                       std::uint32_t requests,
                       MonotonicTime now);
-  void OnConnected(const RegionName& region, Duration round_trip) {
+  void OnConnected(const RegionName& region,
+                   Duration round_trip,
+                   MonotonicTime now) {
     distances_.OnConnected(region, round_trip);
+    reach_.OnConnected(now);
   }
+  void OnConnectFailed(const TargetIdentity& target, MonotonicTime now) {
+    reach_.OnConnectFailed(NumberOf(target), now);
+  }
+  /// @brief Another host sent for this one, or could not reach the target.
+  void OnRelayed(const HostName& helper, bool is_reached, MonotonicTime now) {
+    reach_.OnRelayed(helper, is_reached, now);
+  }
+  /// @return targets to which connections must be tried now, each of which
+  /// `OnReachProbed` must follow.
+  [[nodiscard]] std::vector<ReachCandidate> StartReachProbes(
+      const FailureDomainName& own_domain,
+      MonotonicTime now);
+  void OnReachProbed(TargetNumber target, bool is_reached, MonotonicTime now);
+  [[nodiscard]] const TargetReach& Reach() const { return reach_; }
 
   /// @brief Applies the rate limit that a target declares in its response.
   /// @param limit requests per second for all hosts together; nullopt: none.
@@ -240,6 +264,7 @@
     Duration expected_wait{0};
     double load_at_send = 0;
     bool is_warm = false;
+    bool is_relayed = false;
     bool is_open = true;
   };
   struct Request {
@@ -318,6 +343,11 @@
   /// rate.
   [[nodiscard]] Duration SpreadRetryAfter(Duration wait);
   std::vector<AttemptNumber> AbandonOpenAttempts(Request& request);
+  /// @return the region of the host that must send for this one.
+  [[nodiscard]] RegionName HelperRegion(const Request& request,
+                                        const TargetState& target) const;
+  /// @return when the oldest of this host's own open sends was sent.
+  [[nodiscard]] std::optional<MonotonicTime> OutstandingSince() const;
   void ApplyLoadReport(TargetState& target,
                        const LoadReport& report,
                        MonotonicTime now);
@@ -330,6 +360,7 @@
   RegionDistances distances_;
   CrashTracker crashes_;
   RateLimits limits_;
+  TargetReach reach_;
   std::uint32_t host_count_ = 1;
   bool is_configuration_stale_ = false;
   quota::QuotaGate* quotas_ = nullptr;
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_directory.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_directory.h
@@ -10,6 +10,7 @@
 
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/request_path/target_reach.h"
 #include "medlarcroft/request_path/target_state.h"
 
 namespace medlarcroft::request_path {
@@ -93,6 +94,14 @@
   /// valid until the directory changes.
   [[nodiscard]] std::span<const RegionTargets> Usable(
       const ServiceName& service);
+  /// @return the address of the process; nullopt when it must get no new
+  /// requests.
+  [[nodiscard]] std::optional<std::string> FindUsableAddress(
+      const TargetIdentity& target);
+  /// @return all targets that may get new requests.
+  [[nodiscard]] std::vector<ReachCandidate> ReachCandidates() const;
+  /// @brief Ends the backoff of all targets.
+  void ForgetFailures();
   /// @brief Stops all requests to the process: another target has its address.
   void MarkReplaced(const TargetIdentity& target);
   /// @return the state of the process, even if it gets no new requests; null
@@ -127,6 +136,7 @@
       const TargetRecord& target,
       MonotonicTime now) const;
   void Erase(const TargetName& target);
+  [[nodiscard]] bool IsUsable(const Entry& entry) const;
   [[nodiscard]] std::vector<RegionTargets> GatherUsable(
       const ServiceName& service) const;
 
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -29,6 +29,8 @@
   kNeverSent,     ///< No connection could be established.
   kLost,          ///< The connection or the response broke; it may have run.
   kTimedOut,      ///< No response in time; it may have run.
+  kNoHelper,      ///< This host is cut off from the targets, and no other host
+                  ///< sent for it.
 };
 
 /// @brief This host's view of one target.
@@ -57,6 +59,8 @@
                MonotonicTime now);
   /// This host cancelled the attempt, which is no evidence about the target.
   void OnAbandoned();
+  /// @brief Ends the backoff: the failures were not the target's.
+  void ForgetFailures();
   void OnReport(const LoadReport& report, MonotonicTime now);
 
   /// @param region_mean mean load from other hosts on the targets of the
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -0,0 +1,132 @@
+#include "adapters/forward/relay_handler.h"
+
+#include <utility>
+
+#include "adapters/forward/target_connections.h"
+
+namespace medlarcroft::adapters {
+
+namespace {
+
+using telemetry::Label;
+
+constexpr telemetry::MetricDescription kRelaysForOthers = {
+    "medlar_relays_for_others_total",
+    "Sends that this host made for other hosts, by how they ended."};
+
+RelayEnd EndOfFailure(const ExchangeError& error) {
+  if (error.is_proved_unsent) {
+    return RelayEnd::kNotSent;
+  }
+  return error.failure == ExchangeFailure::kTimedOut ? RelayEnd::kTimedOut
+                                                     : RelayEnd::kLost;
+}
+
+}  // namespace
+
+RelayHandler::RelayHandler(const Parts& parts)
+    : parts_(parts), limit_(parts.max_in_flight) {
+  parts_.loop.Every(request_path::RelayLimit::kTickPeriod,
+                    [this] { limit_.OnTick(parts_.loop.Now()); });
+}
+
+RelayHandler::~RelayHandler() {
+  for (auto& [number, relay] : in_flight_) {
+    relay.exchange->OnCallerGone(nullptr);
+    parts_.caller.Cancel(relay.sent);
+  }
+}
+
+// A host that is cut off itself would only pass the failure on, and one that
+// has too much to do would serve its own callers late. Either way nothing is
+// sent, so the other host can ask a third one.
+bool RelayHandler::MayRelay() const {
+  return is_accepting_ && !parts_.reach.IsCutOff() &&
+         limit_.Admits(in_flight_.size(), parts_.loop.Now());
+}
+
+void RelayHandler::OnRequest(HttpRequest call,
+                             const std::shared_ptr<HttpExchange>& exchange) {
+  auto relay = DecodeRelayRequest(std::move(call));
+  if (!relay) {
+    exchange->Respond({.status = 400});
+    return;
+  }
+  if (!MayRelay()) {
+    Fail(*exchange, RelayEnd::kRefused);
+    return;
+  }
+  // The other host may not have heard that the target leaves, that its domain
+  // is evacuated, or that another process has its address.
+  const std::optional<std::string> address =
+      parts_.targets.FindUsableAddress(relay->target);
+  if (!address) {
+    Fail(*exchange, RelayEnd::kNotSent);
+    return;
+  }
+  // Nobody waits for it: the other host gave it up while this one was busy.
+  if (exchange->IsCallerGone()) {
+    return;
+  }
+  Send(std::move(*relay), *address, exchange);
+}
+
+void RelayHandler::Send(RelayRequest relay,
+                        const std::string& address,
+                        const std::shared_ptr<HttpExchange>& exchange) {
+  const std::uint64_t number = ++last_relay_;
+  OutboundRequest request;
+  request.address = address;
+  request.text = std::move(relay.text);
+  request.is_head_request = relay.is_head_request;
+  request.connect_timeout = kMaxRelayConnectTime;
+  request.timeout = relay.time_left;
+  request.max_idle = MaxIdleBeforeSend(relay.may_repeat);
+  request.is_matching_response =
+      [this, id = std::move(relay.id)](const HttpResponse& answer) {
+        return parts_.codec.IsResponseTo(answer, id);
+      };
+  const ExchangeId sent = parts_.caller.Send(
+      std::move(request), [this, number, address](ExchangeResult result) {
+        OnResult(number, address, std::move(result));
+      });
+  in_flight_.emplace(number, Relay{.exchange = exchange, .sent = sent});
+  exchange->OnCallerGone([this, number] { OnRequesterGone(number); });
+}
+
+void RelayHandler::OnResult(std::uint64_t number,
+                            const std::string& address,
+                            ExchangeResult result) {
+  const auto ended = in_flight_.extract(number);
+  if (ended.empty()) {
+    return;
+  }
+  HttpExchange& exchange = *ended.mapped().exchange;
+  if (!IsOk(result)) {
+    parts_.caller.CloseIdleConnections(address);
+    Fail(exchange, EndOfFailure(ErrorOf(result)));
+    return;
+  }
+  Count(RelayEnd::kAnswered);
+  exchange.Respond(EncodeRelayedAnswer(TakeValue(std::move(result))));
+}
+
+void RelayHandler::OnRequesterGone(std::uint64_t number) {
+  const auto ended = in_flight_.extract(number);
+  if (!ended.empty()) {
+    parts_.caller.Cancel(ended.mapped().sent);
+  }
+}
+
+void RelayHandler::Fail(HttpExchange& exchange, RelayEnd end) {
+  Count(end);
+  exchange.Respond(EncodeRelayFailure(end));
+}
+
+void RelayHandler::Count(RelayEnd end) {
+  parts_.metrics
+      .CounterOf(kRelaysForOthers, {Label::OfConstant("end", NameOf(end))})
+      .Add();
+}
+
+}  // namespace medlarcroft::adapters
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
@@ -0,0 +1,72 @@
+#ifndef MEDLARCROFT_ADAPTERS_FORWARD_RELAY_HANDLER_H_
+#define MEDLARCROFT_ADAPTERS_FORWARD_RELAY_HANDLER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "adapters/event/event_http_client.h"
+#include "adapters/event/http_listener.h"
+#include "adapters/forward/relay_protocol.h"
+#include "adapters/forward/request_codec.h"
+#include "medlarcroft/request_path/relay_limit.h"
+#include "medlarcroft/request_path/target_directory.h"
+#include "medlarcroft/request_path/target_reach.h"
+#include "medlarcroft/telemetry/metrics.h"
+
+namespace medlarcroft::adapters {
+
+/// @brief Sends to targets for hosts that are cut off from them. Decides
+/// nothing about the request, which the other host has admitted and placed, but
+/// sends only to a target that this host would use itself.
+class RelayHandler final : public HttpRequestHandler {
+ public:
+  struct Parts {
+    EventLoop& loop;
+    EventHttpClient& caller;
+    const RequestCodec& codec;
+    request_path::TargetDirectory& targets;
+    const request_path::TargetReach& reach;
+    telemetry::MetricsRegistry& metrics;
+    /// Relays at once, from what memory allows.
+    std::size_t max_in_flight = 0;
+  };
+
+  explicit RelayHandler(const Parts& parts);
+  ~RelayHandler() override;
+
+  void OnRequest(HttpRequest call,
+                 const std::shared_ptr<HttpExchange>& exchange) override;
+
+  /// @brief Refuses all new relays from now on, since this host shuts down.
+  void StopAccepting() { is_accepting_ = false; }
+  [[nodiscard]] std::size_t InFlight() const { return in_flight_.size(); }
+
+ private:
+  struct Relay {
+    std::shared_ptr<HttpExchange> exchange;
+    ExchangeId sent = 0;
+  };
+
+  [[nodiscard]] bool MayRelay() const;
+  void Send(RelayRequest relay,
+            const std::string& address,
+            const std::shared_ptr<HttpExchange>& exchange);
+  void OnResult(std::uint64_t number,
+                const std::string& address,
+                ExchangeResult result);
+  void OnRequesterGone(std::uint64_t number);
+  void Fail(HttpExchange& exchange, RelayEnd end);
+  void Count(RelayEnd end);
+
+  Parts parts_;
+  request_path::RelayLimit limit_;
+  bool is_accepting_ = true;
+  std::uint64_t last_relay_ = 0;
+  std::unordered_map<std::uint64_t, Relay> in_flight_;
+};
+
+}  // namespace medlarcroft::adapters
+
+#endif  // MEDLARCROFT_ADAPTERS_FORWARD_RELAY_HANDLER_H_
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
@@ -0,0 +1,106 @@
+#include "adapters/forward/relay_protocol.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <utility>
+
+#include "adapters/event/http_serialization.h"
+
+namespace medlarcroft::adapters {
+
+namespace {
+
+constexpr std::string_view kRequestHeader = "Medlar-Relay-Request";
+constexpr std::string_view kTargetHeader = "Medlar-Relay-Target";
+constexpr std::string_view kIncarnationHeader = "Medlar-Relay-Incarnation";
+constexpr std::string_view kTimeLeftHeader = "Medlar-Relay-Time-Left-Ms";
+constexpr std::string_view kRepeatableHeader = "Medlar-Relay-Repeatable";
+constexpr std::string_view kHeadHeader = "Medlar-Relay-Head";
+constexpr std::string_view kEndHeader = "Medlar-Relay-End";
+
+constexpr std::array<std::string_view, 5> kEndNames = {
+    "answered", "refused", "not-sent", "lost", "timed-out"};
+constexpr std::array<int, 5> kEndStatuses = {200, 503, 503, 502, 504};
+
+std::optional<std::uint64_t> FindNumber(const HttpHeaders& headers,
+                                        std::string_view name) {
+  const std::string_view text = headers.Find(name).value_or("");
+  std::uint64_t number = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  const bool is_whole =
+      parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+  return is_whole ? std::optional(number) : std::nullopt;
+}
+
+}  // namespace
+
+std::string_view NameOf(RelayEnd end) {
+  return kEndNames.at(static_cast<std::size_t>(end));
+}
+
+std::string EncodeRelayRequest(const RelayRequest& request,
+                               std::string_view host) {
+  HttpHeaders headers;
+  headers.Add("Host", host);
+  headers.Add("Content-Type", "application/octet-stream");
+  headers.Add(kRequestHeader, request.id);
+  headers.Add(kTargetHeader, request.target.name.Value());
+  headers.Add(kIncarnationHeader, std::to_string(request.target.incarnation));
+  headers.Add(kTimeLeftHeader,
+              std::to_string(ToMilliseconds(request.time_left)));
+  headers.Add(kRepeatableHeader, request.may_repeat ? "1" : "0");
+  headers.Add(kHeadHeader, request.is_head_request ? "1" : "0");
+  return FormatRequest("POST", kRelayPath, headers, request.text);
+}
+
+std::optional<RelayRequest> DecodeRelayRequest(HttpRequest call) {
+  const HttpHeaders& headers = call.headers;
+  const auto target = headers.Find(kTargetHeader);
+  const auto incarnation = FindNumber(headers, kIncarnationHeader);
+  const auto time_left = FindNumber(headers, kTimeLeftHeader);
+  const auto may_repeat = FindNumber(headers, kRepeatableHeader);
+  const auto is_head = FindNumber(headers, kHeadHeader);
+  // A day in milliseconds; no request lasts so long.
+  constexpr std::uint64_t kMaxTimeLeft = 86'400'000;
+  if (!target || target->empty() || !incarnation || !time_left ||
+      *time_left > kMaxTimeLeft || !may_repeat || !is_head ||
+      call.body.empty()) {
+    return std::nullopt;
+  }
+  return RelayRequest{
+      .id = std::string(headers.Find(kRequestHeader).value_or("")),
+      .target = {.name = TargetName(*target), .incarnation = *incarnation},
+      .time_left = std::chrono::milliseconds(*time_left),
+      .may_repeat = *may_repeat == 1,
+      .is_head_request = *is_head == 1,
+      .text = std::move(call.body)};
+}
+
+HttpResponse EncodeRelayFailure(RelayEnd end) {
+  HttpResponse response;
+  response.status = kEndStatuses.at(static_cast<std::size_t>(end));
+  response.headers.Add(kEndHeader, NameOf(end));
+  return response;
+}
+
+HttpResponse EncodeRelayedAnswer(HttpResponse answer) {
+  answer.headers = WithoutHopByHopHeaders(answer.headers);
+  answer.headers.Set(kEndHeader, NameOf(RelayEnd::kAnswered));
+  return answer;
+}
+
+std::optional<RelayEnd> DecodeRelayResponse(HttpResponse& response) {
+  const auto name = response.headers.Find(kEndHeader);
+  const auto found = std::ranges::find(kEndNames, name.value_or(""));
+  if (found == kEndNames.end()) {
+    return std::nullopt;
+  }
+  const auto end = static_cast<RelayEnd>(found - kEndNames.begin());
+  response.headers.Remove(kEndHeader);
+  return end;
+}
+
+}  // namespace medlarcroft::adapters
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
@@ -0,0 +1,146 @@
+#include "adapters/forward/relay_sender.h"
+
+#include <utility>
+
+namespace medlarcroft::adapters {
+
+namespace {
+
+using telemetry::Label;
+
+constexpr telemetry::MetricDescription kRelayedSends = {
+    "medlar_relayed_sends_total",
+    "Sends that other hosts made for this one, by how they ended."};
+
+// A host that is cut off too, has too much to do or is paused stays so for a
+// while.
+constexpr Duration kAvoidTime = std::chrono::seconds(1);
+// The target's own time ends earlier; this is for its answer to travel back.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(100);
+// As for targets: a host that closes an idle connection while a request is sent
+// on it leaves unknown whether the request ran.
+constexpr Duration kMaxIdle = std::chrono::milliseconds(2500);
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+
+RelayEnd EndOfFailure(const ExchangeError& error) {
+  if (error.is_proved_unsent) {
+    return RelayEnd::kRefused;
+  }
+  return error.failure == ExchangeFailure::kTimedOut ? RelayEnd::kTimedOut
+                                                     : RelayEnd::kLost;
+}
+
+}  // namespace
+
+RelaySender::~RelaySender() {
+  for (const auto& [number, relay] : relays_) {
+    parts_.caller.Cancel(relay.exchange);
+  }
+}
+
+std::uint64_t RelaySender::Send(RelayRequest request,
+                                const RegionName& region,
+                                EncodeRequest encode,
+                                Callback callback) {
+  const std::uint64_t number = ++last_relay_;
+  const MonotonicTime deadline = parts_.loop.Now() + request.time_left;
+  relays_.emplace(number, Relay{.request = std::move(request),
+                                .region = region,
+                                .encode = std::move(encode),
+                                .callback = std::move(callback),
+                                .deadline = deadline});
+  SendToNextHelper(number);
+  return number;
+}
+
+void RelaySender::SendToNextHelper(std::uint64_t number) {
+  Relay& relay = relays_.at(number);
+  const Duration time_left = relay.deadline - parts_.loop.Now();
+  std::optional<RelayHelper> helper;
+  if (relay.helpers_tried < kMaxHelpers && time_left > Duration(0)) {
+    helper = ChooseHelper(relay.region);
+  }
+  if (!helper) {
+    parts_.loop.After(Duration(0), [alive = std::weak_ptr(alive_), number] {
+      if (const auto sender = alive.lock()) {
+        (*sender)->Finish(number, {.end = RelayEnd::kRefused});
+      }
+    });
+    return;
+  }
+  ++relay.helpers_tried;
+  relay.request.time_left = time_left;
+  relay.request.text = relay.encode(time_left);
+  OutboundRequest request;
+  request.address = helper->address;
+  request.text = EncodeRelayRequest(relay.request, helper->address);
+  request.connect_timeout = kConnectTimeout;
+  request.timeout = time_left + kAnswerMargin;
+  request.max_idle = kMaxIdle;
+  relay.exchange = parts_.caller.Send(
+      std::move(request),
+      [this, number, host = helper->host](ExchangeResult result) {
+        OnResult(number, host, std::move(result));
+      });
+}
+
+std::optional<RelayHelper> RelaySender::ChooseHelper(const RegionName& region) {
+  const MonotonicTime now = parts_.loop.Now();
+  std::erase_if(avoided_until_,
+                [now](const auto& avoided) { return now >= avoided.second; });
+  std::vector<RelayHelper> helpers = parts_.find_helpers(region);
+  std::erase_if(helpers, [this](const RelayHelper& helper) {
+    return avoided_until_.contains(helper.host);
+  });
+  if (helpers.empty()) {
+    return std::nullopt;
+  }
+  return std::move(helpers[parts_.random.NextBelow(helpers.size())]);
+}
+
+void RelaySender::OnResult(std::uint64_t number,
+                           const HostName& helper,
+                           ExchangeResult result) {
+  const auto found = relays_.find(number);
+  if (found == relays_.end()) {
+    return;
+  }
+  found->second.exchange = 0;
+  RelayResult relayed{.end = RelayEnd::kLost, .helper = helper};
+  if (IsOk(result)) {
+    relayed.response = TakeValue(std::move(result));
+    relayed.end =
+        DecodeRelayResponse(relayed.response).value_or(RelayEnd::kLost);
+  } else {
+    relayed.end = EndOfFailure(ErrorOf(result));
+  }
+  parts_.metrics
+      .CounterOf(kRelayedSends, {Label::OfConstant("end", NameOf(relayed.end))})
+      .Add();
+  if (relayed.end != RelayEnd::kAnswered) {
+    avoided_until_[helper] = parts_.loop.Now() + kAvoidTime;
+  }
+  if (relayed.end == RelayEnd::kRefused) {
+    SendToNextHelper(number);
+    return;
+  }
+  Finish(number, std::move(relayed));
+}
+
+void RelaySender::Finish(std::uint64_t number, RelayResult result) {
+  auto ended = relays_.extract(number);
+  if (!ended.empty()) {
+    ended.mapped().callback(std::move(result));
+  }
+}
+
+void RelaySender::Cancel(std::uint64_t relay) {
+  const auto found = relays_.find(relay);
+  if (found == relays_.end()) {
+    return;
+  }
+  parts_.caller.Cancel(found->second.exchange);
+  relays_.erase(found);
+}
+
+}  // namespace medlarcroft::adapters
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
@@ -0,0 +1,98 @@
+#ifndef MEDLARCROFT_ADAPTERS_FORWARD_RELAY_SENDER_H_
+#define MEDLARCROFT_ADAPTERS_FORWARD_RELAY_SENDER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "adapters/event/event_http_client.h"
+#include "adapters/forward/relay_protocol.h"
+#include "medlarcroft/core/identifiers.h"
+#include "medlarcroft/ports/random_source.h"
+#include "medlarcroft/telemetry/metrics.h"
+
+namespace medlarcroft::adapters {
+
+/// @brief Another host that can send for this one.
+struct RelayHelper {
+  HostName host;
+  std::string address;  ///< IP:port for requests between hosts.
+};
+
+/// @brief The end of a relayed send.
+struct RelayResult {
+  RelayEnd end = RelayEnd::kRefused;
+  HostName helper;        ///< Empty: no helper was found.
+  HttpResponse response;  ///< The target's, if `end` is `kAnswered`.
+};
+
+/// @brief Has other hosts send requests, while this host is cut off from the
+/// targets.
+class RelaySender {
+ public:
+  using Callback = std::function<void(RelayResult)>;
+  /// @return the serialized request for the target, which states the time left.
+  using EncodeRequest = std::function<std::string(Duration time_left)>;
+  struct Parts {
+    EventLoop& loop;
+    /// Must not repeat requests by itself.
+    EventHttpClient& caller;
+    ports::RandomSource& random;
+    telemetry::MetricsRegistry& metrics;
+    /// @return the live hosts of a region, without this one.
+    std::function<std::vector<RelayHelper>(const RegionName&)> find_helpers;
+  };
+
+  explicit RelaySender(Parts parts) : parts_(std::move(parts)) {}
+  ~RelaySender();
+  RelaySender(const RelaySender&) = delete;
+  RelaySender& operator=(const RelaySender&) = delete;
+
+  /// @brief Sends through a random host of `region`. A host that provably ///
+  /// did not send is replaced by another one, up to `kMaxHelpers` in all.
+  /// `callback` runs once, never from within this call.
+  /// @param request without its text.
+  std::uint64_t Send(RelayRequest request,
+                     const RegionName& region,
+                     EncodeRequest encode,
+                     Callback callback);
+  /// @brief Gives up a send, without a callback. The helper gives it up too.
+  void Cancel(std::uint64_t relay);
+
+ private:
+  static constexpr int kMaxHelpers = 3;
+
+  struct Relay {
+    RelayRequest request;
+    RegionName region;
+    EncodeRequest encode;
+    Callback callback;
+    MonotonicTime deadline{};
+    int helpers_tried = 0;
+    ExchangeId exchange = 0;
+  };
+
+  void SendToNextHelper(std::uint64_t number);
+  [[nodiscard]] std::optional<RelayHelper> ChooseHelper(
+      const RegionName& region);
+  void OnResult(std::uint64_t number,
+                const HostName& helper,
+                ExchangeResult result);
+  void Finish(std::uint64_t number, RelayResult result);
+
+  Parts parts_;
+  std::uint64_t last_relay_ = 0;
+  std::unordered_map<std::uint64_t, Relay> relays_;
+  /// Helpers that did not send, which are not chosen until then.
+  std::map<HostName, MonotonicTime> avoided_until_;
+  std::shared_ptr<RelaySender*> alive_ = std::make_shared<RelaySender*>(this);
+};
+
+}  // namespace medlarcroft::adapters
+
+#endif  // MEDLARCROFT_ADAPTERS_FORWARD_RELAY_SENDER_H_
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <variant>
 
+#include "adapters/forward/target_connections.h"
+
 namespace medlarcroft::adapters {
 
 namespace {
@@ -15,20 +17,24 @@
 using request_path::SendAttempt;
 using request_path::Step;
 
-// A new connection takes one round trip. A lost SYN packet is retransmitted
-// after one second, so a longer timeout than that gains little.
-constexpr Duration kMinConnectTimeout = std::chrono::milliseconds(250);
-constexpr int kConnectTimeoutRoundTrips = 4;
-// If a target closes an idle connection while a request is sent on it, it is
-// unknown whether the request ran, so a request that is not idempotent can't be
-// retried. Servers keep idle connections open for seconds, so a connection that
-// was in use a moment ago is safe.
-constexpr Duration kMaxIdleIfNotRepeatable = std::chrono::milliseconds(2500);
-constexpr Duration kMaxIdleIfRepeatable = std::chrono::seconds(8);
-
 // Callers of a draining host can use another host at once.
 constexpr Duration kRetryAfterWhenLeaving = std::chrono::milliseconds(50);
 
+AttemptEnd AttemptEndOf(RelayEnd end) {
+  switch (end) {
+    case RelayEnd::kRefused:
+      return AttemptEnd::kNoHelper;
+    case RelayEnd::kNotSent:
+      return AttemptEnd::kNeverSent;
+    case RelayEnd::kTimedOut:
+      return AttemptEnd::kTimedOut;
+    case RelayEnd::kAnswered:
+    case RelayEnd::kLost:
+      break;
+  }
+  return AttemptEnd::kLost;
+}
+
 AttemptEnd AttemptEndOf(const ExchangeError& error) {
   if (error.is_proved_unsent) {
     return AttemptEnd::kNeverSent;
@@ -120,31 +126,65 @@
     parts_.on_placed(attempt.target, active.decoded.request.object);
   }
   active.trace->OnSend(attempt, active.call);
+  if (attempt.helper_region.IsEmpty()) {
+    SendDirectly(ticket, active, attempt);
+  } else {
+    SendThroughHelper(ticket, active, attempt);
+  }
+  if (attempt.hedge_after && active.slow_attempt_timer == 0) {
+    active.slow_attempt_timer = parts_.loop.After(
+        *attempt.hedge_after, [this, ticket] { OnSlow(ticket); });
+  }
+}
+
+void RequestForwarder::SendDirectly(RequestTicket ticket,
+                                    ActiveRequest& active,
+                                    const SendAttempt& attempt) {
   OutboundRequest request;
   request.address = attempt.address;
   request.text = parts_.codec.EncodeAttempt(active.call, attempt);
   request.is_head_request = active.call.method == "HEAD";
-  request.connect_timeout = std::max(
-      kMinConnectTimeout, kConnectTimeoutRoundTrips * attempt.round_trip);
+  request.connect_timeout = ConnectTimeout(attempt.round_trip);
   // The timer of the whole request ends the exchange earlier.
   request.timeout = Duration(std::chrono::hours(1));
-  request.max_idle =
-      attempt.may_repeat ? kMaxIdleIfRepeatable : kMaxIdleIfNotRepeatable;
+  request.max_idle = MaxIdleBeforeSend(attempt.may_repeat);
   request.is_matching_response =
       [this, id = active.decoded.id](const HttpResponse& answer) {
         return parts_.codec.IsResponseTo(answer, id);
       };
   request.on_connected = [this, region = attempt.region](Duration round_trip) {
-    parts_.path.OnConnected(region, round_trip);
+    parts_.path.OnConnected(region, round_trip, parts_.loop.Now());
   };
-  active.exchanges[attempt.attempt] = parts_.caller.Send(
+  const ExchangeId exchange = parts_.caller.Send(
       std::move(request), [this, ticket, attempt](ExchangeResult result) {
         OnResult(ticket, attempt, std::move(result));
       });
-  if (attempt.hedge_after && active.slow_attempt_timer == 0) {
-    active.slow_attempt_timer = parts_.loop.After(
-        *attempt.hedge_after, [this, ticket] { OnSlow(ticket); });
-  }
+  active.cancels[attempt.attempt] = [this, exchange] {
+    parts_.caller.Cancel(exchange);
+  };
+}
+
+void RequestForwarder::SendThroughHelper(RequestTicket ticket,
+                                         ActiveRequest& active,
+                                         const SendAttempt& attempt) {
+  const std::uint64_t relay = parts_.relays.Send(
+      {.id = active.decoded.id,
+       .target = attempt.target,
+       .time_left = attempt.time_left,
+       .may_repeat = attempt.may_repeat,
+       .is_head_request = active.call.method == "HEAD"},
+      attempt.helper_region,
+      [this, &active, attempt](Duration time_left) {
+        SendAttempt relayed = attempt;
+        relayed.time_left = std::min(relayed.time_left, time_left);
+        return parts_.codec.EncodeAttempt(active.call, relayed);
+      },
+      [this, ticket, attempt](RelayResult result) {
+        OnRelayResult(ticket, attempt, std::move(result));
+      });
+  active.cancels[attempt.attempt] = [this, relay] {
+    parts_.relays.Cancel(relay);
+  };
 }
 
 void RequestForwarder::OnResult(RequestTicket ticket,
@@ -155,28 +195,64 @@
     return;
   }
   ActiveRequest& active = *found->second;
-  active.exchanges.erase(attempt.attempt);
-  const MonotonicTime now = parts_.loop.Now();
-  AttemptEnd end = AttemptEnd::kLost;
   if (IsOk(result)) {
-    const ClassifiedResponse classified =
-        parts_.codec.ClassifyResponse(ValueOf(result));
-    end = classified.end;
-    if (classified.load) {
-      parts_.path.OnReport(attempt.target, *classified.load, now);
-      if (parts_.on_load_report) {
-        parts_.on_load_report(attempt.target, *classified.load);
-      }
-    }
-    if (end != AttemptEnd::kWrongTarget) {
-      parts_.path.OnRateLimit(ticket, attempt.attempt, classified.rate_limit,
-                              now);
+    EndAttempt(
+        ticket, active, attempt,
+        AcceptAnswer(ticket, active, attempt, TakeValue(std::move(result))));
+    return;
+  }
+  OnExchangeFailed(active, attempt, ErrorOf(result));
+  EndAttempt(ticket, active, attempt, AttemptEndOf(ErrorOf(result)));
+}
+
+void RequestForwarder::OnRelayResult(RequestTicket ticket,
+                                     const SendAttempt& attempt,
+                                     RelayResult result) {
+  const auto found = active_requests_.find(ticket);
+  if (found == active_requests_.end()) {
+    return;
+  }
+  ActiveRequest& active = *found->second;
+  const MonotonicTime now = parts_.loop.Now();
+  if (result.end == RelayEnd::kAnswered) {
+    parts_.path.OnRelayed(result.helper, true, now);
+    EndAttempt(
+        ticket, active, attempt,
+        AcceptAnswer(ticket, active, attempt, std::move(result.response)));
+    return;
+  }
+  if (result.end == RelayEnd::kNotSent) {
+    parts_.path.OnRelayed(result.helper, false, now);
+  }
+  EndAttempt(ticket, active, attempt, AttemptEndOf(result.end));
+}
+
+AttemptEnd RequestForwarder::AcceptAnswer(RequestTicket ticket,
+                                          ActiveRequest& active,
+                                          const SendAttempt& attempt,
+                                          HttpResponse answer) {
+  const MonotonicTime now = parts_.loop.Now();
+  const ClassifiedResponse classified = parts_.codec.ClassifyResponse(answer);
+  if (classified.load) {
+    parts_.path.OnReport(attempt.target, *classified.load, now);
+    if (parts_.on_load_report) {
+      parts_.on_load_report(attempt.target, *classified.load);
     }
-    active.answers[attempt.attempt] = TakeValue(std::move(result));
-  } else {
-    end = AttemptEndOf(ErrorOf(result));
-    OnExchangeFailed(active, attempt, ErrorOf(result));
   }
+  if (classified.end != AttemptEnd::kWrongTarget) {
+    parts_.path.OnRateLimit(ticket, attempt.attempt, classified.rate_limit,
+                            now);
+  }
+  active.answers[attempt.attempt] = std::move(answer);
+  return classified.end;
+}
+
+void RequestForwarder::EndAttempt(RequestTicket ticket,
+                                  ActiveRequest& active,
+                                  const SendAttempt& attempt,
+                                  AttemptEnd end) {
+  const MonotonicTime now = parts_.loop.Now();
+  active.cancels.erase(attempt.attempt);
   active.trace->OnAttemptEnd(attempt.attempt, end);
   parts_.telemetry.OnAttemptEnd(active.lines, active.decoded.id, attempt, end,
                                 now - active.started_at);
@@ -190,6 +266,9 @@
   // The cause of one broken connection may have broken the idle connections to
   // the same address, too.
   parts_.caller.CloseIdleConnections(attempt.address);
+  if (error.failure == ExchangeFailure::kCannotConnect) {
+    parts_.path.OnConnectFailed(attempt.target, parts_.loop.Now());
+  }
   const bool is_connection_closed =
       error.failure == ExchangeFailure::kClosed ||
       error.failure == ExchangeFailure::kTruncated;
@@ -283,8 +362,8 @@
   parts_.loop.Cancel(active->request_timer);
   parts_.loop.Cancel(active->slow_attempt_timer);
   parts_.loop.Cancel(active->token_timer);
-  for (const auto& [attempt, exchange] : active->exchanges) {
-    parts_.caller.Cancel(exchange);
+  for (const auto& [attempt, cancel] : active->cancels) {
+    cancel();
   }
 }
 
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -13,6 +13,7 @@
 #include "adapters/event/event_http_client.h"
 #include "adapters/event/http_listener.h"
 #include "adapters/forward/crash_probe.h"
+#include "adapters/forward/relay_sender.h"
 #include "adapters/forward/request_codec.h"
 #include "adapters/forward/request_telemetry.h"
 #include "adapters/forward/request_trace.h"
@@ -42,6 +43,8 @@
         on_load_report;
     /// Called for each send whose target crashed.
     CrashProbe::OnCrash on_crash;
+    /// Sends while this host is cut off from the targets.
+    RelaySender& relays;
   };
 
   explicit RequestForwarder(Parts parts)
@@ -76,7 +79,8 @@
     TimerId request_timer = 0;
     TimerId slow_attempt_timer = 0;
     TimerId token_timer = 0;
-    std::map<request_path::AttemptNumber, ExchangeId> exchanges;
+    /// Give up the pending sends, by attempt.
+    std::map<request_path::AttemptNumber, std::function<void()>> cancels;
     /// Complete responses that are not forwarded yet, by attempt.
     std::map<request_path::AttemptNumber, HttpResponse> answers;
   };
@@ -88,9 +92,29 @@
   void Send(request_path::RequestTicket ticket,
             ActiveRequest& active,
             const request_path::SendAttempt& attempt);
+  void SendDirectly(request_path::RequestTicket ticket,
+                    ActiveRequest& active,
+                    const request_path::SendAttempt& attempt);
+  void SendThroughHelper(request_path::RequestTicket ticket,
+                         ActiveRequest& active,
+                         const request_path::SendAttempt& attempt);
   void OnResult(request_path::RequestTicket ticket,
                 const request_path::SendAttempt& attempt,
                 ExchangeResult result);
+  void OnRelayResult(request_path::RequestTicket ticket,
+                     const request_path::SendAttempt& attempt,
+                     RelayResult result);
+  /// @brief Keeps the target's answer until it is forwarded.
+  /// @return how the attempt ended.
+  [[nodiscard]] request_path::AttemptEnd AcceptAnswer(
+      request_path::RequestTicket ticket,
+      ActiveRequest& active,
+      const request_path::SendAttempt& attempt,
+      HttpResponse answer);
+  void EndAttempt(request_path::RequestTicket ticket,
+                  ActiveRequest& active,
+                  const request_path::SendAttempt& attempt,
+                  request_path::AttemptEnd end);
   void OnExchangeFailed(const ActiveRequest& active,
                         const request_path::SendAttempt& attempt,
                         const ExchangeError& error);
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -30,14 +30,27 @@
 constexpr MetricDescription kAnswerLatency = {
     "medlar_answer_seconds", "From a request's arrival to its whole answer."};
 
-constexpr std::array<std::string_view, 16> kEndReasonNames = {
-    "not-configured",  "no-route",       "no-route-yet",    "no-target",
-    "no-room",         "too-late",       "retries-spent",   "may-have-run",
-    "timed-out",       "host-leaving",   "crashes-targets", "key-unknown",
-    "key-unknown-yet", "quota-exceeded", "quota-unknown",   "region-forbidden"};
-constexpr std::array<std::string_view, 7> kAttemptEndNames = {
-    "answered",   "target-failed", "not-run",  "other-target",
-    "never-sent", "lost",          "timed-out"};
+constexpr std::array<std::string_view, 17> kEndReasonNames = {
+    "not-configured",
+    "no-route",
+    "no-route-yet",
+    "no-target",
+    "no-room",
+    "too-late",
+    "retries-spent",
+    "may-have-run",
+    "timed-out",
+    "host-leaving",
+    "crashes-targets",
+    "key-unknown",
+    "key-unknown-yet",
+    "quota-exceeded",
+    "quota-unknown",
+    "region-forbidden",
+    "targets-out-of-reach"};
+constexpr std::array<std::string_view, 8> kAttemptEndNames = {
+    "answered",   "target-failed", "not-run",   "other-target",
+    "never-sent", "lost",          "timed-out", "no-helper"};
 
 RequestOutcome OutcomeOf(const routing::Route* route) {
   const bool is_non_idempotent =
@@ -62,6 +75,7 @@
        {"target", attempt.target.name.Value()},
        {"incarnation", attempt.target.incarnation},
        {"region", attempt.region.Value()},
+       {"helper_region", attempt.helper_region.Value()},
        {"time_left_ms", ToMilliseconds(attempt.time_left)},
        {"expected_ms", ToMilliseconds(placement.expected)},
        {"expected_wait_ms", ToMilliseconds(placement.expected_wait)},
--- a/lib/libmedlarcroft/source/emulation/emulation.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation.cc
@@ -239,7 +239,7 @@
   if (attempt.should_announce && shares_placements_) {
     SharePlacement(*active, attempt);
   }
-  host.Path().OnConnected(attempt.region, 2 * latency);
+  host.Path().OnConnected(attempt.region, 2 * latency, events_.Now());
   if (attempt.hedge_after) {
     events_.After(*attempt.hedge_after, [this, active] {
       if (!active->is_over) {
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -55,7 +55,7 @@
 }
 
 bool ReachedTarget(AttemptEnd end) {
-  return end != AttemptEnd::kNeverSent;
+  return end != AttemptEnd::kNeverSent && end != AttemptEnd::kNoHelper;
 }
 
 }  // namespace
@@ -70,7 +70,8 @@
       random_(random),
       distances_(options.own_region),
       crashes_(options.crashes),
-      limits_(options.limits, random) {}
+      limits_(options.limits, random),
+      reach_(options.reach, random) {}
 
 RequestStart RequestPath::Begin(const CallerRequest& request,
                                 MonotonicTime now) {
@@ -196,6 +197,9 @@
                          target.ShouldAnnounce(request.object, now),
       .placement = placement,
       .report_age = target.ReportAge(now)};
+  if (reach_.IsCutOff()) {
+    send.helper_region = HelperRegion(request, target);
+  }
   if (may_repeat) {
     send.hedge_after =
         std::max(FromSeconds(kHedgeDelayFactor * ToSeconds(placement.expected)),
@@ -208,7 +212,8 @@
        .round_trip = distances_.RoundTrip(target.Region()),
        .expected_wait = placement.expected_wait,
        .load_at_send = placement.estimated_load,
-       .is_warm = placement.is_warm});
+       .is_warm = placement.is_warm,
+       .is_relayed = !send.helper_region.IsEmpty()});
   target.OnSent(request.object, now);
   limits_.OnSent(target.Number(), now);
   return send;
@@ -287,7 +292,13 @@
   if (has_open_attempt) {
     return AwaitAttempt{};
   }
-  Step step = Retry(request, now);
+  // The other hosts have been asked, and this one reaches no target.
+  Step step =
+      end == AttemptEnd::kNoHelper
+          ? Step(RequestFailure{.reason = FailureReason::kTargetsOutOfReach,
+                                .is_not_run = !request.may_have_run,
+                                .retry_after = RetryAfter(Duration(0))})
+          : Retry(request, now);
   if (const auto* const failure = std::get_if<RequestFailure>(&step)) {
     return Finish(ticket, request, *failure, now);
   }
--- a/lib/libmedlarcroft/source/request_path/request_path_reports.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_reports.cc
@@ -21,6 +21,19 @@
   if (target == nullptr) {
     return;
   }
+  // A host that is cut off learns nothing of the target from its own sends.
+  const bool is_own_failure =
+      end == AttemptEnd::kNoHelper ||
+      (reach_.IsCutOff() && !attempt.is_relayed &&
+       (end == AttemptEnd::kNeverSent || end == AttemptEnd::kLost ||
+        end == AttemptEnd::kTimedOut));
+  if (is_own_failure) {
+    target->OnAbandoned();
+    return;
+  }
+  if (!attempt.is_relayed && end == AttemptEnd::kAnswered) {
+    reach_.OnAnswered(now);
+  }
   std::optional<double> relative;
   if (end == AttemptEnd::kAnswered || end == AttemptEnd::kTimedOut) {
     const double seconds = ToSeconds(
--- a/lib/libmedlarcroft/source/request_path/target_directory.cc
+++ b/lib/libmedlarcroft/source/request_path/target_directory.cc
@@ -237,17 +237,51 @@
   return found->second;
 }
 
+bool TargetDirectory::IsUsable(const Entry& entry) const {
+  const TargetRecord& record = entry.state->Record();
+  return !record.is_leaving && !entry.is_unreadable &&
+         !entry.state->IsReplaced() &&
+         // The region of an unknown domain is unknown, so whether the target
+         // may be used there is too.
+         !entry.state->Region().IsEmpty() &&
+         !evacuated_.contains(record.domain);
+}
+
+std::optional<std::string> TargetDirectory::FindUsableAddress(
+    const TargetIdentity& target) {
+  const auto found = targets_.find(target.name);
+  const bool is_usable =
+      found != targets_.end() &&
+      found->second.state->Record().incarnation == target.incarnation &&
+      IsUsable(found->second);
+  return is_usable ? std::optional(found->second.state->Record().address)
+                   : std::nullopt;
+}
+
+std::vector<ReachCandidate> TargetDirectory::ReachCandidates() const {
+  std::vector<ReachCandidate> candidates;
+  for (const auto& [id, entry] : targets_) {
+    if (IsUsable(entry)) {
+      const TargetRecord& record = entry.state->Record();
+      candidates.push_back({.target = entry.state->Number(),
+                            .address = record.address,
+                            .domain = record.domain});
+    }
+  }
+  return candidates;
+}
+
+void TargetDirectory::ForgetFailures() {
+  for (const auto& [id, entry] : targets_) {
+    entry.state->ForgetFailures();
+  }
+}
+
 std::vector<RegionTargets> TargetDirectory::GatherUsable(
     const ServiceName& service) const {
   std::vector<TargetState*> usable;
   for (const auto& [id, entry] : targets_) {
-    const TargetRecord& record = entry.state->Record();
-    if (record.service == service && !record.is_leaving &&
-        !entry.is_unreadable && !entry.state->IsReplaced() &&
-        // The region of an unknown domain is unknown, so whether the target may
-        // be used there is too.
-        !entry.state->Region().IsEmpty() &&
-        !evacuated_.contains(record.domain)) {
+    if (entry.state->Record().service == service && IsUsable(entry)) {
       usable.push_back(entry.state.get());
     }
   }
--- a/lib/libmedlarcroft/source/request_path/target_state.cc
+++ b/lib/libmedlarcroft/source/request_path/target_state.cc
@@ -130,6 +130,12 @@
   outstanding_ -= std::min(outstanding_, 1U);
 }
 
+void TargetState::ForgetFailures() {
+  consecutive_failures_ = 0;
+  consecutive_error_responses_ = 0;
+  backoff_ = Duration(0);
+}
+
 void TargetState::OnReport(const LoadReport& report, MonotonicTime now) {
   // The target counted the request of this response in its report.
   const double total = report.running + report.waiting;
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -36,6 +36,14 @@
 constexpr std::size_t kBodyMemoryDivisor = 16;
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 
+// Memory that relays for other hosts may use, and what one of them holds: the
+// request, the response and its connections.
+constexpr std::size_t kRelayMemoryDivisor = 16;
+constexpr std::size_t kBytesPerRelay = std::size_t{64} * 1024;
+constexpr std::size_t kIdleRelayConnections = 8;
+// Headers that this system adds to a request.
+constexpr std::size_t kMaxAddedHeaderBytes = 4096;
+
 // Length of the windows for which the bound on shifted requests holds.
 constexpr Duration kShiftWindow = std::chrono::seconds(2);
 // Part of that bound that is used by plan. Most of it is left for random
@@ -81,6 +89,10 @@
                                                   ToSeconds(kShiftWindow)}};
 }
 
+std::size_t MaxRelays(const adapters::NodeSettings& settings) {
+  return settings.memory_mb * kMegabyte / kRelayMemoryDivisor / kBytesPerRelay;
+}
+
 process::StopSequence::Options StopOptions(
     const adapters::NodeSettings& settings) {
   const Duration limit = settings.bounds.stop_limit - kStopReserve;
@@ -110,6 +122,15 @@
               random_,
               spans_.Exporter(),
               settings_.telemetry.trace_sampling),
+      relay_caller_(loop, {.max_idle_per_address = kIdleRelayConnections}),
+      relay_sender_({.loop = loop,
+                     .caller = relay_caller_,
+                     .random = random_,
+                     .metrics = metrics_,
+                     .find_helpers =
+                         [this](const RegionName& region) {
+                           return peers_.Helpers(region);
+                         }}),
       forwarder_({.loop = loop,
                   .caller = caller_,
                   .path = path_,
@@ -133,7 +154,8 @@
                   .on_crash =
                       [this](const adapters::InterruptedSend& interrupted) {
                         crash_sharing_.OnCrash(interrupted);
-                      }}),
+                      },
+                  .relays = relay_sender_}),
       store_(loop, {.address = settings.store_address}, metrics_),
       peers_(settings_,
              {.loop = loop,
@@ -221,6 +243,15 @@
           loop,
           [this](std::string_view table) { return FindFreshTable(table); }),
       mirror_handler_(row_server_),
+      relay_handler_({.loop = loop,
+                      .caller = caller_,
+                      .codec = codec_,
+                      .targets = targets_,
+                      .reach = path_.Reach(),
+                      .metrics = metrics_,
+                      .max_in_flight = MaxRelays(settings)}),
+      reach_monitor_(loop, path_, FailureDomainName(settings.failure_domain)),
+      peer_handler_(mirror_handler_, relay_handler_),
       stop_(StopOptions(settings)) {
   path_.EnforceQuotas(quota_sharing_.Enforcer());
 }
@@ -233,7 +264,7 @@
        StartFailure::kReadinessListener},
       {settings_.lookup_listen, lookup_handler_, lookup_listener_,
        StartFailure::kLookupListener},
-      {settings_.peer_listen, mirror_handler_, peer_listener_,
+      {settings_.peer_listen, peer_handler_, peer_listener_,
        StartFailure::kPeerListener}};
   if (!settings_.metrics_listen.empty()) {
     specifications.push_back({settings_.metrics_listen, metrics_handler_,
@@ -321,6 +352,7 @@
   stop_.OnSignal(signals, loop_.Now());
   peers_.SetPhase(HostPhase::kLeaving);
   caller_listener_->StartDraining();
+  relay_handler_.StopAccepting();
   AdvanceStop();
 }
 
@@ -365,7 +397,7 @@
   if (before == StopPhase::kServing) {
     return;
   }
-  stop_.Advance(forwarder_.InFlight(), loop_.Now());
+  stop_.Advance(forwarder_.InFlight() + relay_handler_.InFlight(), loop_.Now());
   if (before == StopPhase::kAnnouncing && stop_.Phase() != before) {
     caller_listener_->StopAccepting();
     forwarder_.StopAcceptingRequests();
@@ -386,6 +418,10 @@
        .max_body_bytes = std::min(limits.max_body_bytes, memory_limit),
        .header_timeout = limits.header_timeout,
        .idle_timeout = limits.idle_timeout});
+  // A relayed request comes with its head in the body.
+  peer_listener_->SetLimits(
+      {.max_body_bytes = std::min(limits.max_body_bytes, memory_limit) +
+                         limits.max_header_bytes + kMaxAddedHeaderBytes});
 }
 
 void Node::OnTargetChange(TargetChange change,
@@ -409,6 +445,11 @@
       [this] { return static_cast<double>(routes_.Version()); });
   add({"medlar_requests_in_flight", "Requests that wait for their answer."},
       [this] { return static_cast<double>(forwarder_.InFlight()); });
+  add({"medlar_targets_out_of_reach",
+       "1 while this host is cut off from all targets, otherwise 0."},
+      [this] { return path_.Reach().IsCutOff() ? 1.0 : 0.0; });
+  add({"medlar_relays_in_flight", "Sends that this host makes for others."},
+      [this] { return static_cast<double>(relay_handler_.InFlight()); });
   add({"medlar_known_hosts", "Hosts that share the bounds for all."},
       [this] { return static_cast<double>(peers_.KnownHosts()); });
   add({"medlar_targets", "Targets that are registered."},
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -7,6 +7,8 @@
 
 #include "adapters/event/event_http_client.h"
 #include "adapters/event/http_listener.h"
+#include "adapters/forward/reach_monitor.h"
+#include "adapters/forward/relay_handler.h"
 #include "adapters/forward/request_forwarder.h"
 #include "adapters/process/node_settings.h"
 #include "adapters/process/span_output.h"
@@ -19,6 +21,7 @@
 #include "medlarcroft/telemetry/tracer.h"
 #include "metrics_handler.h"
 #include "peer_group.h"
+#include "peer_request_handler.h"
 #include "platform/mirror_handler.h"
 #include "platform/platform_codec.h"
 #include "platform/platform_handlers.h"
@@ -91,6 +94,10 @@
   adapters::RequestTelemetry telemetry_;
   adapters::SpanOutput spans_;
   telemetry::Tracer tracer_;
+  /// For requests to other hosts; apart, so that their connections neither
+  /// use up nor wait for those to targets.
+  adapters::EventHttpClient relay_caller_;
+  adapters::RelaySender relay_sender_;
   adapters::RequestForwarder forwarder_;
   platform::StoreClient store_;
   PeerGroup peers_;
@@ -106,6 +113,9 @@
   MetricsHandler metrics_handler_;
   replication::TableServer row_server_;
   platform::MirrorHandler mirror_handler_;
+  adapters::RelayHandler relay_handler_;
+  adapters::ReachMonitor reach_monitor_;
+  PeerRequestHandler peer_handler_;
   process::StopSequence stop_;
   std::unique_ptr<adapters::HttpListener> caller_listener_;
   std::unique_ptr<adapters::HttpListener> readiness_listener_;
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -200,6 +200,21 @@
   return elsewhere;
 }
 
+std::vector<adapters::RelayHelper> PeerGroup::Helpers(
+    const RegionName& region) const {
+  const std::vector<replication::ReaderCandidate> hosts =
+      region.Value() == settings_.region ? LiveHosts() : HostsInOtherRegions();
+  std::vector<adapters::RelayHelper> helpers;
+  for (const replication::ReaderCandidate& host : hosts) {
+    const auto found = parts_.regions.find(host.failure_domain);
+    if (found != parts_.regions.end() && found->second == region &&
+        host.host.Value() != settings_.host) {
+      helpers.push_back({.host = host.host, .address = host.address});
+    }
+  }
+  return helpers;
+}
+
 std::vector<peer_updates::RemoteHost> PeerGroup::RemoteHosts() const {
   std::vector<peer_updates::RemoteHost> hosts;
   for (const auto& [name, entry] : entries_) {
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "adapters/event/event_loop.h"
+#include "adapters/forward/relay_sender.h"
 #include "adapters/peer/peer_channel.h"
 #include "adapters/process/node_settings.h"
 #include "logging_table_listener.h"
@@ -95,6 +96,10 @@
       const FailureDomainName& domain) const;
   /// @return the number of hosts that have a row, this one included.
   [[nodiscard]] std::uint32_t KnownHosts() const;
+  /// @return the hosts of the region that can send for this one; those of this
+  /// host's own region are alive.
+  [[nodiscard]] std::vector<adapters::RelayHelper> Helpers(
+      const RegionName& region) const;
   [[nodiscard]] replication::PeerReaders& Readers() { return readers_; }
   /// @return the number of hosts of the region that have a row, this one
   /// included.
--- a/tests/system/cut_off_host_test.py
+++ b/tests/system/cut_off_host_test.py
@@ -98,7 +98,7 @@
                 link.set("pass")
         return end
 
-    def _check_cut(self, how, numbers=(1,)):
+    def _check_cut(self, how, numbers=(1,), others=None):
         callers = [threading.Thread(target=self._call_forever, args=(number, caller), daemon=True)
                    for number in self.nodes for caller in range(3)]
         for caller in callers:
@@ -116,7 +116,8 @@
         for caller in callers:
             caller.join(15)
         served, failed, tries = self._count(numbers, started + STABLE_WINDOW_S, ended)
-        others_served, _, others_tries = self._count(set(self.nodes) - set(numbers), started + STABLE_WINDOW_S, ended)
+        others = others or set(self.nodes) - set(numbers)
+        others_served, _, others_tries = self._count(others, started + STABLE_WINDOW_S, ended)
         text = f"{how}: served {served} of {tries}, the others {others_served} of {others_tries}"
         self.assertGreater(tries, 30, text)
         self.assertGreaterEqual(served / tries, 2 / 3 * others_served / others_tries, text)
@@ -156,6 +157,32 @@
     def test_refused(self):
         self._check_cut("refused")
 
+    # Guards against a helper's planned stop that cuts the requests which it sends for others, or loses new ones.
+    def test_helper_stops(self):
+        stopper = threading.Timer(2 + STABLE_WINDOW_S, self.nodes[2].process.terminate)
+        stopper.start()
+        self._check_cut("reset", others=(3,))
+        self.assertEqual(self.nodes[2].process.wait(platform_test.WAIT_LIMIT_S), 0)
+        self.assertIn('"requests_cut":0', self.nodes[2].log.read_text())
+
+    # Guards against helpers that go on with requests whose callers have left the host that is cut off.
+    def test_caller_leaves(self):
+        self._cut((1,), "reset")
+        wait_for(lambda: self.nodes[1].call("/lookup/a", "before")[0].status == 200)
+        for target in self.targets:
+            target.delay_s = 3.0
+        connection = http.client.HTTPConnection(*self.nodes[1].caller, timeout=12)
+        connection.request("GET", "/lookup/b", headers={"Host": platform_test.HOST, "X-Medlarcroft-Attempt-Id": "leaves",
+                                                        "X-Medlarcroft-Deadline-Ms": "9000"})
+
+        def relays():
+            return sum(self.nodes[number].metric("medlar_relays_in_flight") for number in (2, 3))
+        wait_for(lambda: relays() == 1)
+        connection.close()
+        left = time.monotonic()
+        wait_for(lambda: relays() == 0)
+        self.assertLess(time.monotonic() - left, 1.5, "ended by the target's answer, not by the caller")
+
     # As above, for most hosts of a region: one host sends for all.
     def test_most_hosts(self):
         self._check_cut("reset", (1, 2))
