Blame no request for a cut between host and targets

What callers could see: an innocent request refused by all hosts for minutes.

Cause: a connection that breaks off under a request, and a target that refuses the next one, count as a crash by that request. A host that loses its links to all targets sees this for each request in flight.

Change: the report waits half a second, by which a cut is known, and is dropped if there was one.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_reach.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_reach.h
@@ -55,6 +55,9 @@
         targets_for_return_(options.targets_for_return) {}
 
   [[nodiscard]] bool IsCutOff() const { return is_cut_off_; }
+  [[nodiscard]] bool WasCutOffSince(MonotonicTime time) const {
+    return is_cut_off_ || (returned_at_ && *returned_at_ >= time);
+  }
 
   void OnConnected(MonotonicTime now);
   void OnConnectFailed(TargetNumber target, MonotonicTime now);
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -17,6 +17,10 @@
 using request_path::SendAttempt;
 using request_path::Step;
 
+// Until refused connections to other targets show that this host is cut off:
+// one period of its monitor and two round trips to another region.
+constexpr Duration kCutDetectionTime = std::chrono::milliseconds(500);
+
 // Callers of a draining host can use another host at once.
 constexpr Duration kRetryAfterWhenLeaving = std::chrono::milliseconds(50);
 
@@ -280,6 +284,25 @@
   }
 }
 
+// A target that refuses connections right after one broke off under a request
+// has crashed, or this host's links to all targets are lost. In that case the
+// requests that were in flight would count as crashing several targets each,
+// and all hosts would block them for minutes. So the report waits until a cut
+// would be known.
+void RequestForwarder::OnTargetRefused(const InterruptedSend& interrupted) {
+  const MonotonicTime refused_at = parts_.loop.Now();
+  parts_.path.OnConnectFailed(interrupted.target, refused_at);
+  if (!parts_.on_crash) {
+    return;
+  }
+  parts_.loop.After(kCutDetectionTime, [this, alive = std::weak_ptr(alive_),
+                                        interrupted, refused_at] {
+    if (!alive.expired() && !parts_.path.Reach().WasCutOffSince(refused_at)) {
+      parts_.on_crash(interrupted);
+    }
+  });
+}
+
 void RequestForwarder::OnTokens(const ClientAccountName& account) {
   for (const auto& [ticket, step] :
        parts_.path.OnTokens(account, parts_.loop.Now())) {
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -50,9 +50,7 @@
   explicit RequestForwarder(Parts parts)
       : parts_(std::move(parts)),
         crash_probe_(parts_.loop, [this](const InterruptedSend& interrupted) {
-          if (parts_.on_crash) {
-            parts_.on_crash(interrupted);
-          }
+          OnTargetRefused(interrupted);
         }) {}
   ~RequestForwarder() override;
 
@@ -118,6 +116,8 @@
   void OnExchangeFailed(const ActiveRequest& active,
                         const request_path::SendAttempt& attempt,
                         const ExchangeError& error);
+  /// @brief Reports a crash, unless this host turns out to be cut off.
+  void OnTargetRefused(const InterruptedSend& interrupted);
   void OnTokenWaitOver(request_path::RequestTicket ticket);
   void OnSlow(request_path::RequestTicket ticket);
   void OnTimeout(request_path::RequestTicket ticket);
@@ -132,6 +132,9 @@
   CrashProbe crash_probe_;
   bool is_accepting_ = true;
   ActiveRequests active_requests_;
+  /// Released with this object: a timer that fires later finds it gone.
+  std::shared_ptr<RequestForwarder*> alive_ =
+      std::make_shared<RequestForwarder*>(this);
 };
 
 }  // namespace medlarcroft::adapters
--- a/tests/system/cut_off_host_test.py
+++ b/tests/system/cut_off_host_test.py
@@ -157,6 +157,22 @@
     def test_refused(self):
         self._check_cut("refused")
 
+    # Guards against blocking innocent requests on all hosts: a connection that is reset, and a target that then refuses
+    # the next one, look like a request that crashed its target.
+    def test_requests_are_not_blamed(self):
+        for target in self.targets:
+            target.delay_s = 1.0
+        callers = [threading.Thread(target=lambda n=n: self.nodes[1].call(f"/lookup/{n}", f"r-{n}", object_key=str(n)))
+                   for n in range(6)]
+        for caller in callers:
+            caller.start()
+        wait_for(lambda: sum(target.running for target in self.targets) >= 5)
+        self._cut((1,), "reset")
+        for caller in callers:
+            caller.join()
+        time.sleep(1.5)
+        self.assertNotIn('"event":"target-crashed"', self.nodes[1].log.read_text())
+
     # Guards against a helper's planned stop that cuts the requests which it sends for others, or loses new ones.
     def test_helper_stops(self):
         stopper = threading.Timer(2 + STABLE_WINDOW_S, self.nodes[2].process.terminate)
