Let keep-alive probes state the time that TCP_USER_TIMEOUT decides

A TCP_USER_TIMEOUT that is set decides when keep-alive probes give up, whatever their count. All connections to targets, hosts and the store set one of 3 s, and the count said the same by chance: idle time and two probes of 1 s each. The count now follows from the limit, so that both always state one time; nothing changes for 3 s.

--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
@@ -24,14 +24,13 @@
 /// and a request that waits for it would wait forever. The kernel's probes end
 /// such a connection, also while no data is sent.
 void EnableDeadPeerDetection(int descriptor, Duration limit) {
-  constexpr int kKeepAliveIntervalSeconds = 1;
-  constexpr int kKeepAliveProbeCount = 2;
+  const KeepAliveProbes probes = KeepAliveProbesFor(limit);
   SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
             static_cast<int>(ToMilliseconds(limit)));
   SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIntervalSeconds);
-  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
-  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbeCount);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, probes.idle_seconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, probes.interval_seconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, probes.count);
 }
 
 bool WouldBlock() {
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
@@ -1,6 +1,8 @@
 #ifndef MEDLARCROFT_ADAPTERS_EVENT_TCP_STREAM_H_
 #define MEDLARCROFT_ADAPTERS_EVENT_TCP_STREAM_H_
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -12,6 +14,25 @@
 
 namespace medlarcroft::adapters {
 
+/// @brief Keep-alive probes of a connection, in whole seconds.
+struct KeepAliveProbes {
+  int idle_seconds = 1;
+  int interval_seconds = 1;
+  int count = 1;
+};
+
+/// @return the probes that end a connection whose peer acknowledges nothing for
+/// `limit`. A TCP_USER_TIMEOUT decides when probes give up, whatever their
+/// count (tcp(7)), so the count must not state another time.
+[[nodiscard]] constexpr KeepAliveProbes KeepAliveProbesFor(Duration limit) {
+  KeepAliveProbes probes;
+  const auto seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(limit).count();
+  probes.count = std::max(1, (static_cast<int>(seconds) - probes.idle_seconds) /
+                                 probes.interval_seconds);
+  return probes;
+}
+
 /// @brief How a connection ended.
 enum class StreamEnd {
   kClosed,         ///< Orderly close by the peer; all its data was read.
