--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -222,6 +222,8 @@
     distances_.OnConnected(region, round_trip);
     reach_.OnConnected(now);
   }
+  /// @brief A send for another host connected to its target.
+  void OnRelayConnected(MonotonicTime now) { reach_.OnConnected(now); }
   void OnConnectFailed(const TargetIdentity& target, MonotonicTime now) {
     reach_.OnConnectFailed(NumberOf(target), now);
   }
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_reach.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_reach.h
@@ -94,6 +94,8 @@
   std::map<TargetNumber, MonotonicTime> failed_;
   MonotonicTime last_answer_at_{};
   MonotonicTime next_round_at_{};
+  /// Silence is no reason for a round before then.
+  MonotonicTime silence_ignored_until_{};
   std::size_t pending_probes_ = 0;
   std::size_t round_size_ = 0;
   std::size_t known_targets_ = 0;
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -61,7 +61,7 @@
   const std::optional<std::string> address =
       parts_.targets.FindUsableAddress(relay->target);
   if (!address) {
-    Fail(*exchange, RelayEnd::kNotSent);
+    Fail(*exchange, RelayEnd::kNotAllowed);
     return;
   }
   // Nobody waits for it: the other host gave it up while this one was busy.
@@ -86,11 +86,14 @@
       [this, id = std::move(relay.id)](const HttpResponse& answer) {
         return parts_.codec.IsResponseTo(answer, id);
       };
+  request.on_connected = [this](Duration) { parts_.on_connected(); };
   const ExchangeId sent = parts_.caller.Send(
       std::move(request), [this, number, address](ExchangeResult result) {
         OnResult(number, address, std::move(result));
       });
-  in_flight_.emplace(number, Relay{.exchange = exchange, .sent = sent});
+  in_flight_.emplace(number, Relay{.exchange = exchange,
+                                   .target = std::move(relay.target),
+                                   .sent = sent});
   exchange->OnCallerGone([this, number] { OnRequesterGone(number); });
 }
 
@@ -104,6 +107,9 @@
   HttpExchange& exchange = *ended.mapped().exchange;
   if (!IsOk(result)) {
     parts_.caller.CloseIdleConnections(address);
+    if (ErrorOf(result).failure == ExchangeFailure::kCannotConnect) {
+      parts_.on_connect_failed(ended.mapped().target);
+    }
     Fail(exchange, EndOfFailure(ErrorOf(result)));
     return;
   }
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
@@ -2,6 +2,7 @@
 #define MEDLARCROFT_ADAPTERS_FORWARD_RELAY_HANDLER_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -29,6 +30,9 @@
     request_path::TargetDirectory& targets;
     const request_path::TargetReach& reach;
     telemetry::MetricsRegistry& metrics;
+    /// What relays show of this host's own reach.
+    std::function<void()> on_connected;
+    std::function<void(const request_path::TargetIdentity&)> on_connect_failed;
     /// Relays at once, from what memory allows.
     std::size_t max_in_flight = 0;
   };
@@ -46,6 +50,7 @@
  private:
   struct Relay {
     std::shared_ptr<HttpExchange> exchange;
+    request_path::TargetIdentity target;
     ExchangeId sent = 0;
   };
 
--- a/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
@@ -20,9 +20,9 @@
 constexpr std::string_view kHeadHeader = "Medlar-Relay-Head";
 constexpr std::string_view kEndHeader = "Medlar-Relay-End";
 
-constexpr std::array<std::string_view, 5> kEndNames = {
-    "answered", "refused", "not-sent", "lost", "timed-out"};
-constexpr std::array<int, 5> kEndStatuses = {200, 503, 503, 502, 504};
+constexpr std::array<std::string_view, 6> kEndNames = {
+    "answered", "refused", "not-sent", "not-allowed", "lost", "timed-out"};
+constexpr std::array<int, 6> kEndStatuses = {200, 503, 503, 503, 502, 504};
 
 std::optional<std::uint64_t> FindNumber(const HttpHeaders& headers,
                                         std::string_view name) {
--- a/lib/libmedlarcroft/source/adapters/forward/relay_protocol.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.h
@@ -32,11 +32,12 @@
 
 /// @brief How a relayed send ended.
 enum class RelayEnd {
-  kAnswered,  ///< The response is the target's.
-  kRefused,   ///< Not sent: the helper takes no relays at the moment.
-  kNotSent,   ///< Not sent: the helper can't reach the target, or must not.
-  kLost,      ///< Sent, but the response is lost; it may have run.
-  kTimedOut,  ///< Sent, but not answered in time; it may have run.
+  kAnswered,    ///< The response is the target's.
+  kRefused,     ///< Not sent: the helper takes no relays at the moment.
+  kNotSent,     ///< Not sent: the helper can't reach the target.
+  kNotAllowed,  ///< Not sent: the helper must send nothing to the target.
+  kLost,        ///< Sent, but the response is lost; it may have run.
+  kTimedOut,    ///< Sent, but not answered in time; it may have run.
 };
 
 [[nodiscard]] std::string_view NameOf(RelayEnd end);
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
@@ -117,7 +117,8 @@
   parts_.metrics
       .CounterOf(kRelayedSends, {Label::OfConstant("end", NameOf(relayed.end))})
       .Add();
-  if (relayed.end != RelayEnd::kAnswered) {
+  if (relayed.end != RelayEnd::kAnswered &&
+      relayed.end != RelayEnd::kNotAllowed) {
     avoided_until_[helper] = parts_.loop.Now() + kAvoidTime;
   }
   if (relayed.end == RelayEnd::kRefused) {
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -29,6 +29,7 @@
     case RelayEnd::kRefused:
       return AttemptEnd::kNoHelper;
     case RelayEnd::kNotSent:
+    case RelayEnd::kNotAllowed:
       return AttemptEnd::kNeverSent;
     case RelayEnd::kTimedOut:
       return AttemptEnd::kTimedOut;
--- a/lib/libmedlarcroft/source/request_path/request_path_reports.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_reports.cc
@@ -31,7 +31,10 @@
     target->OnAbandoned();
     return;
   }
-  if (!attempt.is_relayed && end == AttemptEnd::kAnswered) {
+  const bool is_answer =
+      end == AttemptEnd::kAnswered || end == AttemptEnd::kTargetFailed ||
+      end == AttemptEnd::kNotRun || end == AttemptEnd::kWrongTarget;
+  if (is_answer && !attempt.is_relayed) {
     reach_.OnAnswered(now);
   }
   std::optional<double> relative;
--- a/lib/libmedlarcroft/source/request_path/target_reach.cc
+++ b/lib/libmedlarcroft/source/request_path/target_reach.cc
@@ -9,6 +9,8 @@
 // Failures further apart are not one event.
 constexpr Duration kFailureMemory = std::chrono::seconds(1);
 constexpr Duration kRoundInterval = std::chrono::milliseconds(500);
+// A host with few requests, which take long, is silent most of the time.
+constexpr Duration kSilencePause = std::chrono::seconds(1);
 constexpr Duration kCutOffRoundInterval = std::chrono::milliseconds(250);
 constexpr std::size_t kCutOffProbes = 2;
 // Targets that accepted a connection within this time count together.
@@ -59,7 +61,7 @@
     return false;
   }
   const MonotonicTime silent_before = now - options_.suspicious_silence;
-  const bool is_silent = outstanding_since &&
+  const bool is_silent = now >= silence_ignored_until_ && outstanding_since &&
                          *outstanding_since < silent_before &&
                          last_answer_at_ < silent_before;
   const auto recent =
@@ -122,6 +124,7 @@
   }
   if (is_reached) {
     OnConnected(now);
+    silence_ignored_until_ = now + kSilencePause;
     round_size_ = 0;
     return;
   }
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -243,13 +243,19 @@
           loop,
           [this](std::string_view table) { return FindFreshTable(table); }),
       mirror_handler_(row_server_),
-      relay_handler_({.loop = loop,
-                      .caller = caller_,
-                      .codec = codec_,
-                      .targets = targets_,
-                      .reach = path_.Reach(),
-                      .metrics = metrics_,
-                      .max_in_flight = MaxRelays(settings)}),
+      relay_handler_(
+          {.loop = loop,
+           .caller = caller_,
+           .codec = codec_,
+           .targets = targets_,
+           .reach = path_.Reach(),
+           .metrics = metrics_,
+           .on_connected = [this] { path_.OnRelayConnected(loop_.Now()); },
+           .on_connect_failed =
+               [this](const request_path::TargetIdentity& target) {
+                 path_.OnConnectFailed(target, loop_.Now());
+               },
+           .max_in_flight = MaxRelays(settings)}),
       reach_monitor_(loop, path_, FailureDomainName(settings.failure_domain)),
       peer_handler_(mirror_handler_, relay_handler_),
       stop_(StopOptions(settings)) {
--- a/tests/unit/adapters/forward/relay_protocol_test.cc
+++ b/tests/unit/adapters/forward/relay_protocol_test.cc
@@ -72,6 +72,7 @@
                          testing::Values(RelayEnd::kAnswered,
                                          RelayEnd::kRefused,
                                          RelayEnd::kNotSent,
+                                         RelayEnd::kNotAllowed,
                                          RelayEnd::kLost,
                                          RelayEnd::kTimedOut));
 
--- a/tests/unit/request_path/target_reach_test.cc
+++ b/tests/unit/request_path/target_reach_test.cc
@@ -107,6 +107,15 @@
   EXPECT_TRUE(reach_.IsCutOff());
 }
 
+// Guards against a steady stream of probes from a host with few, long requests.
+TEST_F(TargetReachTest, SilenceOfLongRequestsCausesFewProbes) {
+  Accept(12);
+  RunFor(seconds(5), now_ - seconds(1));
+  EXPECT_GT(rounds_, 0);
+  EXPECT_LE(rounds_, 5);
+  EXPECT_FALSE(reach_.IsCutOff());
+}
+
 // Guards against a cut that no other target could disprove.
 TEST_F(TargetReachTest, ASingleTargetShowsNoCut) {
   candidates_.resize(1);
