End a cut after relapses, and where some of few targets are down

Found by reading. After several relapses twelve different targets had to accept within 1.5 s, of which only twelve were tried, and with few targets all of them had to: a host would have gone on sending through others for good. More are tried with each relapse, and half of the known targets suffice. Two new tests, both failed on the code before.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_reach.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_reach.h
@@ -85,6 +85,8 @@
       std::span<const ReachCandidate> candidates,
       const FailureDomainName& first_domain,
       std::size_t count);
+  [[nodiscard]] std::size_t TargetsForReturn() const;
+  [[nodiscard]] std::size_t CutOffProbes() const;
   void CutOff(MonotonicTime now);
   void Return(MonotonicTime now);
 
--- a/lib/libmedlarcroft/source/request_path/target_reach.cc
+++ b/lib/libmedlarcroft/source/request_path/target_reach.cc
@@ -12,7 +12,7 @@
 // A host with few requests, which take long, is silent most of the time.
 constexpr Duration kSilencePause = std::chrono::seconds(1);
 constexpr Duration kCutOffRoundInterval = std::chrono::milliseconds(250);
-constexpr std::size_t kCutOffProbes = 2;
+constexpr std::size_t kMinCutOffProbes = 2;
 // Targets that accepted a connection within this time count together.
 constexpr Duration kReachMemory = std::chrono::milliseconds(1500);
 // A cut that returns within this time takes more evidence to end. Otherwise
@@ -80,7 +80,7 @@
   known_targets_ = candidates.size();
   std::vector<ReachCandidate> chosen =
       Choose(candidates, own_domain,
-             is_cut_off_ ? kCutOffProbes : options_.probes_per_round);
+             is_cut_off_ ? CutOffProbes() : options_.probes_per_round);
   round_size_ = chosen.size();
   pending_probes_ = chosen.size();
   return chosen;
@@ -117,7 +117,7 @@
     if (is_reached) {
       reached_[target] = now;
     }
-    if (reached_.size() >= std::min(targets_for_return_, known_targets_)) {
+    if (reached_.size() >= TargetsForReturn()) {
       Return(now);
     }
     return;
@@ -134,6 +134,17 @@
   }
 }
 
+// Some of few targets may be down, so half of them suffice.
+std::size_t TargetReach::TargetsForReturn() const {
+  return std::min(targets_for_return_, (known_targets_ + 1) / 2);
+}
+
+// Several rounds lie within `kReachMemory`, in which different targets must
+// accept.
+std::size_t TargetReach::CutOffProbes() const {
+  return std::max(kMinCutOffProbes, targets_for_return_ / 2);
+}
+
 void TargetReach::CutOff(MonotonicTime now) {
   const bool is_relapse = returned_at_ && now - *returned_at_ < kRelapseTime;
   targets_for_return_ =
--- a/tests/unit/request_path/target_reach_test.cc
+++ b/tests/unit/request_path/target_reach_test.cc
@@ -169,6 +169,26 @@
   EXPECT_FALSE(reach_.IsCutOff());
 }
 
+// Guards against a host that goes on sending through others for good, after a
+// cut that came back several times.
+TEST_F(TargetReachTest, ManyRelapsesEndToo) {
+  for (int relapse = 0; relapse < 6; ++relapse) {
+    CutOff();
+    Accept(12);
+    RunFor(seconds(4));
+    EXPECT_FALSE(reach_.IsCutOff()) << relapse;
+  }
+}
+
+// As above, where some of few targets are down.
+TEST_F(TargetReachTest, EndsAlthoughSomeOfFewTargetsAreDown) {
+  candidates_.resize(3);
+  CutOff();
+  Accept(2);
+  RunFor(seconds(3));
+  EXPECT_FALSE(reach_.IsCutOff());
+}
+
 // Guards against asking other hosts in vain while the targets are down.
 TEST_F(TargetReachTest, TargetsThatNoHostReachesAreDown) {
   CutOff();
