--- a/lib/libmedlarcroft/include/medlarcroft/request_path/relay_limit.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/relay_limit.h
@@ -19,11 +19,12 @@
   explicit RelayLimit(std::size_t max_in_flight)
       : max_in_flight_(max_in_flight) {}
 
-  /// @brief Must be called each `kTickPeriod`; the delay shows whether this
-  /// host keeps up with its work.
+  /// @brief Starts to observe this host.
+  void Start(MonotonicTime now) { last_tick_at_ = now; }
+  /// @brief Must be called each `kTickPeriod` after `Start`; the delay shows
+  /// whether this host keeps up with its work.
   void OnTick(MonotonicTime now) {
-    if (last_tick_at_ != MonotonicTime{} &&
-        now - last_tick_at_ > kTickPeriod + kMaxDelay) {
+    if (now - last_tick_at_ > kTickPeriod + kMaxDelay) {
       late_until_ = now + kRecoveryTime;
     }
     last_tick_at_ = now;
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -25,18 +25,33 @@
 }  // namespace
 
 RelayHandler::RelayHandler(const Parts& parts)
-    : parts_(parts), limit_(parts.max_in_flight) {
-  parts_.loop.Every(request_path::RelayLimit::kTickPeriod,
-                    [this] { limit_.OnTick(parts_.loop.Now()); });
-}
+    : parts_(parts), limit_(parts.max_in_flight) {}
 
 RelayHandler::~RelayHandler() {
+  parts_.loop.Cancel(tick_timer_);
   for (auto& [number, relay] : in_flight_) {
     relay.exchange->OnCallerGone(nullptr);
     parts_.caller.Cancel(relay.sent);
   }
 }
 
+void RelayHandler::StartTicking() {
+  if (tick_timer_ == 0) {
+    limit_.Start(parts_.loop.Now());
+    tick_timer_ = parts_.loop.After(request_path::RelayLimit::kTickPeriod,
+                                    [this] { Tick(); });
+  }
+}
+
+void RelayHandler::Tick() {
+  tick_timer_ = 0;
+  limit_.OnTick(parts_.loop.Now());
+  if (!in_flight_.empty()) {
+    tick_timer_ = parts_.loop.After(request_path::RelayLimit::kTickPeriod,
+                                    [this] { Tick(); });
+  }
+}
+
 // A host that is cut off itself would only pass the failure on, and one that
 // has too much to do would serve its own callers late. Either way nothing is
 // sent, so the other host can ask a third one.
@@ -95,6 +110,7 @@
                                    .target = std::move(relay.target),
                                    .sent = sent});
   exchange->OnCallerGone([this, number] { OnRequesterGone(number); });
+  StartTicking();
 }
 
 void RelayHandler::OnResult(std::uint64_t number,
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
@@ -62,12 +62,16 @@
                 const std::string& address,
                 ExchangeResult result);
   void OnRequesterGone(std::uint64_t number);
+  /// @brief Observes whether this host keeps up, while it relays.
+  void StartTicking();
+  void Tick();
   void Fail(HttpExchange& exchange, RelayEnd end);
   void Count(RelayEnd end);
 
   Parts parts_;
   request_path::RelayLimit limit_;
   bool is_accepting_ = true;
+  TimerId tick_timer_ = 0;
   std::uint64_t last_relay_ = 0;
   std::unordered_map<std::uint64_t, Relay> in_flight_;
 };
--- a/tests/unit/request_path/relay_limit_test.cc
+++ b/tests/unit/request_path/relay_limit_test.cc
@@ -20,7 +20,7 @@
 TEST(RelayLimitTest, RefusesWhileTheEventLoopIsLate) {
   RelayLimit limit(10);
   MonotonicTime now{std::chrono::hours(1)};
-  limit.OnTick(now);
+  limit.Start(now);
   limit.OnTick(now += RelayLimit::kTickPeriod + milliseconds(5));
   EXPECT_TRUE(limit.Admits(0, now));
 
