--- /dev/null
+++ b/programs/node/node_gauges.cc
@@ -0,0 +1,48 @@
+// Node: the gauges that its parts offer.
+#include <functional>
+#include <utility>
+
+#include "node.h"
+
+namespace medlarcroft::node {
+
+using telemetry::MetricDescription;
+
+void Node::RegisterGauges() {
+  const auto add = [this](const MetricDescription& metric,
+                          std::function<double()> read) {
+    metrics_.AddGaugeSource(metric, {}, std::move(read));
+  };
+  add({"medlar_configuration_version", "Version of the routes in force."},
+      [this] { return static_cast<double>(routes_.Version()); });
+  add({"medlar_requests_in_flight", "Requests that wait for their answer."},
+      [this] { return static_cast<double>(forwarder_.InFlight()); });
+  add({"medlar_targets_out_of_reach",
+       "1 while this host is cut off from all targets, otherwise 0."},
+      [this] { return path_.Reach().IsCutOff() ? 1.0 : 0.0; });
+  add({"medlar_relays_in_flight", "Sends that this host makes for others."},
+      [this] { return static_cast<double>(relay_handler_.InFlight()); });
+  add({"medlar_known_hosts", "Hosts that share the bounds for all."},
+      [this] { return static_cast<double>(peers_.KnownHosts()); });
+  add({"medlar_targets", "Targets that are registered."},
+      [this] { return static_cast<double>(targets_.Size()); });
+  add({"medlar_operator_news_age_seconds",
+       "Since the store last answered about the operator's rows."},
+      [this] {
+        return ToSeconds(operator_follower_.Age().value_or(Duration(0)));
+      });
+  add({"medlar_target_news_age_seconds",
+       "Since the store last answered about targets."},
+      [this] {
+        return ToSeconds(target_follower_.Age().value_or(Duration(0)));
+      });
+  add({"medlar_caller_connections", "Open connections of callers."}, [this] {
+    return static_cast<double>(caller_listener_->OpenConnections());
+  });
+  add({"medlar_target_connections_opened", "Connections opened to targets."},
+      [this] {
+        return static_cast<double>(caller_.Counters().connections_opened);
+      });
+}
+
+}  // namespace medlarcroft::node
