Ask hosts of other regions where all of the own one are cut off

Found by reading. A host that was cut off asked the hosts of its own region only, so that callers of a region whose hosts are all cut off were refused as before, though hosts elsewhere reach the targets; and after three refusals of hosts in the same failure domain it gave up. A host of a failure domain in which none refused is asked first.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -98,9 +98,10 @@
   std::optional<Duration> hedge_after;
   Placement placement;
   std::optional<Duration> report_age;
-  /// Region of the host that must send it, since this host is cut off from the
-  /// targets; empty: this host sends it.
-  RegionName helper_region;
+  /// Regions of the hosts of which one must send it, since this host is cut off
+  /// from the targets, in order of preference; an empty name: any region. None:
+  /// this host sends it.
+  std::vector<RegionName> helper_regions;
 };
 
 /// @brief Forward the target's response to the caller, and cancel the other
@@ -345,9 +346,9 @@
   /// rate.
   [[nodiscard]] Duration SpreadRetryAfter(Duration wait);
   std::vector<AttemptNumber> AbandonOpenAttempts(Request& request);
-  /// @return the region of the host that must send for this one.
-  [[nodiscard]] RegionName HelperRegion(const Request& request,
-                                        const TargetState& target) const;
+  /// @return the regions of the hosts of which one must send for this one.
+  [[nodiscard]] std::vector<RegionName> HelperRegions(
+      const Request& request) const;
   /// @return when the oldest of this host's own open sends was sent.
   [[nodiscard]] std::optional<MonotonicTime> OutstandingSince() const;
   void ApplyLoadReport(TargetState& target,
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
@@ -1,5 +1,7 @@
 #include "adapters/forward/relay_sender.h"
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace medlarcroft::adapters {
@@ -39,13 +41,13 @@
 }
 
 std::uint64_t RelaySender::Send(RelayRequest request,
-                                const RegionName& region,
+                                std::vector<RegionName> regions,
                                 EncodeRequest encode,
                                 Callback callback) {
   const std::uint64_t number = ++last_relay_;
   const MonotonicTime deadline = parts_.loop.Now() + request.time_left;
   relays_.emplace(number, Relay{.request = std::move(request),
-                                .region = region,
+                                .regions = std::move(regions),
                                 .encode = std::move(encode),
                                 .callback = std::move(callback),
                                 .deadline = deadline});
@@ -58,7 +60,7 @@
   const Duration time_left = relay.deadline - parts_.loop.Now();
   std::optional<RelayHelper> helper;
   if (relay.helpers_tried < kMaxHelpers && time_left > Duration(0)) {
-    helper = ChooseHelper(relay.region);
+    helper = ChooseHelper(relay.regions);
   }
   if (!helper) {
     parts_.loop.After(Duration(0), [alive = std::weak_ptr(alive_), number] {
@@ -79,34 +81,49 @@
   request.max_idle = kMaxIdle;
   relay.exchange = parts_.caller.Send(
       std::move(request),
-      [this, number, host = helper->host](ExchangeResult result) {
-        OnResult(number, host, std::move(result));
+      [this, number, helper = *helper](ExchangeResult result) {
+        OnResult(number, helper, std::move(result));
       });
 }
 
-std::optional<RelayHelper> RelaySender::ChooseHelper(const RegionName& region) {
+std::optional<RelayHelper> RelaySender::ChooseHelper(
+    std::span<const RegionName> regions) {
   const MonotonicTime now = parts_.loop.Now();
-  std::erase_if(avoided_until_,
-                [now](const auto& avoided) { return now >= avoided.second; });
-  std::vector<RelayHelper> helpers = parts_.find_helpers(region);
-  std::erase_if(helpers, [this](const RelayHelper& helper) {
-    return avoided_until_.contains(helper.host);
+  std::erase_if(avoided_, [now](const auto& avoided) {
+    return now >= avoided.second.until;
   });
-  if (helpers.empty()) {
-    return std::nullopt;
+  // Hosts are often cut off with others of their failure domain.
+  std::set<FailureDomainName> avoided_domains;
+  for (const auto& [host, avoided] : avoided_) {
+    avoided_domains.insert(avoided.failure_domain);
   }
-  return std::move(helpers[parts_.random.NextBelow(helpers.size())]);
+  for (const RegionName& region : regions) {
+    std::vector<RelayHelper> helpers = parts_.find_helpers(region);
+    std::erase_if(helpers, [this](const RelayHelper& helper) {
+      return avoided_.contains(helper.host);
+    });
+    const auto end = std::partition(
+        helpers.begin(), helpers.end(), [&](const RelayHelper& helper) {
+          return !avoided_domains.contains(helper.failure_domain);
+        });
+    const auto preferred = static_cast<std::size_t>(end - helpers.begin());
+    const std::size_t count = preferred > 0 ? preferred : helpers.size();
+    if (count > 0) {
+      return std::move(helpers[parts_.random.NextBelow(count)]);
+    }
+  }
+  return std::nullopt;
 }
 
 void RelaySender::OnResult(std::uint64_t number,
-                           const HostName& helper,
+                           const RelayHelper& helper,
                            ExchangeResult result) {
   const auto found = relays_.find(number);
   if (found == relays_.end()) {
     return;
   }
   found->second.exchange = 0;
-  RelayResult relayed{.end = RelayEnd::kLost, .helper = helper};
+  RelayResult relayed{.end = RelayEnd::kLost, .helper = helper.host};
   if (IsOk(result)) {
     relayed.response = TakeValue(std::move(result));
     relayed.end =
@@ -119,7 +136,8 @@
       .Add();
   if (relayed.end != RelayEnd::kAnswered &&
       relayed.end != RelayEnd::kNotAllowed) {
-    avoided_until_[helper] = parts_.loop.Now() + kAvoidTime;
+    avoided_[helper.host] = {.failure_domain = helper.failure_domain,
+                             .until = parts_.loop.Now() + kAvoidTime};
   }
   if (relayed.end == RelayEnd::kRefused) {
     SendToNextHelper(number);
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,6 +22,7 @@
 /// @brief Another host that can send for this one.
 struct RelayHelper {
   HostName host;
+  FailureDomainName failure_domain;
   std::string address;  ///< IP:port for requests between hosts.
 };
 
@@ -44,7 +46,8 @@
     EventHttpClient& caller;
     ports::RandomSource& random;
     telemetry::MetricsRegistry& metrics;
-    /// @return the live hosts of a region, without this one.
+    /// @return the live hosts of a region, or with an empty name all hosts of
+    /// other regions, without this one.
     std::function<std::vector<RelayHelper>(const RegionName&)> find_helpers;
   };
 
@@ -53,23 +56,24 @@
   RelaySender(const RelaySender&) = delete;
   RelaySender& operator=(const RelaySender&) = delete;
 
-  /// @brief Sends through a random host of `region`. A host that provably ///
-  /// did not send is replaced by another one, up to `kMaxHelpers` in all.
+  /// @brief Sends through a random host of the first of `regions` that has one.
+  /// A host that provably did not send is replaced by another one, up to
+  /// `kMaxHelpers` in all.
   /// `callback` runs once, never from within this call.
   /// @param request without its text.
   std::uint64_t Send(RelayRequest request,
-                     const RegionName& region,
+                     std::vector<RegionName> regions,
                      EncodeRequest encode,
                      Callback callback);
   /// @brief Gives up a send, without a callback. The helper gives it up too.
   void Cancel(std::uint64_t relay);
 
  private:
-  static constexpr int kMaxHelpers = 3;
+  static constexpr int kMaxHelpers = 4;
 
   struct Relay {
     RelayRequest request;
-    RegionName region;
+    std::vector<RegionName> regions;
     EncodeRequest encode;
     Callback callback;
     MonotonicTime deadline{};
@@ -79,9 +83,9 @@
 
   void SendToNextHelper(std::uint64_t number);
   [[nodiscard]] std::optional<RelayHelper> ChooseHelper(
-      const RegionName& region);
+      std::span<const RegionName> regions);
   void OnResult(std::uint64_t number,
-                const HostName& helper,
+                const RelayHelper& helper,
                 ExchangeResult result);
   void Finish(std::uint64_t number, RelayResult result);
 
@@ -89,7 +93,11 @@
   std::uint64_t last_relay_ = 0;
   std::unordered_map<std::uint64_t, Relay> relays_;
   /// Helpers that did not send, which are not chosen until then.
-  std::map<HostName, MonotonicTime> avoided_until_;
+  struct Avoided {
+    FailureDomainName failure_domain;
+    MonotonicTime until{};
+  };
+  std::map<HostName, Avoided> avoided_;
   std::shared_ptr<RelaySender*> alive_ = std::make_shared<RelaySender*>(this);
 };
 
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -131,7 +131,7 @@
     parts_.on_placed(attempt.target, active.decoded.request.object);
   }
   active.trace->OnSend(attempt, active.call);
-  if (attempt.helper_region.IsEmpty()) {
+  if (attempt.helper_regions.empty()) {
     SendDirectly(ticket, active, attempt);
   } else {
     SendThroughHelper(ticket, active, attempt);
@@ -178,7 +178,7 @@
        .time_left = attempt.time_left,
        .may_repeat = attempt.may_repeat,
        .is_head_request = active.call.method == "HEAD"},
-      attempt.helper_region,
+      attempt.helper_regions,
       [this, &active, attempt](Duration time_left) {
         SendAttempt relayed = attempt;
         relayed.time_left = std::min(relayed.time_left, time_left);
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -198,7 +198,7 @@
       .placement = placement,
       .report_age = target.ReportAge(now)};
   if (reach_.IsCutOff()) {
-    send.helper_region = HelperRegion(request, target);
+    send.helper_regions = HelperRegions(request);
   }
   if (may_repeat) {
     send.hedge_after =
@@ -213,7 +213,7 @@
        .expected_wait = placement.expected_wait,
        .load_at_send = placement.estimated_load,
        .is_warm = placement.is_warm,
-       .is_relayed = !send.helper_region.IsEmpty()});
+       .is_relayed = !send.helper_regions.empty()});
   target.OnSent(request.object, now);
   limits_.OnSent(target.Number(), now);
   return send;
--- a/lib/libmedlarcroft/source/request_path/request_path_reach.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_reach.cc
@@ -27,14 +27,18 @@
 }
 
 // Where a request may run in some regions only, it must not pass through others
-// either.
-RegionName RequestPath::HelperRegion(const Request& request,
-                                     const TargetState& target) const {
-  const auto& allowed = request.allowed_regions;
-  const bool is_own_allowed =
-      allowed.empty() ||
-      std::ranges::find(allowed, options_.own_region) != allowed.end();
-  return is_own_allowed ? options_.own_region : target.Region();
+// either. Other regions are for when all hosts of the own one are cut off.
+std::vector<RegionName> RequestPath::HelperRegions(
+    const Request& request) const {
+  if (request.allowed_regions.empty()) {
+    return {options_.own_region, RegionName()};
+  }
+  std::vector<RegionName> regions = request.allowed_regions;
+  std::partition(regions.begin(), regions.end(),
+                 [this](const RegionName& region) {
+                   return region == options_.own_region;
+                 });
+  return regions;
 }
 
 std::optional<MonotonicTime> RequestPath::OutstandingSince() const {
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -207,9 +207,13 @@
   std::vector<adapters::RelayHelper> helpers;
   for (const replication::ReaderCandidate& host : hosts) {
     const auto found = parts_.regions.find(host.failure_domain);
-    if (found != parts_.regions.end() && found->second == region &&
-        host.host.Value() != settings_.host) {
-      helpers.push_back({.host = host.host, .address = host.address});
+    const bool is_in_region =
+        region.IsEmpty() ||
+        (found != parts_.regions.end() && found->second == region);
+    if (is_in_region && host.host.Value() != settings_.host) {
+      helpers.push_back({.host = host.host,
+                         .failure_domain = host.failure_domain,
+                         .address = host.address});
     }
   }
   return helpers;
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -97,7 +97,7 @@
   /// @return the number of hosts that have a row, this one included.
   [[nodiscard]] std::uint32_t KnownHosts() const;
   /// @return the hosts of the region that can send for this one; those of this
-  /// host's own region are alive.
+  /// host's own region are alive. With an empty name, all of other regions.
   [[nodiscard]] std::vector<adapters::RelayHelper> Helpers(
       const RegionName& region) const;
   [[nodiscard]] replication::PeerReaders& Readers() { return readers_; }
--- a/tests/system/cut_off_host_test.py
+++ b/tests/system/cut_off_host_test.py
@@ -28,6 +28,7 @@
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
         self.store = Store((f"{NET}.0.1", 0))
         self.addCleanup(self.store.server.shutdown)
         self.store.put_json("op", "config", make_configuration(1, ROUTES))
@@ -39,7 +40,7 @@
             self.targets.append(target)
         self.links, self.nodes = {}, {}
         for number in range(1, NODES + 1):
-            self._start_node(pathlib.Path(folder.name), number)
+            self._start_node(number)
         for node in self.nodes.values():
             wait_for(node.is_ready)
             wait_for(lambda node=node: node.metric("medlar_known_hosts") == NODES)
@@ -50,14 +51,14 @@
         CutOffHostTest.port += 1
         return CutOffHostTest.port
 
-    def _start_node(self, folder, number):
+    def _start_node(self, number, region="r1"):
         """Starts a node that reaches the targets only through links of its own."""
         self.links[number] = [FaultyLink((f"{NET}.3.{number}", self._next_port()), target.server.server_address)
                               for target in self.targets]
         addresses = {target.name: link.address for target, link in zip(self.targets, self.links[number])}
         view = self.store.serve_view((f"{NET}.0.{10 + number}", 0), addresses)
         self.addCleanup(view.shutdown)
-        node = Node(folder, number, 0, store="%s:%d" % view.server_address)
+        node = Node(self.folder, number, 0, store="%s:%d" % view.server_address, region=region)
         self.nodes[number] = node
         self.addCleanup(node.process.wait)
         self.addCleanup(node.process.kill)
@@ -203,6 +204,15 @@
     def test_most_hosts(self):
         self._check_cut("reset", (1, 2))
 
+    # As above, for all hosts of a region: a host of another region sends.
+    def test_all_hosts_of_a_region(self):
+        self._start_node(NODES + 1, region="r2")
+        self.results[NODES + 1] = []
+        for node in self.nodes.values():
+            wait_for(node.is_ready)
+            wait_for(lambda node=node: node.metric("medlar_known_hosts") == NODES + 1)
+        self._check_cut("reset", (1, 2, 3))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/request_path/request_path_reach_test.cc
+++ b/tests/unit/request_path/request_path_reach_test.cc
@@ -89,13 +89,13 @@
 TEST_F(CutOffPathTest, SendsDirectlyWhileTargetsAreInReach) {
   Configure(RequestKind::kIdempotent);
   const RequestStart start = Begin();
-  EXPECT_TRUE(std::get<SendAttempt>(start.step).helper_region.IsEmpty());
+  EXPECT_TRUE(std::get<SendAttempt>(start.step).helper_regions.empty());
 }
 
 struct HelperCase {
   const char* name = "";
   std::vector<RegionName> allowed;
-  RegionName helper;
+  std::vector<RegionName> helpers;
 };
 
 class HelperRegionTable : public CutOffPathTest,
@@ -107,20 +107,21 @@
   Configure(RequestKind::kIdempotent, GetParam().allowed);
   CutOff();
   const RequestStart start = Begin();
-  EXPECT_EQ(std::get<SendAttempt>(start.step).helper_region, GetParam().helper);
+  EXPECT_EQ(std::get<SendAttempt>(start.step).helper_regions,
+            GetParam().helpers);
 }
 
-INSTANTIATE_TEST_SUITE_P(Regions,
-                         HelperRegionTable,
-                         testing::Values(HelperCase{.name = "any",
-                                                    .helper = kHere},
-                                         HelperCase{.name = "own_and_other",
-                                                    .allowed = {kHere, kThere},
-                                                    .helper = kHere},
-                                         HelperCase{.name = "other_only",
-                                                    .allowed = {kThere},
-                                                    .helper = kThere}),
-                         [](const auto& info) { return info.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    Regions,
+    HelperRegionTable,
+    testing::Values(HelperCase{.name = "any", .helpers = {kHere, RegionName()}},
+                    HelperCase{.name = "own_and_other",
+                               .allowed = {kThere, kHere},
+                               .helpers = {kHere, kThere}},
+                    HelperCase{.name = "other_only",
+                               .allowed = {kThere},
+                               .helpers = {kThere}}),
+    [](const auto& info) { return info.param.name; });
 
 // Guards against counting all targets as failed after a cut, so that callers
 // are refused although other hosts reach the targets.
@@ -132,7 +133,7 @@
   for (AttemptNumber attempt = 1; attempt <= 2; ++attempt) {
     step = End(start, attempt, AttemptEnd::kNeverSent);
     ASSERT_TRUE(std::holds_alternative<SendAttempt>(step));
-    EXPECT_FALSE(std::get<SendAttempt>(step).helper_region.IsEmpty());
+    EXPECT_FALSE(std::get<SendAttempt>(step).helper_regions.empty());
   }
   for (const RegionTargets& region : directory_.Usable(kService)) {
     for (const TargetState* const target : region.targets) {
