Count the age of another host's rows from the store's answer

What callers could see: a route that was added is rejected for good by a host that lost the store, seconds after it should have doubted its own routes.

Cause: a host that loses the store asks others, whose rows count as fresh for up to 2.7 s after the store's last answer to them. Their time started anew on arrival. Hosts that lose the store at different moments so held each other for fresh for up to twice as long. It was there before; which hosts ask when decides whether it shows.

Change: hosts tell the store's clock at its last answer with their rows, for all tables, and the age counts from there.

--- a/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
@@ -125,6 +125,10 @@
   /// @return whether the rows are at least as new as the known ones.
   bool ApplyPeerRows(const RowBatch& rows);
   void ApplyPeerAvailability(const RowBatch& rows);
+  /// @return when the store gave its last answer behind another host's rows.
+  [[nodiscard]] std::optional<MonotonicTime> StoreAnswerTime(
+      const RowBatch& rows,
+      std::optional<MonotonicTime> answered_before) const;
   void OnChanges(const Result<RowBatch, RowFailure>& result);
   void OnFailure(RowFailure failure);
   [[nodiscard]] Duration PauseAfterFailure(std::uint32_t failures_before) const;
--- a/lib/libmedlarcroft/source/replication/table_follower.cc
+++ b/lib/libmedlarcroft/source/replication/table_follower.cc
@@ -174,11 +174,11 @@
   store_answered_at_ =
       store_time ? store_clock_.EstimateAnswerTime(*store_time, now) : now;
   is_catching_up_ = false;
+  const bool is_after_gap =
+      availability_.OnAnswer(store_time.value_or(now.time_since_epoch()));
   if (!options_.expiry) {
     return;
   }
-  const bool is_after_gap =
-      availability_.OnAnswer(store_time.value_or(now.time_since_epoch()));
   if (is_after_gap && answered_before) {
     out_of_touch_at_ = std::max(out_of_touch_at_, *answered_before);
   }
@@ -202,7 +202,7 @@
 }
 
 std::optional<MonotonicTime> TableFollower::ExpiryEnd() const {
-  if (!availability_.HasGap()) {
+  if (!options_.expiry || !availability_.HasGap()) {
     return std::nullopt;
   }
   const RowExpiry& expiry = *options_.expiry;
@@ -277,12 +277,31 @@
     return;
   }
   if (disconnected_since_) {
-    (void)ApplyPeerRows(ValueOf(result));
+    const std::optional<MonotonicTime> answered_before = answered_at_;
+    if (ApplyPeerRows(ValueOf(result))) {
+      answered_at_ = StoreAnswerTime(ValueOf(result), answered_before);
+    }
   } else {
     ApplyPeerAvailability(ValueOf(result));
   }
 }
 
+// The other host's rows count as fresh for some time after the store's last
+// answer to it. If that time started anew when they arrive here, hosts that
+// lost the store at different moments would not notice for twice as long, and
+// reject routes that were added meanwhile for good.
+std::optional<MonotonicTime> TableFollower::StoreAnswerTime(
+    const RowBatch& rows,
+    std::optional<MonotonicTime> answered_before) const {
+  const MonotonicTime now = parts_.timers.Now();
+  if (!rows.store_available) {
+    return now;
+  }
+  const MonotonicTime answered = std::min(
+      now, store_clock_.TimeOf(rows.store_available->until).value_or(now));
+  return answered_before ? std::max(*answered_before, answered) : answered;
+}
+
 void TableFollower::ApplyPeerAvailability(const RowBatch& rows) {
   if (options_.expiry && rows.store_available) {
     availability_.OnKnownByPeer(*rows.store_available);
