Ask for the caller when the connection for its request is established

What callers saw: nothing; targets ran requests that nobody waited for (GONE).

Cause: a host asked whether the caller has left before it began a send. A send that needs a new connection is written a round trip later, and nothing was asked then; a host that is held up meanwhile finds the connection established before it comes to the caller's end.

Retries, hedges and requests that wait for a token were right already.

Evidence: LeavingCallerTable, seven cases with a given order of events. On the code before: connection, connection_to_helper, next_helper and connection_of_helper failed, each one send too many. After: 7 of 7 pass, and 77 tests of the listener, the client and relays.

--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.h
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.h
@@ -56,7 +56,7 @@
   /// discarded, and its connection is not reused.
   std::function<bool(const HttpResponse&)> is_matching_response;
   /// Called with the time that a new connection took to establish, about one
-  /// round trip.
+  /// round trip, before anything is sent on it. May cancel the exchange.
   std::function<void(Duration)> on_connected;
 };
 
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -78,9 +78,13 @@
 }
 
 void HttpClientConnection::OnConnected() {
+  const auto self = shared_from_this();
   StopTimer();
   if (!is_reused_ && request_.on_connected) {
     request_.on_connected(client_.loop_.Now() - started_at_);
+    if (exchange_ == 0) {
+      return;
+    }
   }
   timer_ = client_.loop_.After(request_.timeout, [this] {
     timer_ = 0;
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -101,7 +101,14 @@
       [this, id = std::move(relay.id)](const HttpResponse& answer) {
         return parts_.codec.IsResponseTo(answer, id);
       };
-  request.on_connected = [this](Duration) { parts_.on_connected(); };
+  // The other host may have given it up while this one was busy.
+  request.on_connected = [this, number](Duration) {
+    parts_.on_connected();
+    const auto relay = in_flight_.find(number);
+    if (relay != in_flight_.end() && relay->second.exchange->IsCallerGone()) {
+      OnRequesterGone(number);
+    }
+  };
   const ExchangeId sent = parts_.caller.Send(
       std::move(request), [this, number, address](ExchangeResult result) {
         OnResult(number, address, std::move(result));
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
@@ -42,14 +42,12 @@
 
 std::uint64_t RelaySender::Send(RelayRequest request,
                                 std::vector<RegionName> regions,
-                                EncodeRequest encode,
-                                Callback callback) {
+                                Callbacks callbacks) {
   const std::uint64_t number = ++last_relay_;
   const MonotonicTime deadline = parts_.loop.Now() + request.time_left;
   relays_.emplace(number, Relay{.request = std::move(request),
                                 .regions = std::move(regions),
-                                .encode = std::move(encode),
-                                .callback = std::move(callback),
+                                .callbacks = std::move(callbacks),
                                 .deadline = deadline});
   SendToNextHelper(number);
   return number;
@@ -72,13 +70,16 @@
   }
   ++relay.helpers_tried;
   relay.request.time_left = time_left;
-  relay.request.text = relay.encode(time_left);
+  relay.request.text = relay.callbacks.encode(time_left);
   OutboundRequest request;
   request.address = helper->address;
   request.text = EncodeRelayRequest(relay.request, helper->address);
   request.connect_timeout = kConnectTimeout;
   request.timeout = time_left + kAnswerMargin;
   request.max_idle = kMaxIdle;
+  // The helper can't know that the caller has left before it is told.
+  request.on_connected =
+      [cancel = relay.callbacks.cancel_if_unwanted](Duration) { cancel(); };
   relay.exchange = parts_.caller.Send(
       std::move(request),
       [this, number, helper = *helper](ExchangeResult result) {
@@ -140,7 +141,10 @@
                              .until = parts_.loop.Now() + kAvoidTime};
   }
   if (relayed.end == RelayEnd::kRefused) {
-    SendToNextHelper(number);
+    const auto cancel_if_unwanted = found->second.callbacks.cancel_if_unwanted;
+    if (!cancel_if_unwanted()) {
+      SendToNextHelper(number);
+    }
     return;
   }
   Finish(number, std::move(relayed));
@@ -149,7 +153,7 @@
 void RelaySender::Finish(std::uint64_t number, RelayResult result) {
   auto ended = relays_.extract(number);
   if (!ended.empty()) {
-    ended.mapped().callback(std::move(result));
+    ended.mapped().callbacks.on_end(std::move(result));
   }
 }
 
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
@@ -37,9 +37,16 @@
 /// targets.
 class RelaySender {
  public:
-  using Callback = std::function<void(RelayResult)>;
-  /// @return the serialized request for the target, which states the time left.
-  using EncodeRequest = std::function<std::string(Duration time_left)>;
+  struct Callbacks {
+    /// @return the serialized request for the target, which states the time
+    /// left.
+    std::function<std::string(Duration time_left)> encode;
+    /// Called before anything is sent later than in `Send`. Cancels the send if
+    /// nobody waits for it, and returns whether it did.
+    std::function<bool()> cancel_if_unwanted;
+    /// Runs once, never from within `Send`.
+    std::function<void(RelayResult)> on_end;
+  };
   struct Parts {
     EventLoop& loop;
     /// Must not repeat requests by itself.
@@ -59,12 +66,10 @@
   /// @brief Sends through a random host of the first of `regions` that has one.
   /// A host that provably did not send is replaced by another one, up to
   /// `kMaxHelpers` in all.
-  /// `callback` runs once, never from within this call.
   /// @param request without its text.
   std::uint64_t Send(RelayRequest request,
                      std::vector<RegionName> regions,
-                     EncodeRequest encode,
-                     Callback callback);
+                     Callbacks callbacks);
   /// @brief Gives up a send, without a callback. The helper gives it up too.
   void Cancel(std::uint64_t relay);
 
@@ -74,8 +79,7 @@
   struct Relay {
     RelayRequest request;
     std::vector<RegionName> regions;
-    EncodeRequest encode;
-    Callback callback;
+    Callbacks callbacks;
     MonotonicTime deadline{};
     int helpers_tried = 0;
     ExchangeId exchange = 0;
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -115,14 +115,25 @@
   }
 }
 
+// Guards against sending what nobody waits for: a host that was held up reads
+// requests after their callers have left, and comes to the end of their
+// connections later. The targets worked on all of them. It is enough to ask
+// right before each send, and again when the connection for it is established,
+// which may be long after that.
+bool RequestForwarder::EndIfCallerGone(RequestTicket ticket) {
+  const auto found = active_requests_.find(ticket);
+  if (found == active_requests_.end() ||
+      !found->second->exchange->IsCallerGone()) {
+    return false;
+  }
+  OnCallerGone(ticket);
+  return true;
+}
+
 void RequestForwarder::Send(RequestTicket ticket,
                             ActiveRequest& active,
                             const SendAttempt& attempt) {
-  // Guards against sending what nobody waits for: a host that was held up reads
-  // requests after their callers have left, and comes to the end of their
-  // connections later. The targets worked on all of them.
-  if (active.exchange->IsCallerGone()) {
-    OnCallerGone(ticket);
+  if (EndIfCallerGone(ticket)) {
     return;
   }
   parts_.telemetry.OnSend(active.lines, active.decoded.id, *active.start.route,
@@ -157,8 +168,10 @@
       [this, id = active.decoded.id](const HttpResponse& answer) {
         return parts_.codec.IsResponseTo(answer, id);
       };
-  request.on_connected = [this, region = attempt.region](Duration round_trip) {
+  request.on_connected = [this, ticket,
+                          region = attempt.region](Duration round_trip) {
     parts_.path.OnConnected(region, round_trip, parts_.loop.Now());
+    EndIfCallerGone(ticket);
   };
   const ExchangeId exchange = parts_.caller.Send(
       std::move(request), [this, ticket, attempt](ExchangeResult result) {
@@ -179,14 +192,17 @@
        .may_repeat = attempt.may_repeat,
        .is_head_request = active.call.method == "HEAD"},
       attempt.helper_regions,
-      [this, &active, attempt](Duration time_left) {
-        SendAttempt relayed = attempt;
-        relayed.time_left = std::min(relayed.time_left, time_left);
-        return parts_.codec.EncodeAttempt(active.call, relayed);
-      },
-      [this, ticket, attempt](RelayResult result) {
-        OnRelayResult(ticket, attempt, std::move(result));
-      });
+      {.encode =
+           [this, &active, attempt](Duration time_left) {
+             SendAttempt relayed = attempt;
+             relayed.time_left = std::min(relayed.time_left, time_left);
+             return parts_.codec.EncodeAttempt(active.call, relayed);
+           },
+       .cancel_if_unwanted = [this, ticket] { return EndIfCallerGone(ticket); },
+       .on_end =
+           [this, ticket, attempt](RelayResult result) {
+             OnRelayResult(ticket, attempt, std::move(result));
+           }});
   active.cancels[attempt.attempt] = [this, relay] {
     parts_.relays.Cancel(relay);
   };
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -87,6 +87,10 @@
 
   void ExecuteStep(request_path::RequestTicket ticket,
                    const request_path::Step& step);
+  /// @brief Ends a request whose caller has left, also when the event loop has
+  /// not come to notice that.
+  /// @return whether it ended, which invalidates its `ActiveRequest`.
+  bool EndIfCallerGone(request_path::RequestTicket ticket);
   void Send(request_path::RequestTicket ticket,
             ActiveRequest& active,
             const request_path::SendAttempt& attempt);
