End the work for callers who left before other events are handled

Cause: the loop handles events one at a time in the order of their arrival, and the end of a connection is one of them. A busy host came to it after a second.

Change: while requests wait, a timer asks their callers' sockets five times a second; timers run after each event. What ends so takes its callback back: one outlived the relay handler and crashed the test.

Evidence: BusyHostTable, forty other requests of 25 ms each in the time of a manual clock: before, both cases failed, the target worked through all forty; after, both pass (bound 500 ms).

--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -1,6 +1,7 @@
 #include "adapters/forward/relay_handler.h"
 
 #include <utility>
+#include <vector>
 
 #include "adapters/forward/target_connections.h"
 
@@ -46,6 +47,7 @@
 void RelayHandler::Tick() {
   tick_timer_ = 0;
   limit_.OnTick(parts_.loop.Now());
+  EndAbandonedRelays();
   if (!in_flight_.empty()) {
     tick_timer_ = parts_.loop.After(request_path::RelayLimit::kTickPeriod,
                                     [this] { Tick(); });
@@ -140,9 +142,23 @@
   exchange.Respond(EncodeRelayedAnswer(TakeValue(std::move(result))));
 }
 
+// As for the requests of this host's own callers.
+void RelayHandler::EndAbandonedRelays() {
+  std::vector<std::uint64_t> abandoned;
+  for (const auto& [number, relay] : in_flight_) {
+    if (relay.exchange->IsCallerGone()) {
+      abandoned.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : abandoned) {
+    OnRequesterGone(number);
+  }
+}
+
 void RelayHandler::OnRequesterGone(std::uint64_t number) {
   const auto ended = in_flight_.extract(number);
   if (!ended.empty()) {
+    ended.mapped().exchange->OnCallerGone(nullptr);
     parts_.caller.Cancel(ended.mapped().sent);
   }
 }
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
@@ -62,9 +62,11 @@
                 const std::string& address,
                 ExchangeResult result);
   void OnRequesterGone(std::uint64_t number);
-  /// @brief Observes whether this host keeps up, while it relays.
+  /// @brief Observes whether this host keeps up, and whether others still wait
+  /// for what it sent, while it relays.
   void StartTicking();
   void Tick();
+  void EndAbandonedRelays();
   void Fail(HttpExchange& exchange, RelayEnd end);
   void Count(RelayEnd end);
 
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -51,6 +51,7 @@
 }  // namespace
 
 RequestForwarder::~RequestForwarder() {
+  parts_.loop.Cancel(caller_check_timer_);
   for (auto& [ticket, active] : active_requests_) {
     parts_.loop.Cancel(active->request_timer);
     parts_.loop.Cancel(active->slow_attempt_timer);
@@ -86,6 +87,7 @@
   exchange->OnCallerGone([this, ticket] { OnCallerGone(ticket); });
   stored.request_timer = parts_.loop.After(
       stored.start.time_left, [this, ticket] { OnTimeout(ticket); });
+  StartCallerChecks();
   ExecuteStep(ticket, stored.start.step);
 }
 
@@ -115,21 +117,6 @@
   }
 }
 
-// Guards against sending what nobody waits for: a host that was held up reads
-// requests after their callers have left, and comes to the end of their
-// connections later. The targets worked on all of them. It is enough to ask
-// right before each send, and again when the connection for it is established,
-// which may be long after that.
-bool RequestForwarder::EndIfCallerGone(RequestTicket ticket) {
-  const auto found = active_requests_.find(ticket);
-  if (found == active_requests_.end() ||
-      !found->second->exchange->IsCallerGone()) {
-    return false;
-  }
-  OnCallerGone(ticket);
-  return true;
-}
-
 void RequestForwarder::Send(RequestTicket ticket,
                             ActiveRequest& active,
                             const SendAttempt& attempt) {
@@ -359,19 +346,6 @@
   Remove(ticket);
 }
 
-void RequestForwarder::OnCallerGone(RequestTicket ticket) {
-  const auto found = active_requests_.find(ticket);
-  if (found == active_requests_.end()) {
-    return;
-  }
-  const MonotonicTime now = parts_.loop.Now();
-  parts_.telemetry.OnCallerGone(found->second->lines, found->second->decoded.id,
-                                *found->second->start.route,
-                                now - found->second->started_at);
-  parts_.path.OnCallerGone(ticket, now);
-  Remove(ticket);
-}
-
 void RequestForwarder::ForwardResponse(ActiveRequest& active,
                                        const request_path::PassOn& pass_on) {
   HttpResponse& answer = active.answers.at(pass_on.attempt);
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -87,6 +87,9 @@
 
   void ExecuteStep(request_path::RequestTicket ticket,
                    const request_path::Step& step);
+  /// @brief Looks for callers that have left, while there are requests.
+  void StartCallerChecks();
+  void CheckCallers();
   /// @brief Ends a request whose caller has left, also when the event loop has
   /// not come to notice that.
   /// @return whether it ended, which invalidates its `ActiveRequest`.
@@ -136,6 +139,7 @@
   CrashProbe crash_probe_;
   bool is_accepting_ = true;
   ActiveRequests active_requests_;
+  TimerId caller_check_timer_ = 0;
   /// Released with this object: a timer that fires later finds it gone.
   std::shared_ptr<RequestForwarder*> alive_ =
       std::make_shared<RequestForwarder*>(this);
--- a/tests/unit/adapters/forward/leaving_caller_test.cc
+++ b/tests/unit/adapters/forward/leaving_caller_test.cc
@@ -401,5 +401,55 @@
                     WaitCase{"connection_of_helper", LeaveWhileHelperConnects}),
     [](const auto& info) { return info.param.name; });
 
+class BusyHostTable
+    : public testing::TestWithParam<void (SingleLoopDeployment::*)()> {};
+
+// Guards against targets that work on for callers who have left: a host with
+// many events to handle came to the end of a caller's connection last.
+TEST_P(BusyHostTable, TargetStopsInTime) {
+  constexpr int kOthers = 40;
+  constexpr Duration kTimePerRequest = milliseconds(25);
+  constexpr Duration kMaxWork = milliseconds(500);
+  fakes::ManualClock clock;
+  SingleLoopDeployment deployment(clock);
+  deployment.GrantToken();
+  std::optional<MonotonicTime> left_at;
+  std::optional<MonotonicTime> stopped_at;
+  deployment.target.on_request = [&](HttpExchange&) {
+    if (deployment.target.exchanges.size() == 1) {
+      deployment.CallFromOthers(kOthers);
+    }
+  };
+  deployment.host.on_request = [&](HttpExchange&) {
+    const std::size_t calls = deployment.host.exchanges.size();
+    if (calls == 2) {
+      deployment.CloseCaller();
+      left_at = clock.Now();
+    }
+    clock.Advance(kTimePerRequest);
+    if (left_at && !stopped_at &&
+        deployment.target.exchanges.front()->IsCallerGone()) {
+      stopped_at = clock.Now();
+    }
+    if (calls > kOthers) {
+      deployment.Stop();
+    }
+  };
+  (deployment.*GetParam())();
+  deployment.Run();
+
+  ASSERT_TRUE(left_at && stopped_at);
+  EXPECT_LE(*stopped_at - *left_at, kMaxWork);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    BusyHostTable,
+    testing::Values(&SingleLoopDeployment::Call,
+                    &SingleLoopDeployment::CallForOtherHost),
+    [](const auto& info) {
+      return std::string(info.index == 0 ? "own_caller" : "other_host");
+    });
+
 }  // namespace
 }  // namespace medlarcroft::adapters
