Notice a caller's end behind bytes that are unread

What callers saw: nothing; a target ran a request whose caller had sent the next one on its connection, and closed it, while the host was held up.

Cause: the check before a send looked at the next unread byte of the connection; the end came behind it.

Change: the check asks whether the peer has closed its side.

Evidence: LeavingCallerTable, next_request_unread: one send before, none after; 64 tests of listener, client, relays and callers pass.

--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
@@ -1,6 +1,7 @@
 #include "adapters/event/tcp_stream.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -95,10 +96,8 @@
   if (descriptor_ < 0) {
     return true;
   }
-  char byte = 0;
-  const ssize_t count =
-      ::recv(descriptor_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return count == 0 || (count < 0 && !WouldBlock());
+  pollfd state{.fd = descriptor_, .events = POLLRDHUP, .revents = 0};
+  return ::poll(&state, 1, 0) > 0;
 }
 
 void TcpStream::Close() {
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
@@ -84,8 +84,8 @@
   /// can't have received anything.
   [[nodiscard]] bool HasSent() const { return has_sent_; }
   [[nodiscard]] bool IsDrained() const { return unsent_.empty(); }
-  /// @return whether the peer has closed or reset the connection and everything
-  /// that it sent has been read.
+  /// @return whether the peer has closed or reset the connection, also while
+  /// bytes that it sent before are unread.
   [[nodiscard]] bool HasPeerClosed() const;
 
   void OnReadable() override;
--- a/tests/unit/adapters/forward/leaving_caller_test.cc
+++ b/tests/unit/adapters/forward/leaving_caller_test.cc
@@ -196,6 +196,8 @@
       others_.push_back(SendToHost(std::string(kCall)));
     }
   }
+  /// @brief The caller does not wait for the answer to its first request.
+  void SendNextRequest() { caller_->Write(kCall); }
   /// @brief Another host has this one send to a target, and is the caller.
   void CallForOtherHost() {
     host.next = &relay_;
@@ -366,6 +368,15 @@
   deployment.Call();
 }
 
+void LeaveAfterNextRequest(SingleLoopDeployment& deployment) {
+  deployment.host.on_request = [&](HttpExchange&) {
+    deployment.SendNextRequest();
+    deployment.LeaveAfterNextEvent();
+  };
+  deployment.GrantToken();
+  deployment.Call();
+}
+
 void LeaveWhileConnectingToHelper(SingleLoopDeployment& deployment) {
   deployment.CutOff();
   LeaveWhileConnecting(deployment);
@@ -392,6 +403,7 @@
     All,
     LeavingCallerTable,
     testing::Values(WaitCase{"connection", LeaveWhileConnecting},
+                    WaitCase{"next_request_unread", LeaveAfterNextRequest},
                     WaitCase{"retry", LeaveBeforeRetry, 1},
                     WaitCase{"hedge", LeaveBeforeHedge, 1},
                     WaitCase{"token", LeaveBeforeToken},
