Let an emulated request that crashes its target get no answer

Cause: the target crashed 80 ms after the arrival, also when it had answered by then. An answer clears the crashes of a request on all hosts.

Change: such a request works for longer than its crash takes.

The test's check and bound are unchanged.

--- a/lib/libmedlarcroft/source/emulation/emulation.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation.cc
@@ -27,6 +27,8 @@
 constexpr double kMaxRetryDelayFraction = 1.0 / 3;
 // Time from the arrival of a crashing request until its target crashes.
 constexpr Duration kCrashDelay = std::chrono::milliseconds(80);
+// Longer than any crash takes: a crashing request gets no answer.
+constexpr Duration kCrashingWork = std::chrono::seconds(10);
 // Time after which a connection to an unreachable target fails.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 
@@ -291,7 +293,9 @@
   };
   const auto work = instance.target->Submit(
       {.object = active->caller.object,
-       .time = active->caller.work,
+       .time = active->caller.crashes_targets
+                   ? std::max(active->caller.work, kCrashingWork)
+                   : active->caller.work,
        .warm_factor = active->caller.request_class->warm_work_factor},
       done);
   if (work) {
