Weigh crashes of a request by what else ended at the same moment

What callers saw: 503 with a Retry-After of ten minutes, on all hosts, for a proper request that crashes nothing.

Cause: the tracker counted the targets that ended under a request, and did not ask what else ended then. Where many targets end at once, again and again, some request runs on one of them each time and is not answered in between.

Change: a crash counts in full only if the request accounts for at least half of the ends of its moment, less those that other requests account for; otherwise as one of that many; not at all if another request explains it. Until the reports of a moment are in, the request is refused as before, but with a Retry-After of that time. Reports carry the age of the end, since hosts see and tell one wave at different times; hosts of earlier versions skip it. Two sends of one request that end at once count once.

--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_host.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_host.h
@@ -32,6 +32,8 @@
   /// @brief Callbacks for the reports that this host publishes to the others.
   struct ReportSinks {
     std::function<void(const request_path::CrashReport&)> on_crash;
+    /// The crash tracker must be advanced after this time.
+    std::function<void(Duration)> on_held;
     std::function<void(const request_path::LimitReport&)> on_limit;
   };
 
@@ -57,6 +59,8 @@
                  Duration /*blocked_for*/,
                  bool /*is_own*/) override {}
   void OnUnblocked(request_path::RequestFingerprint /*request*/) override {}
+  void OnHeld(request_path::RequestFingerprint request,
+              Duration delay) override;
   void OnPublish(const request_path::LimitReport& report) override;
   void OnLimited(request_path::TargetNumber /*target*/,
                  double /*requests_per_second*/,
--- a/lib/libmedlarcroft/include/medlarcroft/peer_updates/peer_update.h
+++ b/lib/libmedlarcroft/include/medlarcroft/peer_updates/peer_update.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "medlarcroft/core/time.h"
 #include "medlarcroft/membership/heartbeat.h"
 #include "medlarcroft/membership/host_state.h"
 #include "medlarcroft/quota/quota_message.h"
@@ -35,6 +36,19 @@
   friend bool operator==(const ReportedLoad&, const ReportedLoad&) = default;
 };
 
+/// @brief A crash report that waits to be sent.
+struct WaitingCrashReport {
+  request_path::CrashReport report;
+  MonotonicTime waits_since;
+
+  /// @return the report with its age at `now`.
+  [[nodiscard]] request_path::CrashReport At(MonotonicTime now) const {
+    request_path::CrashReport aged = report;
+    aged.age += now - waits_since;
+    return aged;
+  }
+};
+
 /// @brief How an update travels, which decides where its receiver forwards it.
 enum class UpdateRoute : std::uint8_t {
   kDirect,    ///< Sent to every host by its author; not forwarded.
@@ -61,13 +75,22 @@
 
 inline constexpr std::size_t kPlacedBytes = 8;
 inline constexpr std::size_t kLoadBytes = 5;
-inline constexpr std::size_t kCrashReportBytes = 13;
+/// With the age.
+inline constexpr std::size_t kCrashReportBytes = 14;
 inline constexpr std::size_t kLimitReportBytes = 8;
 
 [[nodiscard]] std::string EncodePlaced(const std::vector<PlacedObject>& placed);
 [[nodiscard]] std::string EncodeLoads(const std::vector<ReportedLoad>& loads);
 [[nodiscard]] std::string EncodeCrashes(
     const std::vector<request_path::CrashReport>& crashes);
+/// Ages are rounded to 50 ms, up to 12.75 s.
+[[nodiscard]] std::string EncodeCrashAges(
+    const std::vector<request_path::CrashReport>& crashes);
+/// @brief Sets the ages of `crashes`. Hosts of earlier versions send none.
+/// @return false when there is not one for each.
+[[nodiscard]] bool ApplyCrashAges(
+    std::string_view bytes,
+    std::vector<request_path::CrashReport>& crashes);
 /// Rates are rounded up to thousandths of a request per second, so that only a
 /// rate of 0 is encoded as 0.
 [[nodiscard]] std::string EncodeLimits(
--- a/lib/libmedlarcroft/include/medlarcroft/peer_updates/region_broadcaster.h
+++ b/lib/libmedlarcroft/include/medlarcroft/peer_updates/region_broadcaster.h
@@ -166,6 +166,7 @@
   /// This host's own updates that wait for the next datagram.
   PeerUpdate pending_;
   std::map<request_path::TargetNumber, std::uint32_t> pending_loads_;
+  std::vector<WaitingCrashReport> pending_crashes_;
   std::map<request_path::TargetNumber, request_path::LimitReport>
       pending_limits_;
   bool is_send_scheduled_ = false;
--- a/lib/libmedlarcroft/include/medlarcroft/peer_updates/update_queue.h
+++ b/lib/libmedlarcroft/include/medlarcroft/peer_updates/update_queue.h
@@ -41,7 +41,7 @@
     MonotonicTime received_at;
   };
   struct ForwardedCrash {
-    request_path::CrashReport report;
+    request_path::CrashReport report;  ///< Without its age.
     MonotonicTime forwarded_at;
   };
   struct ForwardedLimit {
@@ -60,7 +60,9 @@
   void TakeHeartbeats(PeerUpdate& update,
                       std::size_t& bytes_left,
                       MonotonicTime now);
-  void TakeCrashes(PeerUpdate& update, std::size_t& bytes_left);
+  void TakeCrashes(PeerUpdate& update,
+                   std::size_t& bytes_left,
+                   MonotonicTime now);
   void TakeLimits(PeerUpdate& update,
                   std::size_t& bytes_left,
                   MonotonicTime now);
@@ -75,7 +77,7 @@
   std::map<std::uint32_t, ReceivedHeartbeat> heartbeats_;
   std::deque<PlacedObject> placed_;
   std::map<request_path::TargetNumber, std::uint32_t> loads_;
-  std::deque<request_path::CrashReport> crashes_;
+  std::deque<WaitingCrashReport> crashes_;
   std::deque<ForwardedCrash> forwarded_crashes_;
   std::map<request_path::TargetNumber, double> limits_;
   std::unordered_map<request_path::TargetNumber, ForwardedLimit>
--- a/lib/libmedlarcroft/source/adapters/forward/crash_probe.h
+++ b/lib/libmedlarcroft/source/adapters/forward/crash_probe.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "adapters/event/event_loop.h"
+#include "medlarcroft/core/time.h"
 #include "medlarcroft/request_path/request_fingerprint.h"
 #include "medlarcroft/request_path/target_identity.h"
 
@@ -18,6 +19,7 @@
   std::string id;
   request_path::RequestFingerprint fingerprint;
   request_path::TargetIdentity target;
+  MonotonicTime ended_at;  ///< When the connection closed.
 };
 
 /// @brief Distinguishes a crashed target from a lost response by connecting to
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -17,10 +17,6 @@
 using request_path::SendAttempt;
 using request_path::Step;
 
-// Until refused connections to other targets show that this host is cut off:
-// one period of its monitor and two round trips to another region.
-constexpr Duration kCutDetectionTime = std::chrono::milliseconds(500);
-
 // Callers of a draining host can use another host at once.
 constexpr Duration kRetryAfterWhenLeaving = std::chrono::milliseconds(50);
 
@@ -129,6 +125,7 @@
     parts_.on_placed(attempt.target, active.decoded.request.object);
   }
   active.trace->OnSend(attempt, active.call);
+  active.last_attempt = attempt.attempt;
   if (attempt.helper_regions.empty()) {
     SendDirectly(ticket, active, attempt);
   } else {
@@ -268,7 +265,7 @@
               parts_.path.OnAttemptEnd(ticket, attempt.attempt, end, now));
 }
 
-void RequestForwarder::OnExchangeFailed(const ActiveRequest& active,
+void RequestForwarder::OnExchangeFailed(ActiveRequest& active,
                                         const SendAttempt& attempt,
                                         const ExchangeError& error) {
   // The cause of one broken connection may have broken the idle connections to
@@ -281,30 +278,8 @@
       error.failure == ExchangeFailure::kClosed ||
       error.failure == ExchangeFailure::kTruncated;
   if (is_connection_closed && !error.is_proved_unsent) {
-    crash_probe_.Check(attempt.address,
-                       {.id = active.decoded.id,
-                        .fingerprint = active.decoded.request.fingerprint,
-                        .target = attempt.target});
-  }
-}
-
-// A target that refuses connections right after one broke off under a request
-// has crashed, or this host's links to all targets are lost. In that case the
-// requests that were in flight would count as crashing several targets each,
-// and all hosts would block them for minutes. So the report waits until a cut
-// would be known.
-void RequestForwarder::OnTargetRefused(const InterruptedSend& interrupted) {
-  const MonotonicTime refused_at = parts_.loop.Now();
-  parts_.path.OnConnectFailed(interrupted.target, refused_at);
-  if (!parts_.on_crash) {
-    return;
+    CheckForCrash(active, attempt);
   }
-  parts_.loop.After(kCutDetectionTime, [this, alive = std::weak_ptr(alive_),
-                                        interrupted, refused_at] {
-    if (!alive.expired() && !parts_.path.Reach().WasCutOffSince(refused_at)) {
-      parts_.on_crash(interrupted);
-    }
-  });
 }
 
 void RequestForwarder::OnTokens(const ClientAccountName& account) {
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -81,6 +81,10 @@
     std::map<request_path::AttemptNumber, std::function<void()>> cancels;
     /// Complete responses that are not forwarded yet, by attempt.
     std::map<request_path::AttemptNumber, HttpResponse> answers;
+    request_path::AttemptNumber last_attempt = 0;
+    /// When a send was interrupted last, and the latest send at that time.
+    std::optional<MonotonicTime> interrupted_at;
+    request_path::AttemptNumber attempt_at_interruption = 0;
   };
   using ActiveRequests = std::unordered_map<request_path::RequestTicket,
                                             std::unique_ptr<ActiveRequest>>;
@@ -120,9 +124,13 @@
                   ActiveRequest& active,
                   const request_path::SendAttempt& attempt,
                   request_path::AttemptEnd end);
-  void OnExchangeFailed(const ActiveRequest& active,
+  void OnExchangeFailed(ActiveRequest& active,
                         const request_path::SendAttempt& attempt,
                         const ExchangeError& error);
+  /// @brief Finds out whether the target of a send that was interrupted has
+  /// crashed.
+  void CheckForCrash(ActiveRequest& active,
+                     const request_path::SendAttempt& attempt);
   /// @brief Reports a crash, unless this host turns out to be cut off.
   void OnTargetRefused(const InterruptedSend& interrupted);
   void OnTokenWaitOver(request_path::RequestTicket ticket);
--- a/lib/libmedlarcroft/source/adapters/peer/peer_channel.cc
+++ b/lib/libmedlarcroft/source/adapters/peer/peer_channel.cc
@@ -37,6 +37,9 @@
   datagram.placed = peer_updates::EncodePlaced(update.placed);
   datagram.loads = peer_updates::EncodeLoads(update.loads);
   datagram.crashes = peer_updates::EncodeCrashes(update.crashes);
+  if (!update.crashes.empty()) {
+    datagram.__set_crash_ages(peer_updates::EncodeCrashAges(update.crashes));
+  }
   datagram.limits = peer_updates::EncodeLimits(update.limits);
   datagram.heartbeats = membership::EncodeHeartbeats(update.heartbeats);
   if (update.token_request) {
@@ -67,7 +70,10 @@
   auto loads = peer_updates::DecodeLoads(message.loads);
   auto crashes = peer_updates::DecodeCrashes(message.crashes);
   auto limits = peer_updates::DecodeLimits(message.limits);
+  const bool has_ages = message.__isset.crash_ages;
   if (!heartbeats || !placed || !loads || !crashes || !limits ||
+      (has_ages &&
+       !peer_updates::ApplyCrashAges(message.crash_ages, *crashes)) ||
       message.way < 0 ||
       message.way > static_cast<std::int32_t>(UpdateRoute::kInterRegion)) {
     return std::nullopt;
--- a/lib/libmedlarcroft/source/emulation/emulated_host.cc
+++ b/lib/libmedlarcroft/source/emulation/emulated_host.cc
@@ -83,6 +83,13 @@
   }
 }
 
+void EmulatedHost::OnHeld(request_path::RequestFingerprint /*request*/,
+                          Duration delay) {
+  if (sinks_.on_held) {
+    sinks_.on_held(delay);
+  }
+}
+
 void EmulatedHost::OnPublish(const request_path::LimitReport& report) {
   if (sinks_.on_limit) {
     sinks_.on_limit(report);
--- a/lib/libmedlarcroft/source/emulation/emulation_reports.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_reports.cc
@@ -40,6 +40,12 @@
                  other.Path().Crashes().OnReport(report, events_.Now());
                });
              },
+         .on_held =
+             [this, host](Duration delay) {
+               events_.After(delay, [this, host] {
+                 hosts_[host]->Path().Crashes().Advance(events_.Now());
+               });
+             },
          .on_limit =
              [this, host](const request_path::LimitReport& report) {
                SendToOtherHosts(host, [this, report](EmulatedHost& other) {
@@ -133,9 +139,9 @@
     events_.After(latency, [this, active = active, attempt = attempt] {
       EndAttempt(active, attempt, AttemptEnd::kLost);
     });
-    events_.After(3 * latency, [this, active = active, number] {
-      hosts_[active->host]->Path().Crashes().OnCrash(active->caller.fingerprint,
-                                                     number, events_.Now());
+    events_.After(3 * latency, [this, active = active, number, latency] {
+      hosts_[active->host]->Path().Crashes().OnCrash(
+          active->caller.fingerprint, number, events_.Now(), 2 * latency);
     });
   }
   events_.After(kRestartDelay, [this, target] { RestartTarget(target); });
--- a/lib/libmedlarcroft/source/peer_updates/peer_update.cc
+++ b/lib/libmedlarcroft/source/peer_updates/peer_update.cc
@@ -12,6 +12,9 @@
 using request_path::CrashReportKind;
 
 constexpr std::size_t kNumberBytes = 4;
+constexpr std::size_t kCrashBytesWithoutAge = 13;
+constexpr std::int64_t kAgeUnitMilliseconds = 50;
+constexpr std::int64_t kMaxAgeUnits = 255;
 // Rates are encoded in thousandths of a request per second.
 constexpr double kLimitScale = 1000;
 // Keeps the encoded rate within 32 bits.
@@ -46,7 +49,7 @@
 std::string EncodeCrashes(
     const std::vector<request_path::CrashReport>& crashes) {
   std::string text;
-  text.reserve(crashes.size() * kCrashReportBytes);
+  text.reserve(crashes.size() * kCrashBytesWithoutAge);
   for (const request_path::CrashReport& report : crashes) {
     const std::uint64_t request = report.request.Value();
     const bool is_blocked = report.kind == CrashReportKind::kBlocked;
@@ -64,6 +67,34 @@
   return text;
 }
 
+std::string EncodeCrashAges(
+    const std::vector<request_path::CrashReport>& crashes) {
+  std::string text;
+  text.reserve(crashes.size());
+  for (const request_path::CrashReport& report : crashes) {
+    const std::int64_t units =
+        (ToMilliseconds(report.age) + kAgeUnitMilliseconds / 2) /
+        kAgeUnitMilliseconds;
+    AppendLittleEndian(text,
+                       static_cast<std::uint32_t>(
+                           std::clamp<std::int64_t>(units, 0, kMaxAgeUnits)),
+                       1);
+  }
+  return text;
+}
+
+bool ApplyCrashAges(std::string_view bytes,
+                    std::vector<request_path::CrashReport>& crashes) {
+  if (bytes.size() != crashes.size()) {
+    return false;
+  }
+  for (request_path::CrashReport& report : crashes) {
+    report.age = std::chrono::milliseconds(TakeLittleEndian(bytes, 1) *
+                                           kAgeUnitMilliseconds);
+  }
+  return true;
+}
+
 std::string EncodeLimits(const std::vector<request_path::LimitReport>& limits) {
   std::string text;
   text.reserve(limits.size() * kLimitReportBytes);
@@ -127,11 +158,11 @@
 
 std::optional<std::vector<request_path::CrashReport>> DecodeCrashes(
     std::string_view bytes) {
-  if (bytes.size() % kCrashReportBytes != 0) {
+  if (bytes.size() % kCrashBytesWithoutAge != 0) {
     return std::nullopt;
   }
   std::vector<request_path::CrashReport> crashes;
-  crashes.reserve(bytes.size() / kCrashReportBytes);
+  crashes.reserve(bytes.size() / kCrashBytesWithoutAge);
   while (!bytes.empty()) {
     const std::uint32_t kind = TakeLittleEndian(bytes, 1);
     const std::uint64_t low = TakeLittleEndian(bytes, kNumberBytes);
--- a/lib/libmedlarcroft/source/peer_updates/region_broadcaster.cc
+++ b/lib/libmedlarcroft/source/peer_updates/region_broadcaster.cc
@@ -85,9 +85,11 @@
   if (reports.empty()) {
     return;
   }
-  pending_.crashes.insert(pending_.crashes.end(), reports.begin(),
-                          reports.end());
-  if (pending_.crashes.size() >= kMaxCrashesPerDatagram) {
+  for (const request_path::CrashReport& report : reports) {
+    pending_crashes_.push_back(
+        {.report = report, .waits_since = timers_.Now()});
+  }
+  if (pending_crashes_.size() >= kMaxCrashesPerDatagram) {
     SendPending();
   } else {
     ScheduleSend(kReportBatchDelay);
@@ -144,8 +146,11 @@
   }
   PeerUpdate update = std::exchange(pending_, {});
   // Sent in separate datagrams to limit the datagram size.
-  const std::vector<request_path::CrashReport> crashes =
-      std::exchange(update.crashes, {});
+  std::vector<request_path::CrashReport> crashes;
+  for (const WaitingCrashReport& waiting :
+       std::exchange(pending_crashes_, {})) {
+    crashes.push_back(waiting.At(timers_.Now()));
+  }
   SendReports<request_path::CrashReport>(&PeerUpdate::crashes, crashes,
                                          kMaxCrashesPerDatagram);
   std::vector<request_path::LimitReport> limits;
--- a/lib/libmedlarcroft/source/peer_updates/update_queue.cc
+++ b/lib/libmedlarcroft/source/peer_updates/update_queue.cc
@@ -97,15 +97,17 @@
           forwarded_crashes_.size() >= kMaxQueuedCrashes)) {
     forwarded_crashes_.pop_front();
   }
-  if (std::ranges::find(forwarded_crashes_, report, &ForwardedCrash::report) !=
+  request_path::CrashReport ageless = report;
+  ageless.age = Duration(0);
+  if (std::ranges::find(forwarded_crashes_, ageless, &ForwardedCrash::report) !=
       forwarded_crashes_.end()) {
     return;
   }
-  forwarded_crashes_.push_back({.report = report, .forwarded_at = now});
+  forwarded_crashes_.push_back({.report = ageless, .forwarded_at = now});
   if (crashes_.size() >= kMaxQueuedCrashes) {
     crashes_.pop_front();
   }
-  crashes_.push_back(report);
+  crashes_.push_back({.report = report, .waits_since = now});
 }
 
 PeerUpdate UpdateQueue::Take(std::size_t max_bytes, MonotonicTime now) {
@@ -113,7 +115,7 @@
   PeerUpdate update;
   std::size_t bytes_left = max_bytes;
   TakeHeartbeats(update, bytes_left, now);
-  TakeCrashes(update, bytes_left);
+  TakeCrashes(update, bytes_left, now);
   TakeLimits(update, bytes_left, now);
   const std::size_t for_loads =
       std::min(loads_.size() * kLoadBytes, bytes_left / 2);
@@ -136,12 +138,15 @@
   }
 }
 
-void UpdateQueue::TakeCrashes(PeerUpdate& update, std::size_t& bytes_left) {
+void UpdateQueue::TakeCrashes(PeerUpdate& update,
+                              std::size_t& bytes_left,
+                              MonotonicTime now) {
   const std::size_t count =
       std::min(crashes_.size(), bytes_left / 2 / kCrashReportBytes);
-  const auto end = crashes_.begin() + static_cast<std::ptrdiff_t>(count);
-  update.crashes.assign(crashes_.begin(), end);
-  crashes_.erase(crashes_.begin(), end);
+  for (std::size_t taken = 0; taken < count; ++taken) {
+    update.crashes.push_back(crashes_.front().At(now));
+    crashes_.pop_front();
+  }
   bytes_left -= count * kCrashReportBytes;
 }
 
--- a/lib/libmedlarcroft/source/request_path/crash_tracker.cc
+++ b/lib/libmedlarcroft/source/request_path/crash_tracker.cc
@@ -21,25 +21,46 @@
 std::optional<Duration> CrashTracker::BlockedFor(RequestFingerprint request,
                                                  MonotonicTime now) const {
   const auto found = entries_.find(request);
-  if (found == entries_.end() || !found->second.blocked_until ||
-      now >= *found->second.blocked_until) {
+  if (found == entries_.end()) {
     return std::nullopt;
   }
-  return *found->second.blocked_until - now;
+  const Entry& entry = found->second;
+  if (entry.blocked_until) {
+    return now < *entry.blocked_until
+               ? std::optional<Duration>(*entry.blocked_until - now)
+               : std::nullopt;
+  }
+  if (IsBlockDue(entry, now)) {
+    return options_.block_duration;
+  }
+  const std::optional<MonotonicTime> held_until = HeldUntil(entry, now);
+  return held_until ? std::optional<Duration>(*held_until - now) : std::nullopt;
 }
 
 void CrashTracker::OnCrash(RequestFingerprint request,
                            TargetNumber target,
-                           MonotonicTime now) {
+                           MonotonicTime now,
+                           Duration age) {
   if (request.IsEmpty()) {
+    OnTargetEnded(target, now, age);
     return;
   }
   Entry& entry = EntryOf(request);
-  entry.own_crashes.push_back({.target = target, .at = now});
+  entry.own_crashes.push_back({.target = target, .at = now - age});
   Publish({.kind = CrashReportKind::kCrashed,
            .request = request,
-           .target = target});
-  Count(request, entry, target, now);
+           .target = target,
+           .age = age});
+  Count(request, entry, {.target = target, .at = now - age}, now);
+}
+
+void CrashTracker::OnTargetEnded(TargetNumber target,
+                                 MonotonicTime now,
+                                 Duration age) {
+  if (!ended_targets_.Contains(target)) {
+    Publish({.kind = CrashReportKind::kCrashed, .target = target, .age = age});
+  }
+  ended_targets_.Add(target, now - age);
 }
 
 void CrashTracker::OnAnswered(RequestFingerprint request, MonotonicTime now) {
@@ -58,13 +79,17 @@
 }
 
 void CrashTracker::OnReport(const CrashReport& report, MonotonicTime now) {
+  if (report.kind == CrashReportKind::kCrashed) {
+    ended_targets_.Add(report.target, now - report.age);
+  }
   if (report.request.IsEmpty()) {
     return;
   }
   switch (report.kind) {
     case CrashReportKind::kCrashed:
       if (!ReportRecentAnswer(report.request, now)) {
-        Count(report.request, EntryOf(report.request), report.target, now);
+        Count(report.request, EntryOf(report.request),
+              {.target = report.target, .at = now - report.age}, now);
       }
       break;
     case CrashReportKind::kAnswered:
@@ -82,6 +107,11 @@
 }
 
 void CrashTracker::Advance(MonotonicTime now) {
+  for (auto& [request, entry] : entries_) {
+    Decide(request, entry, now);
+  }
+  KeepFinalWeights(now);
+  ended_targets_.Advance(now);
   std::erase_if(entries_, [&](const auto& kept) {
     const Entry& entry = kept.second;
     return entry.blocked_until
@@ -108,7 +138,8 @@
       if (now - crash.at < options_.repeat_duration) {
         reports.push_back({.kind = CrashReportKind::kCrashed,
                            .request = request,
-                           .target = crash.target});
+                           .target = crash.target,
+                           .age = now - crash.at});
       }
     }
   }
@@ -126,7 +157,7 @@
 
 std::size_t CrashTracker::CrashesOf(RequestFingerprint request) const {
   const auto found = entries_.find(request);
-  return found == entries_.end() ? 0 : found->second.crashed.size();
+  return found == entries_.end() ? 0 : found->second.crashes.size();
 }
 
 std::size_t CrashTracker::BlockedRequests() const {
@@ -148,9 +179,13 @@
 
 void CrashTracker::Count(RequestFingerprint request,
                          Entry& entry,
-                         TargetNumber target,
+                         const Crash& crash,
                          MonotonicTime now) {
   entry.crashed_at = now;
+  const MonotonicTime ended_at = ended_targets_.Add(crash.target, crash.at);
+  if (!HasCrashed(entry, crash.target)) {
+    entry.crashes.push_back({.target = crash.target, .at = ended_at});
+  }
   if (entry.blocked_until) {
     // The reporting host still sends the request: it missed the block.
     if (!entry.own_crashes.empty() &&
@@ -162,12 +197,7 @@
     }
     return;
   }
-  if (std::ranges::find(entry.crashed, target) == entry.crashed.end()) {
-    entry.crashed.push_back(target);
-  }
-  if (entry.crashed.size() >= options_.crashes_to_block) {
-    Block(request, entry, options_.block_duration, now);
-  }
+  Decide(request, entry, now);
 }
 
 void CrashTracker::Block(RequestFingerprint request,
--- a/programs/node/crash_sharing.cc
+++ b/programs/node/crash_sharing.cc
@@ -62,9 +62,10 @@
 
 void CrashSharing::OnCrash(const adapters::InterruptedSend& interrupted) {
   crash_counter_.Add();
+  const MonotonicTime now = parts_.loop.Now();
   parts_.ledger.OnCrash(interrupted.fingerprint,
-                        request_path::NumberOf(interrupted.target),
-                        parts_.loop.Now());
+                        request_path::NumberOf(interrupted.target), now,
+                        now - interrupted.ended_at);
   Log(LogLevel::kWarning, "target-crashed",
       {{"request", interrupted.id},
        {"fingerprint", platform::FormatFingerprint(interrupted.fingerprint)},
@@ -106,6 +107,18 @@
   own_rows_.erase(request);
 }
 
+void CrashSharing::OnHeld(RequestFingerprint request, Duration delay) {
+  Log(LogLevel::kWarning, "request-held",
+      {{"fingerprint", platform::FormatFingerprint(request)},
+       {"crashes", parts_.ledger.CrashesOf(request)},
+       {"held_for_ms", ToMilliseconds(delay)}});
+  parts_.loop.After(delay, [this, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) {
+      parts_.ledger.Advance(parts_.loop.Now());
+    }
+  });
+}
+
 void CrashSharing::OnRow(const replication::Row& row) {
   const auto request = platform::ParseBlockedRequestKey(row.key);
   if (!request) {
--- a/programs/node/crash_sharing.h
+++ b/programs/node/crash_sharing.h
@@ -2,6 +2,7 @@
 #define MEDLARCROFT_PROGRAMS_NODE_CRASH_SHARING_H_
 
 #include <map>
+#include <memory>
 #include <optional>
 
 #include "adapters/event/event_loop.h"
@@ -47,6 +48,8 @@
                  Duration blocked_for,
                  bool is_own) override;
   void OnUnblocked(request_path::RequestFingerprint request) override;
+  void OnHeld(request_path::RequestFingerprint request,
+              Duration delay) override;
 
  private:
   /// @brief A row that this host must ensure is stored.
@@ -75,6 +78,8 @@
   std::map<request_path::RequestFingerprint, OwnRow> own_rows_;
   std::map<request_path::RequestFingerprint, StoredRow> stored_rows_;
   telemetry::Counter& crash_counter_;
+  /// Released with this object: a timer that fires later finds it gone.
+  std::shared_ptr<CrashSharing*> alive_ = std::make_shared<CrashSharing*>(this);
 };
 
 }  // namespace medlarcroft::node
--- a/tests/unit/adapters/peer/peer_channel_test.cc
+++ b/tests/unit/adapters/peer/peer_channel_test.cc
@@ -45,6 +45,27 @@
   EXPECT_EQ(decoded->loads, MakeUpdate().loads);
 }
 
+// Guards against taking ends of one moment for ends of several: reports of them
+// arrive up to half a second apart, and are repeated for seconds.
+TEST(PeerUpdateTest, CrashReportsKeepTheirAge) {
+  using request_path::CrashReport;
+  using std::chrono::milliseconds;
+  const CrashReport crash{
+      .request = request_path::RequestFingerprint::FromValue(~0ULL),
+      .target = request_path::TargetNumber{9},
+      .age = milliseconds(650)};
+  CrashReport old = crash;
+  old.age = std::chrono::minutes(1);
+  const CrashReport end_without_request{.target =
+                                            request_path::TargetNumber{10}};
+  const auto decoded = DecodePeerUpdate(
+      EncodePeerUpdate({.crashes = {crash, old, end_without_request}}));
+  ASSERT_TRUE(decoded);
+  old.age = milliseconds(12750);
+  EXPECT_EQ(decoded->crashes,
+            (std::vector<CrashReport>{crash, old, end_without_request}));
+}
+
 TEST(PeerUpdateTest, StateAndPlacementsAreOptional) {
   EXPECT_FALSE(DecodePeerUpdate(EncodePeerUpdate({}))->state);
   PeerUpdate placed = MakeUpdate();
