Notice a client's end behind unread bytes in the libmicrohttpd listener too

What callers saw: nothing; medlar-entryd kept an order queued, or had a target work on it, for a caller that had sent its next request and left.

Cause: as in the node's listener: the check looked at the next unread byte.

Change: it asks whether the client has closed its side.

Evidence: HttpServerDisconnectTest.EndBehindTheNextRequestIsNoticed: not noticed within a second before, noticed after.

--- a/lib/libmedlarcroft/source/adapters/http/http_server.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_server.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <mutex>
@@ -134,12 +135,10 @@
     if (connection_ == nullptr) {
       return true;
     }
-    // libmicrohttpd does not monitor a suspended connection, so this peeks at
-    // the socket: an orderly close shows as end of file, a reset as an error.
-    char byte = 0;
-    const ssize_t got = recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-                        errno != EINTR);
+    // libmicrohttpd does not monitor a suspended connection, so this asks the
+    // socket whether the client has closed its side, whatever is unread.
+    pollfd state{.fd = socket_, .events = POLLRDHUP, .revents = 0};
+    return poll(&state, 1, 0) > 0;
   }
 
   /// @return true when the connection is now suspended until `Send`.
--- a/tests/unit/adapters/http_server_test.cc
+++ b/tests/unit/adapters/http_server_test.cc
@@ -2,11 +2,39 @@
 
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
+
+#include <atomic>
+#include <thread>
+
 #include "adapters/http/http_client.h"
+#include "adapters/process/socket_address.h"
+#include "fakes/scripted_server.h"
 
 namespace medlarcroft::adapters {
 namespace {
 
+/// Waits until its client has gone, or for long enough to notice that.
+class DisconnectHandler final : public HttpHandler {
+ public:
+  std::optional<HttpResponse> Handle(
+      HttpRequest /*request*/,
+      const std::shared_ptr<Responder>& responder) override {
+    constexpr int kChecks = 200;
+    is_started = true;
+    for (int check = 0; check < kChecks && !has_noticed; ++check) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      has_noticed = responder->IsClientDisconnected();
+    }
+    is_done = true;
+    return HttpResponse{};
+  }
+
+  std::atomic<bool> is_started{false};
+  std::atomic<bool> has_noticed{false};
+  std::atomic<bool> is_done{false};
+};
+
 /// Answers with the connection's id. For "/cut", the announced length exceeds
 /// the body sent; for "/dropped", there is no answer.
 class IdHandler final : public HttpHandler {
@@ -44,6 +72,29 @@
   HttpClient client_{{}};
 };
 
+// Guards against work for a client that has left after it sent its next request
+// on the same connection: the end behind unread bytes was not noticed.
+TEST(HttpServerDisconnectTest, EndBehindTheNextRequestIsNoticed) {
+  DisconnectHandler handler;
+  const auto server = TakeValue(
+      HttpServer::Start({.address = "127.0.0.1:0", .threads = 1}, handler));
+  const auto address =
+      ParseSocketAddress("127.0.0.1:" + std::to_string(server->Port()));
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+  ASSERT_EQ(::connect(descriptor, address->Get(), address->length), 0);
+  fakes::ScriptedConnection client(descriptor);
+  client.Write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (!handler.is_started) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  client.Write("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  client.Close();
+  while (!handler.is_done) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  EXPECT_TRUE(handler.has_noticed);
+}
+
 TEST_F(HttpServerTest, NumbersConnectionsInOrderOfAcceptance) {
   EXPECT_EQ(ValueOf(Get("/", false)).body, "1");
   EXPECT_EQ(ValueOf(Get("/", false)).body, "1");
