Show that targets which ask for rest, or say that they leave, get requests

Callers see late answers, and rejections once all targets rest that may run their request: hosts ignore Retry-After and Server-Leaving of targets' answers.

The stand-in for targets sends both, also with a body that breaks off, and tells hosts apart by the address that they call.

--- a/tests/system/platform_standins.py
+++ b/tests/system/platform_standins.py
@@ -194,12 +194,17 @@
 class Target:
     """One target. `mode`: ok, slow (responds after `delay_s`), cut (runs, then closes without a response). A request
     whose path is in `crash_paths` crashes the target, which restarts on the same address after `restart_delay_s`.
-    While `limit_per_s` is set, responses declare that rate limit."""
+    While `limit_per_s` is set, responses declare that rate limit. While `rest` is set, requests are rejected with it as
+    Retry-After, and with `cuts_rejections` the connection ends within the body. While `is_leaving`, all responses say so.
+    Hosts are told apart by the addresses that they use, see `listen_at`."""
 
     def __init__(self, store, name, service, domain, address, slots=2):
         self.store, self.name, self.slots = store, name, slots
         self.mode, self.delay_s = "ok", 0.02
         self.limit_per_s = None
+        self.rest, self.cuts_rejections, self.is_leaving = None, False, False
+        self.arrivals, self.rejections = [], []  # (time, own address that was called) of each request for this target.
+        self.other_servers = []
         self.crash_paths, self.restart_delay_s = set(), 1.0
         self.on_crash = self.on_restart = None  # Used by a proxy in front of the target.
         self.base_name, self.crashes, self.terminated, self.is_stopped = name, 0, [], False
@@ -222,10 +227,18 @@
 
             do_POST = do_GET
 
+        self.handler = Handler
         self.server = _Server(address, Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         self.store.put_json("servers", self.name, self.entry)
 
+    def listen_at(self, address):
+        """Serves on another address too, for one of the hosts."""
+        server = _Server(address, self.handler)
+        self.other_servers.append(server)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return "%s:%d" % server.server_address
+
     def _crash(self, server):
         with self.lock:
             if server in self.terminated:
@@ -248,8 +261,9 @@
 
     def stop(self):
         self.is_stopped = True
-        if self.server not in self.terminated:
-            self.server.terminate()
+        for server in [self.server] + self.other_servers:
+            if server not in self.terminated:
+                server.terminate()
 
     def drain(self):
         self.entry["status"]["state"] = "draining"
@@ -262,6 +276,14 @@
         if handler.headers["X-Medlarcroft-Expect-Instance"] != self.name:
             handler.answer(421, b"", headers + [("X-Medlarcroft-Not-Executed", "1")])
             return
+        arrival = (time.monotonic(), handler.server.server_address[0])
+        with self.lock:
+            self.arrivals.append(arrival)
+        if self.is_leaving:
+            headers.append(("Server-Leaving", "1"))
+        if self.rest is not None:
+            self._reject(handler, headers, arrival)
+            return
         with self.lock:
             self.running += 1
             self.executed_requests.append(request)
@@ -284,3 +306,18 @@
             headers.append(("X-Medlarcroft-Server-Limit", f"{self.limit_per_s:g}"))
         handler.answer(200, handler.path.encode() + body,
                        headers + [("X-Medlarcroft-Server-Seal", "seal"), ("X-Medlarcroft-Server-Load", load)])
+
+    def _reject(self, handler, headers, arrival):
+        headers = headers + [("X-Medlarcroft-Not-Executed", "1"), ("X-Medlarcroft-Server-Load", f"0,0,{self.slots}"),
+                             ("Retry-After", str(self.rest))]
+        if not self.cuts_rejections:
+            handler.answer(503, b"rest", headers)
+        else:
+            handler.send_response(503)
+            for name, value in headers + [("Content-Length", "1000")]:
+                handler.send_header(name, value)
+            handler.end_headers()
+            handler.wfile.write(b"rest")
+            handler.close_connection = True
+        with self.lock:
+            self.rejections.append((time.monotonic(), arrival[1]))
