--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <variant>
@@ -24,6 +25,7 @@
 #include "medlarcroft/request_path/retry_budget_share.h"
 #include "medlarcroft/request_path/service_times.h"
 #include "medlarcroft/request_path/target_directory.h"
+#include "medlarcroft/request_path/target_notice.h"
 #include "medlarcroft/request_path/target_reach.h"
 #include "medlarcroft/routing/route_table.h"
 
@@ -69,6 +71,7 @@
                          ///< in common.
   kTargetsOutOfReach,    ///< This host is cut off from all targets, and no
                          ///< other host sent for it.
+  kTargetsResting,       ///< All targets that may run it asked for rest.
 };
 
 /// @brief A final response that this host generates itself.
@@ -240,6 +243,24 @@
   void OnReachProbed(TargetNumber target, bool is_reached, MonotonicTime now);
   [[nodiscard]] const TargetReach& Reach() const { return reach_; }
 
+  /// @brief Applies what a response of the target says about its process, also
+  /// when the response is incomplete, late or belongs to another request.
+  /// @param request whose response it was, for the log.
+  void OnNotice(const TargetIdentity& target,
+                const TargetNotice& notice,
+                std::string_view request,
+                MonotonicTime now);
+  /// @return whether a request that was placed on the process may be sent now.
+  [[nodiscard]] bool MaySend(const TargetIdentity& target,
+                             MonotonicTime now) const {
+    return targets_.FindUsableAddress(target, now).has_value();
+  }
+  [[nodiscard]] bool IsResting(const TargetIdentity& target,
+                               MonotonicTime now) const;
+  /// @return whether the process rests or leaves.
+  [[nodiscard]] bool WantsNothing(const TargetIdentity& target,
+                                  MonotonicTime now) const;
+
   /// @brief Applies the rate limit that a target declares in its response.
   /// @param limit requests per second for all hosts together; nullopt: none.
   void OnRateLimit(RequestTicket ticket,
@@ -314,7 +335,17 @@
       const Request& request,
       MonotonicTime now);
   [[nodiscard]] Duration MaxQueueWait(const Request& request) const;
-  [[nodiscard]] RegionSlots SlotsOf(const ServiceName& service);
+  /// @return the slots per region; a resting target has none.
+  [[nodiscard]] RegionSlots SlotsOf(const ServiceName& service,
+                                    MonotonicTime now);
+  /// @return the time until the first of the targets that may run the request
+  /// has rested; nullopt unless all of them rest.
+  [[nodiscard]] std::optional<Duration> ShortestRest(const Request& request,
+                                                     MonotonicTime now);
+  /// @param reason unless all targets rest.
+  [[nodiscard]] RequestFailure RefuseWithoutTarget(const Request& request,
+                                                   FailureReason reason,
+                                                   MonotonicTime now);
   /// @return the demand that the configuration in force binds to regions.
   [[nodiscard]] std::span<const BoundDemand> BoundDemands();
   [[nodiscard]] Step Send(Request& request,
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_directory.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_directory.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -46,6 +47,25 @@
   virtual ~TargetDirectoryObserver() = default;
   virtual void OnTargetChange(TargetChange change,
                               const TargetRecord& target) = 0;
+  /// A target that did not rest asked for it.
+  /// @param length including the time by which this host returns later.
+  /// @param request whose response asked for it.
+  virtual void OnRestStarted(const TargetIdentity& /*target*/,
+                             Duration /*length*/,
+                             std::string_view /*request*/) {}
+  virtual void OnRestEnded(const TargetIdentity& /*target*/) {}
+  /// The target says that it leaves, which was not known.
+  /// @param request whose response says so.
+  virtual void OnLeavingStated(const TargetIdentity& /*target*/,
+                               std::string_view /*request*/) {}
+};
+
+/// @brief A rest that a target asks for.
+struct RestRequest {
+  Duration length{0};
+  /// By which this host returns later than the target asks for.
+  Duration delay{0};
+  std::string_view request;  ///< Whose response asks for it.
 };
 
 /// @brief All registered targets, and which of them may get new requests.
@@ -81,9 +101,22 @@
   /// @brief Retains targets until `end` at most, after their entries turned out
   /// to have been removed, or the store to have been back for longer.
   void LimitRetention(MonotonicTime end, MonotonicTime now);
-  /// @brief Removes retained targets whose time is over.
+  /// @brief Removes retained targets whose time is over, and ends rests.
   void Advance(MonotonicTime now);
 
+  /// @brief Keeps requests of this host from the process while it rests. The
+  /// latest end that it has asked for counts. Holds for the process, also
+  /// when its entry is removed and returns meanwhile.
+  void Rest(const TargetIdentity& target,
+            const RestRequest& rest,
+            MonotonicTime now);
+  /// @brief Records that the process itself says that it leaves, which no
+  /// entry of it revokes.
+  /// @param request whose response says so.
+  void MarkLeaving(const TargetIdentity& target, std::string_view request);
+  /// @return how many processes rest, or did at the last `Advance`.
+  [[nodiscard]] std::size_t RestingCount() const { return rests_.size(); }
+
   /// @brief Sets the domains that get no new requests. The targets of a domain
   /// that is removed from the set are cold for the `cold_time` of their
   /// service.
@@ -97,9 +130,11 @@
   /// @return the address of the process; nullopt when it must get no new
   /// requests.
   [[nodiscard]] std::optional<std::string> FindUsableAddress(
-      const TargetIdentity& target);
+      const TargetIdentity& target,
+      MonotonicTime now) const;
   /// @return all targets that may get new requests.
-  [[nodiscard]] std::vector<ReachCandidate> ReachCandidates() const;
+  [[nodiscard]] std::vector<ReachCandidate> ReachCandidates(
+      MonotonicTime now) const;
   /// @brief Ends the backoff of all targets.
   void ForgetFailures();
   /// @brief Stops all requests to the process: another target has its address.
@@ -126,15 +161,23 @@
     bool is_announced = false;
   };
 
+  struct RestPeriod {
+    MonotonicTime asked_until{};
+    MonotonicTime until{};  ///< When this host returns.
+  };
+
   [[nodiscard]] RegionName RegionOf(const FailureDomainName& domain) const;
   [[nodiscard]] Duration ColdTimeOf(const ServiceName& service) const;
   [[nodiscard]] bool IsOlderThanDeparture(const TargetRecord& target) const;
   void Add(const TargetRecord& target, MonotonicTime now);
   void Restart(Entry& entry, const TargetRecord& target, MonotonicTime now);
   void Update(Entry& entry, TargetRecord target, MonotonicTime now);
+  [[nodiscard]] std::unique_ptr<TargetState> MakeState(
+      const TargetRecord& target) const;
   [[nodiscard]] std::unique_ptr<TargetState> MakeStartedState(
       const TargetRecord& target,
       MonotonicTime now) const;
+  void EndRests(MonotonicTime now);
   void Erase(const TargetName& target);
   [[nodiscard]] bool IsUsable(const Entry& entry) const;
   [[nodiscard]] std::vector<RegionTargets> GatherUsable(
@@ -151,6 +194,7 @@
   std::unordered_map<ServiceName, std::vector<RegionTargets>> usable_;
   std::unordered_map<ServiceName, Duration> cold_times_;
   std::set<FailureDomainName> evacuated_;
+  std::map<TargetIdentity, RestPeriod> rests_;
   // Prevents outdated entries from restoring removed targets.
   std::map<TargetName, Departure> departed_;
 };
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -31,6 +31,7 @@
   kTimedOut,      ///< No response in time; it may have run.
   kNoHelper,      ///< This host is cut off from the targets, and no other host
                   ///< sent for it.
+  kWithheld,      ///< Not sent: the target must get no requests any more.
 };
 
 /// @brief This host's view of one target.
@@ -94,6 +95,18 @@
   /// succeeds.
   [[nodiscard]] bool IsBackedOff(MonotonicTime now) const;
 
+  /// @brief Records that the target wants no requests from this host until
+  /// then. An earlier time than the known one changes nothing.
+  void RestUntil(MonotonicTime until);
+  [[nodiscard]] bool IsResting(MonotonicTime now) const {
+    return now < rest_until_;
+  }
+  /// @return the end of the latest rest; in the past if there is none.
+  [[nodiscard]] MonotonicTime RestEnd() const { return rest_until_; }
+  /// @return whether the target, after a rest, must first answer the request
+  /// that it got last.
+  [[nodiscard]] bool IsReturning(MonotonicTime now) const;
+
   void MarkCold(MonotonicTime until) {
     cold_until_ = std::max(cold_until_, until);
   }
@@ -130,6 +143,8 @@
   std::uint32_t consecutive_error_responses_ = 0;
   Duration backoff_{0};
   MonotonicTime backed_off_until_{};
+  MonotonicTime rest_until_{};
+  bool has_answered_since_rest_ = true;
   MonotonicTime cold_until_{};
   std::deque<MonotonicTime> sends_;
   bool has_been_used_ = false;
--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.h
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.h
@@ -55,6 +55,10 @@
   /// Returns whether a response belongs to this request. One that does not is
   /// discarded, and its connection is not reused.
   std::function<bool(const HttpResponse&)> is_matching_response;
+  /// Called with status and headers of each final response that arrives on the
+  /// connection until another request takes it: also of one that is incomplete
+  /// in the end, that does not match, or that comes when none is due.
+  std::function<void(const HttpResponse&)> on_head;
   /// Called with the time that a new connection took to establish, about one
   /// round trip, before anything is sent on it. May cancel the exchange.
   std::function<void(Duration)> on_connected;
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -98,6 +98,7 @@
   const auto self = shared_from_this();
   if (exchange_ == 0) {
     // Bytes after a complete response belong to no request.
+    ReportExtraHead(bytes);
     client_.RemoveIdle(*this);
     return;
   }
@@ -107,6 +108,7 @@
 }
 
 void HttpClientConnection::ResetParser() {
+  is_head_reported_ = false;
   parser_.emplace();
   parser_->eager(true);
   parser_->skip(request_.is_head_request);
@@ -119,6 +121,7 @@
     const std::size_t used =
         parser_->put(boost::asio::buffer(input_.data(), input_.size()), error);
     input_.erase(0, used);
+    ReportHead();
     if (error && error != http::error::need_more) {
       Fail(error == http::error::body_limit ? ExchangeFailure::kTooLarge
                                             : ExchangeFailure::kMalformed);
@@ -133,6 +136,27 @@
   }
 }
 
+// Before the body: it may break off, and what the head says holds all the same.
+void HttpClientConnection::ReportHead() {
+  if (is_head_reported_ || !parser_->is_header_done()) {
+    return;
+  }
+  is_head_reported_ = true;
+  const auto& message = parser_->get();
+  if (request_.on_head && message.result_int() / 100 != 1) {
+    request_.on_head({.status = static_cast<int>(message.result_int()),
+                      .headers = CopyHeaders(message)});
+  }
+}
+
+void HttpClientConnection::ReportExtraHead(std::string_view bytes) {
+  ResetParser();
+  boost::beast::error_code error;
+  parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+  ReportHead();
+  parser_.reset();
+}
+
 bool HttpClientConnection::HandleResponse() {
   const bool keeps_alive = parser_->keep_alive();
   auto message = parser_->release();
@@ -173,11 +197,14 @@
 void HttpClientConnection::Succeed(HttpResponse response) {
   const auto self = shared_from_this();
   StopTimer();
+  if (!input_.empty()) {
+    ReportExtraHead(input_);
+  }
   parser_.reset();
   std::string().swap(input_);
   client_.active_.erase(exchange_);
   exchange_ = 0;
-  request_ = {};
+  request_ = {.on_head = std::move(request_.on_head)};
   const ExchangeCallback callback = std::exchange(callback_, nullptr);
   idle_since_ = client_.loop_.Now();
   idle_until_ = idle_since_ + idle_limit_;
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
@@ -44,6 +44,10 @@
 
   void ResetParser();
   void Parse();
+  /// @brief Reports the head of the current response once it is complete.
+  void ReportHead();
+  /// @brief Reports the head of a response that comes when none is due.
+  void ReportExtraHead(std::string_view bytes);
   /// @return whether another response may follow the one just parsed.
   bool HandleResponse();
   void UpdateIdleLimit(const HttpHeaders& headers);
@@ -58,6 +62,7 @@
   ExchangeCallback callback_;
   std::optional<Parser> parser_;
   std::string input_;
+  bool is_head_reported_ = false;
   bool is_reused_ = false;
   bool is_reusable_ = true;
   bool has_response_bytes_ = false;
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -73,10 +73,10 @@
     Fail(*exchange, RelayEnd::kRefused);
     return;
   }
-  // The other host may not have heard that the target leaves, that its domain
-  // is evacuated, or that another process has its address.
+  // The other host may not have heard that the target leaves or rests, that its
+  // domain is evacuated, or that another process has its address.
   const std::optional<std::string> address =
-      parts_.targets.FindUsableAddress(relay->target);
+      parts_.targets.FindUsableAddress(relay->target, parts_.loop.Now());
   if (!address) {
     Fail(*exchange, RelayEnd::kNotAllowed);
     return;
@@ -99,6 +99,10 @@
   request.connect_timeout = kMaxRelayConnectTime;
   request.timeout = relay.time_left;
   request.max_idle = MaxIdleBeforeSend(relay.may_repeat);
+  request.on_head = [this, number, target = relay.target,
+                     id = relay.id](const HttpResponse& head) {
+    OnHead(number, target, id, head);
+  };
   request.is_matching_response =
       [this, id = std::move(relay.id)](const HttpResponse& answer) {
         return parts_.codec.IsResponseTo(answer, id);
@@ -110,6 +114,7 @@
     if (relay != in_flight_.end() && relay->second.exchange->IsCallerGone()) {
       OnRequesterGone(number);
     }
+    EndIfNotAllowed(number);
   };
   const ExchangeId sent = parts_.caller.Send(
       std::move(request), [this, number, address](ExchangeResult result) {
@@ -135,11 +140,38 @@
     if (ErrorOf(result).failure == ExchangeFailure::kCannotConnect) {
       parts_.on_connect_failed(ended.mapped().target);
     }
-    Fail(exchange, EndOfFailure(ErrorOf(result)));
+    Fail(exchange, EndOfFailure(ErrorOf(result)), ended.mapped().notice);
     return;
   }
   Count(RelayEnd::kAnswered);
-  exchange.Respond(EncodeRelayedAnswer(TakeValue(std::move(result))));
+  exchange.Respond(
+      EncodeRelayedAnswer(TakeValue(std::move(result)), ended.mapped().notice));
+}
+
+void RelayHandler::OnHead(std::uint64_t number,
+                          const request_path::TargetIdentity& target,
+                          const std::string& request,
+                          const HttpResponse& head) {
+  const request_path::TargetNotice notice = parts_.codec.ReadNotice(head);
+  const auto relay = in_flight_.find(number);
+  if (relay != in_flight_.end()) {
+    relay->second.notice.Add(notice);
+  }
+  if (!notice.IsEmpty()) {
+    parts_.on_notice(target, notice, request);
+  }
+}
+
+void RelayHandler::EndIfNotAllowed(std::uint64_t number) {
+  const auto found = in_flight_.find(number);
+  if (found == in_flight_.end() ||
+      parts_.targets.FindUsableAddress(found->second.target,
+                                       parts_.loop.Now())) {
+    return;
+  }
+  const auto ended = in_flight_.extract(found);
+  parts_.caller.Cancel(ended.mapped().sent);
+  Fail(*ended.mapped().exchange, RelayEnd::kNotAllowed);
 }
 
 // As for the requests of this host's own callers.
@@ -163,9 +195,11 @@
   }
 }
 
-void RelayHandler::Fail(HttpExchange& exchange, RelayEnd end) {
+void RelayHandler::Fail(HttpExchange& exchange,
+                        RelayEnd end,
+                        const request_path::TargetNotice& notice) {
   Count(end);
-  exchange.Respond(EncodeRelayFailure(end));
+  exchange.Respond(EncodeRelayFailure(end, notice));
 }
 
 void RelayHandler::Count(RelayEnd end) {
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
@@ -33,6 +33,11 @@
     /// What relays show of this host's own reach.
     std::function<void()> on_connected;
     std::function<void(const request_path::TargetIdentity&)> on_connect_failed;
+    /// What a target said about itself in response to the request with the ID.
+    std::function<void(const request_path::TargetIdentity&,
+                       const request_path::TargetNotice&,
+                       const std::string& request)>
+        on_notice;
     /// Relays at once, from what memory allows.
     std::size_t max_in_flight = 0;
   };
@@ -51,6 +56,8 @@
   struct Relay {
     std::shared_ptr<HttpExchange> exchange;
     request_path::TargetIdentity target;
+    /// In the latest response, which may not be complete yet.
+    request_path::TargetNotice notice;
     ExchangeId sent = 0;
   };
 
@@ -61,13 +68,22 @@
   void OnResult(std::uint64_t number,
                 const std::string& address,
                 ExchangeResult result);
+  void OnHead(std::uint64_t number,
+              const request_path::TargetIdentity& target,
+              const std::string& request,
+              const HttpResponse& head);
+  /// @brief Gives up a relay that is not sent yet, if its target must get no
+  /// requests any more.
+  void EndIfNotAllowed(std::uint64_t number);
   void OnRequesterGone(std::uint64_t number);
   /// @brief Observes whether this host keeps up, and whether others still wait
   /// for what it sent, while it relays.
   void StartTicking();
   void Tick();
   void EndAbandonedRelays();
-  void Fail(HttpExchange& exchange, RelayEnd end);
+  void Fail(HttpExchange& exchange,
+            RelayEnd end,
+            const request_path::TargetNotice& notice = {});
   void Count(RelayEnd end);
 
   Parts parts_;
--- a/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
@@ -19,6 +19,8 @@
 constexpr std::string_view kRepeatableHeader = "Medlar-Relay-Repeatable";
 constexpr std::string_view kHeadHeader = "Medlar-Relay-Head";
 constexpr std::string_view kEndHeader = "Medlar-Relay-End";
+constexpr std::string_view kRestHeader = "Medlar-Relay-Target-Rest-Ms";
+constexpr std::string_view kLeavingHeader = "Medlar-Relay-Target-Leaving";
 
 constexpr std::array<std::string_view, 6> kEndNames = {
     "answered", "refused", "not-sent", "not-allowed", "lost", "timed-out"};
@@ -35,6 +37,19 @@
   return is_whole ? std::optional(number) : std::nullopt;
 }
 
+void AddNotice(HttpHeaders& headers, const request_path::TargetNotice& notice) {
+  headers.Remove(kRestHeader);
+  headers.Remove(kLeavingHeader);
+  if (notice.rest) {
+    const auto rest =
+        std::chrono::ceil<std::chrono::milliseconds>(*notice.rest);
+    headers.Add(kRestHeader, std::to_string(rest.count()));
+  }
+  if (notice.is_leaving) {
+    headers.Add(kLeavingHeader, "1");
+  }
+}
+
 }  // namespace
 
 std::string_view NameOf(RelayEnd end) {
@@ -79,19 +94,37 @@
       .text = std::move(call.body)};
 }
 
-HttpResponse EncodeRelayFailure(RelayEnd end) {
+HttpResponse EncodeRelayFailure(RelayEnd end,
+                                const request_path::TargetNotice& notice) {
   HttpResponse response;
   response.status = kEndStatuses.at(static_cast<std::size_t>(end));
   response.headers.Add(kEndHeader, NameOf(end));
+  AddNotice(response.headers, notice);
   return response;
 }
 
-HttpResponse EncodeRelayedAnswer(HttpResponse answer) {
+HttpResponse EncodeRelayedAnswer(HttpResponse answer,
+                                 const request_path::TargetNotice& notice) {
   answer.headers = WithoutHopByHopHeaders(answer.headers);
   answer.headers.Set(kEndHeader, NameOf(RelayEnd::kAnswered));
+  AddNotice(answer.headers, notice);
   return answer;
 }
 
+request_path::TargetNotice DecodeRelayedNotice(const HttpResponse& head) {
+  // Well within what a duration holds.
+  constexpr std::uint64_t kMaxRestMs = 1'000'000'000'000;
+  request_path::TargetNotice notice;
+  if (!head.headers.Find(kEndHeader)) {
+    return notice;
+  }
+  if (const auto rest = FindNumber(head.headers, kRestHeader)) {
+    notice.rest = std::chrono::milliseconds(std::min(*rest, kMaxRestMs));
+  }
+  notice.is_leaving = head.headers.Find(kLeavingHeader) == "1";
+  return notice;
+}
+
 std::optional<RelayEnd> DecodeRelayResponse(HttpResponse& response) {
   const auto name = response.headers.Find(kEndHeader);
   const auto found = std::ranges::find(kEndNames, name.value_or(""));
@@ -100,6 +133,8 @@
   }
   const auto end = static_cast<RelayEnd>(found - kEndNames.begin());
   response.headers.Remove(kEndHeader);
+  response.headers.Remove(kRestHeader);
+  response.headers.Remove(kLeavingHeader);
   return end;
 }
 
--- a/lib/libmedlarcroft/source/adapters/forward/relay_protocol.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.h
@@ -8,6 +8,7 @@
 #include "adapters/http/http_message.h"
 #include "medlarcroft/core/time.h"
 #include "medlarcroft/request_path/target_identity.h"
+#include "medlarcroft/request_path/target_notice.h"
 
 /// @file
 /// @brief How a host that is cut off from the targets has another host send a
@@ -49,8 +50,17 @@
 /// @return nullopt when a field is missing or invalid.
 [[nodiscard]] std::optional<RelayRequest> DecodeRelayRequest(HttpRequest call);
 
-[[nodiscard]] HttpResponse EncodeRelayFailure(RelayEnd end);
-[[nodiscard]] HttpResponse EncodeRelayedAnswer(HttpResponse answer);
+/// @param notice what the target's response said before it broke off.
+[[nodiscard]] HttpResponse EncodeRelayFailure(
+    RelayEnd end,
+    const request_path::TargetNotice& notice = {});
+[[nodiscard]] HttpResponse EncodeRelayedAnswer(
+    HttpResponse answer,
+    const request_path::TargetNotice& notice = {});
+/// @brief Reads what the target says about itself.
+/// @param head status and headers of the helper's response.
+[[nodiscard]] request_path::TargetNotice DecodeRelayedNotice(
+    const HttpResponse& head);
 /// @brief Reads how the send ended, and restores the target's response.
 /// @return nullopt when the response comes from no helper.
 [[nodiscard]] std::optional<RelayEnd> DecodeRelayResponse(
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
@@ -80,6 +80,13 @@
   // The helper can't know that the caller has left before it is told.
   request.on_connected =
       [cancel = relay.callbacks.cancel_if_unwanted](Duration) { cancel(); };
+  request.on_head = [on_notice =
+                         relay.callbacks.on_notice](const HttpResponse& head) {
+    const request_path::TargetNotice notice = DecodeRelayedNotice(head);
+    if (!notice.IsEmpty()) {
+      on_notice(notice);
+    }
+  };
   relay.exchange = parts_.caller.Send(
       std::move(request),
       [this, number, helper = *helper](ExchangeResult result) {
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
@@ -42,8 +42,11 @@
     /// left.
     std::function<std::string(Duration time_left)> encode;
     /// Called before anything is sent later than in `Send`. Cancels the send if
-    /// nobody waits for it, and returns whether it did.
+    /// nobody waits for it or its target must get no requests any more, and
+    /// returns whether it did.
     std::function<bool()> cancel_if_unwanted;
+    /// Called with what the target says about itself.
+    std::function<void(const request_path::TargetNotice&)> on_notice;
     /// Runs once, never from within `Send`.
     std::function<void(RelayResult)> on_end;
   };
--- a/lib/libmedlarcroft/source/adapters/forward/request_codec.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_codec.h
@@ -41,6 +41,9 @@
                                           const std::string& id) const = 0;
   [[nodiscard]] virtual ClassifiedResponse ClassifyResponse(
       const HttpResponse& answer) const = 0;
+  /// @param head status and headers of a target's response.
+  [[nodiscard]] virtual request_path::TargetNotice ReadNotice(
+      const HttpResponse& head) const = 0;
   /// @return a target's response in the form in which it is forwarded to the
   /// caller.
   [[nodiscard]] virtual HttpResponse ForwardResponse(
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -152,10 +152,18 @@
       [this, id = active.decoded.id](const HttpResponse& answer) {
         return parts_.codec.IsResponseTo(answer, id);
       };
-  request.on_connected = [this, ticket,
-                          region = attempt.region](Duration round_trip) {
-    parts_.path.OnConnected(region, round_trip, parts_.loop.Now());
-    EndIfCallerGone(ticket);
+  request.on_head = [this, target = attempt.target,
+                     id = active.decoded.id](const HttpResponse& head) {
+    const request_path::TargetNotice notice = parts_.codec.ReadNotice(head);
+    if (!notice.IsEmpty()) {
+      parts_.path.OnNotice(target, notice, id, parts_.loop.Now());
+    }
+  };
+  request.on_connected = [this, ticket, attempt](Duration round_trip) {
+    parts_.path.OnConnected(attempt.region, round_trip, parts_.loop.Now());
+    if (!EndIfCallerGone(ticket)) {
+      EndIfTargetUnwilling(ticket, attempt);
+    }
   };
   const ExchangeId exchange = parts_.caller.Send(
       std::move(request), [this, ticket, attempt](ExchangeResult result) {
@@ -182,7 +190,16 @@
              relayed.time_left = std::min(relayed.time_left, time_left);
              return parts_.codec.EncodeAttempt(active.call, relayed);
            },
-       .cancel_if_unwanted = [this, ticket] { return EndIfCallerGone(ticket); },
+       .cancel_if_unwanted =
+           [this, ticket, attempt] {
+             return EndIfCallerGone(ticket) ||
+                    EndIfTargetUnwilling(ticket, attempt);
+           },
+       .on_notice =
+           [this, target = attempt.target,
+            id = active.decoded.id](const request_path::TargetNotice& notice) {
+             parts_.path.OnNotice(target, notice, id, parts_.loop.Now());
+           },
        .on_end =
            [this, ticket, attempt](RelayResult result) {
              OnRelayResult(ticket, attempt, std::move(result));
@@ -192,6 +209,25 @@
   };
 }
 
+// Guards against requests that reach a target after it asked for rest or said
+// that it leaves: a request that was placed before may wait for its connection
+// for hundreds of milliseconds. It goes to another target instead.
+bool RequestForwarder::EndIfTargetUnwilling(RequestTicket ticket,
+                                            const SendAttempt& attempt) {
+  const auto found = active_requests_.find(ticket);
+  if (found == active_requests_.end() ||
+      parts_.path.MaySend(attempt.target, parts_.loop.Now())) {
+    return false;
+  }
+  ActiveRequest& active = *found->second;
+  const auto cancel = active.cancels.extract(attempt.attempt);
+  if (!cancel.empty()) {
+    cancel.mapped()();
+  }
+  EndAttempt(ticket, active, attempt, AttemptEnd::kWithheld);
+  return true;
+}
+
 void RequestForwarder::OnResult(RequestTicket ticket,
                                 const SendAttempt& attempt,
                                 ExchangeResult result) {
@@ -240,7 +276,8 @@
   const ClassifiedResponse classified = parts_.codec.ClassifyResponse(answer);
   if (classified.load) {
     parts_.path.OnReport(attempt.target, *classified.load, now);
-    if (parts_.on_load_report) {
+    // A target that turns this host away would look idle to the others.
+    if (parts_.on_load_report && !parts_.path.IsResting(attempt.target, now)) {
       parts_.on_load_report(attempt.target, *classified.load);
     }
   }
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -98,6 +98,11 @@
   /// not come to notice that.
   /// @return whether it ended, which invalidates its `ActiveRequest`.
   bool EndIfCallerGone(request_path::RequestTicket ticket);
+  /// @brief Ends an attempt that is not sent yet if its target must get no
+  /// requests any more, since it was placed.
+  /// @return whether it ended, which may invalidate its `ActiveRequest`.
+  bool EndIfTargetUnwilling(request_path::RequestTicket ticket,
+                            const request_path::SendAttempt& attempt);
   void Send(request_path::RequestTicket ticket,
             ActiveRequest& active,
             const request_path::SendAttempt& attempt);
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder_crashes.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder_crashes.cc
@@ -23,6 +23,11 @@
 void RequestForwarder::CheckForCrash(ActiveRequest& active,
                                      const SendAttempt& attempt) {
   const MonotonicTime now = parts_.loop.Now();
+  // A target that rests wants no connection either, and one that leaves ends
+  // without any request being the reason.
+  if (parts_.path.WantsNothing(attempt.target, now)) {
+    return;
+  }
   const bool ended_with_another =
       active.interrupted_at &&
       now - *active.interrupted_at < kSimultaneousEnds &&
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -30,7 +30,7 @@
 constexpr MetricDescription kAnswerLatency = {
     "medlar_answer_seconds", "From a request's arrival to its whole answer."};
 
-constexpr std::array<std::string_view, 17> kEndReasonNames = {
+constexpr std::array<std::string_view, 18> kEndReasonNames = {
     "not-configured",
     "no-route",
     "no-route-yet",
@@ -47,10 +47,11 @@
     "quota-exceeded",
     "quota-unknown",
     "region-forbidden",
-    "targets-out-of-reach"};
-constexpr std::array<std::string_view, 8> kAttemptEndNames = {
-    "answered",   "target-failed", "not-run",   "other-target",
-    "never-sent", "lost",          "timed-out", "no-helper"};
+    "targets-out-of-reach",
+    "targets-resting"};
+constexpr std::array<std::string_view, 9> kAttemptEndNames = {
+    "answered", "target-failed", "not-run",   "other-target", "never-sent",
+    "lost",     "timed-out",     "no-helper", "withheld"};
 
 RequestOutcome OutcomeOf(const routing::Route* route) {
   const bool is_non_idempotent =
--- a/lib/libmedlarcroft/source/request_path/placement_policy.cc
+++ b/lib/libmedlarcroft/source/request_path/placement_policy.cc
@@ -55,7 +55,8 @@
   candidates.reserve(region.targets.size());
   const std::optional<double> region_mean = query.loads.MeanOf(region.region);
   for (TargetState* const target : region.targets) {
-    if (target->IsBackedOff(now) || !HasColdCapacity(*target, query, now) ||
+    if (target->IsResting(now) || target->IsReturning(now) ||
+        target->IsBackedOff(now) || !HasColdCapacity(*target, query, now) ||
         !IsWithinRateLimit(*target, query, now) ||
         (!query.excluded.empty() && IsExcluded(*target, query))) {
       continue;
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -55,7 +55,8 @@
 }
 
 bool ReachedTarget(AttemptEnd end) {
-  return end != AttemptEnd::kNeverSent && end != AttemptEnd::kNoHelper;
+  return end != AttemptEnd::kNeverSent && end != AttemptEnd::kNoHelper &&
+         end != AttemptEnd::kWithheld;
 }
 
 }  // namespace
@@ -153,8 +154,7 @@
 Step RequestPath::SendFirst(Request& request, MonotonicTime now) {
   const std::optional<Placement> placement = PlaceByRegionPlan(request, now);
   if (!placement) {
-    return RequestFailure{.reason = FailureReason::kNoTarget,
-                          .retry_after = RetryAfter(Duration(0))};
+    return RefuseWithoutTarget(request, FailureReason::kNoTarget, now);
   }
   // A refusal based on the expected time would reject all requests of a route
   // with a short timeout while its objects are cold, so a newly added route
@@ -225,9 +225,9 @@
                           .is_not_run = !request.may_have_run,
                           .retry_after = blocked};
   }
-  const RequestFailure exhausted{.reason = FailureReason::kRetriesExhausted,
-                                 .is_not_run = !request.may_have_run,
-                                 .retry_after = RetryAfter(Duration(0))};
+  RequestFailure exhausted =
+      RefuseWithoutTarget(request, FailureReason::kRetriesExhausted, now);
+  exhausted.is_not_run = !request.may_have_run;
   if (request.delivered_attempts >= request.route->max_attempts) {
     return exhausted;
   }
--- a/lib/libmedlarcroft/source/request_path/request_path_placement.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_placement.cc
@@ -42,10 +42,18 @@
   return bound_demands_;
 }
 
-RegionSlots RequestPath::SlotsOf(const ServiceName& service) {
+RegionSlots RequestPath::SlotsOf(const ServiceName& service,
+                                 MonotonicTime now) {
   RegionSlots slots;
   for (const RegionTargets& region : targets_.Usable(service)) {
-    slots[region.region] = region.slots;
+    double& usable = slots[region.region];
+    usable = region.slots;
+    if (targets_.RestingCount() == 0) {
+      continue;
+    }
+    for (const TargetState* const target : region.targets) {
+      usable -= target->IsResting(now) ? target->Record().slots : 0;
+    }
   }
   return slots;
 }
@@ -63,7 +71,7 @@
                          .try_emplace(request.service, options_.own_region,
                                       options_.region_plan)
                          .first->second;
-  const RegionSlots slots = SlotsOf(request.service);
+  const RegionSlots slots = SlotsOf(request.service, now);
   plan.Advance(slots, FreeSlots(slots, BoundDemands()), now);
   const std::uint64_t key =
       request.object.IsEmpty() ? random_.Next() : request.object.Value();
--- a/lib/libmedlarcroft/source/request_path/request_path_reach.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_reach.cc
@@ -11,7 +11,7 @@
   if (!reach_.ShouldProbe(OutstandingSince(), now)) {
     return {};
   }
-  return reach_.StartProbes(targets_.ReachCandidates(), own_domain, now);
+  return reach_.StartProbes(targets_.ReachCandidates(now), own_domain, now);
 }
 
 void RequestPath::OnReachProbed(TargetNumber target,
--- a/lib/libmedlarcroft/source/request_path/request_path_reports.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_reports.cc
@@ -21,9 +21,9 @@
   if (target == nullptr) {
     return;
   }
-  // A host that is cut off learns nothing of the target from its own sends.
+  // A host that is cut off, or sent nothing, learns nothing of the target.
   const bool is_own_failure =
-      end == AttemptEnd::kNoHelper ||
+      end == AttemptEnd::kNoHelper || end == AttemptEnd::kWithheld ||
       (reach_.IsCutOff() && !attempt.is_relayed &&
        (end == AttemptEnd::kNeverSent || end == AttemptEnd::kLost ||
         end == AttemptEnd::kTimedOut));
@@ -104,6 +104,11 @@
                                   const LoadReport& report,
                                   MonotonicTime now) {
   target.OnReport(report, now);
+  // A target that turns requests away has few of them, which says nothing about
+  // the room on the others.
+  if (target.IsResting(now)) {
+    return;
+  }
   loads_[target.Record().service].OnReport(target.Region(),
                                            target.OtherHostsLoad(), now);
 }
--- a/lib/libmedlarcroft/source/request_path/target_directory.cc
+++ b/lib/libmedlarcroft/source/request_path/target_directory.cc
@@ -108,10 +108,20 @@
   observer_.OnTargetChange(TargetChange::kRestarted, target);
 }
 
+std::unique_ptr<TargetState> TargetDirectory::MakeState(
+    const TargetRecord& target) const {
+  auto state = std::make_unique<TargetState>(target, RegionOf(target.domain));
+  const auto rest = rests_.find(target.Identity());
+  if (rest != rests_.end()) {
+    state->RestUntil(rest->second.until);
+  }
+  return state;
+}
+
 std::unique_ptr<TargetState> TargetDirectory::MakeStartedState(
     const TargetRecord& target,
     MonotonicTime now) const {
-  auto state = std::make_unique<TargetState>(target, RegionOf(target.domain));
+  std::unique_ptr<TargetState> state = MakeState(target);
   state->MarkCold(now +
                   std::max(target.cold_remaining, ColdTimeOf(target.service)));
   return state;
@@ -135,7 +145,7 @@
   // first entry states.
   auto state = MakeStartedState(target, now);
   if (is_first_list_) {
-    state = std::make_unique<TargetState>(target, RegionOf(target.domain));
+    state = MakeState(target);
     state->MarkCold(now + target.cold_remaining);
   }
   numbers_[NumberOf(target.Identity())] = state.get();
@@ -208,6 +218,66 @@
   for (const TargetName& id : expired) {
     Erase(id);
   }
+  EndRests(now);
+}
+
+void TargetDirectory::Rest(const TargetIdentity& target,
+                           const RestRequest& rest,
+                           MonotonicTime now) {
+  EndRests(now);
+  const MonotonicTime asked_until = now + rest.length;
+  const auto [found, is_new] = rests_.try_emplace(target);
+  RestPeriod& period = found->second;
+  if (asked_until <= period.asked_until) {
+    return;
+  }
+  period.asked_until = asked_until;
+  period.until = std::max(period.until, asked_until + rest.delay);
+  if (TargetState* const state = Find(target)) {
+    state->RestUntil(period.until);
+  }
+  if (is_new) {
+    observer_.OnRestStarted(target, period.until - now, rest.request);
+  }
+}
+
+void TargetDirectory::EndRests(MonotonicTime now) {
+  for (auto rest = rests_.begin(); rest != rests_.end();) {
+    if (now < rest->second.until) {
+      ++rest;
+      continue;
+    }
+    const TargetIdentity target = rest->first;
+    rest = rests_.erase(rest);
+    observer_.OnRestEnded(target);
+  }
+}
+
+void TargetDirectory::MarkLeaving(const TargetIdentity& target,
+                                  std::string_view request) {
+  if (TargetState* const state = Find(target)) {
+    if (state->Record().is_leaving) {
+      return;
+    }
+    TargetRecord record = state->Record();
+    record.is_leaving = true;
+    state->Update(std::move(record));
+    usable_.clear();
+    observer_.OnLeavingStated(target, request);
+    return;
+  }
+  if (targets_.contains(target.name)) {
+    return;  // Another process has the name by now.
+  }
+  // Its entry may be missing for a moment, and return.
+  Departure& departure = departed_[target.name];
+  if (departure.is_announced && target.incarnation <= departure.incarnation) {
+    return;
+  }
+  departure = {
+      .incarnation = std::max(departure.incarnation, target.incarnation),
+      .is_announced = true};
+  observer_.OnLeavingStated(target, request);
 }
 
 void TargetDirectory::SetEvacuated(std::set<FailureDomainName> domains,
@@ -248,20 +318,22 @@
 }
 
 std::optional<std::string> TargetDirectory::FindUsableAddress(
-    const TargetIdentity& target) {
+    const TargetIdentity& target,
+    MonotonicTime now) const {
   const auto found = targets_.find(target.name);
   const bool is_usable =
       found != targets_.end() &&
       found->second.state->Record().incarnation == target.incarnation &&
-      IsUsable(found->second);
+      IsUsable(found->second) && !found->second.state->IsResting(now);
   return is_usable ? std::optional(found->second.state->Record().address)
                    : std::nullopt;
 }
 
-std::vector<ReachCandidate> TargetDirectory::ReachCandidates() const {
+std::vector<ReachCandidate> TargetDirectory::ReachCandidates(
+    MonotonicTime now) const {
   std::vector<ReachCandidate> candidates;
   for (const auto& [id, entry] : targets_) {
-    if (IsUsable(entry)) {
+    if (IsUsable(entry) && !entry.state->IsResting(now)) {
       const TargetRecord& record = entry.state->Record();
       candidates.push_back({.target = entry.state->Number(),
                             .address = record.address,
--- a/lib/libmedlarcroft/source/request_path/target_state.cc
+++ b/lib/libmedlarcroft/source/request_path/target_state.cc
@@ -37,6 +37,9 @@
 constexpr std::uint32_t kErrorResponsesBeforeBackoff = 8;
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(800);
 constexpr Duration kMaxBackoff = std::chrono::seconds(6);
+// After a rest, a request whose answer takes longer than this does not hold up
+// the next one.
+constexpr Duration kMaxReturnPause = std::chrono::seconds(1);
 // The limit holds per second at the target. The window is longer, because sends
 // may arrive closer together than they were sent.
 constexpr Duration kColdWindow = std::chrono::milliseconds(1200);
@@ -102,6 +105,16 @@
         std::clamp(*relative_time, kMinRelativeTime, kMaxRelativeTime);
     relative_time_ += kRelativeTimeGain * (bounded - relative_time_);
   }
+  const bool is_failure = IsFailure(end) || IsErrorResponse(end);
+  if (IsResting(now)) {
+    // The requests that were under way when it asked for rest would count as
+    // failures in a row, and back it off for longer than it asked for.
+    if (is_failure) {
+      return;
+    }
+  } else if (end == AttemptEnd::kAnswered || end == AttemptEnd::kTargetFailed) {
+    has_answered_since_rest_ = true;
+  }
   if (IsFailure(end)) {
     if (++consecutive_failures_ >= kFailuresBeforeBackoff) {
       BackOff(now);
@@ -186,6 +199,19 @@
   return now < backed_off_until_ || outstanding_ > 0;
 }
 
+void TargetState::RestUntil(MonotonicTime until) {
+  rest_until_ = std::max(rest_until_, until);
+  has_answered_since_rest_ = false;
+}
+
+// Guards against all requests that a host has kept away during the rest, or
+// that prefer this target, reaching it at once. One at a time suffices: it is
+// turned away, which starts the next rest, or answered.
+bool TargetState::IsReturning(MonotonicTime now) const {
+  return !has_answered_since_rest_ && outstanding_ > 0 && !sends_.empty() &&
+         now - sends_.back() < kMaxReturnPause;
+}
+
 std::uint32_t TargetState::RecentSends(MonotonicTime now) const {
   const auto first = std::find_if(
       sends_.begin(), sends_.end(),
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -254,6 +254,12 @@
                [this](const request_path::TargetIdentity& target) {
                  path_.OnConnectFailed(target, loop_.Now());
                },
+           .on_notice =
+               [this](const request_path::TargetIdentity& target,
+                      const request_path::TargetNotice& notice,
+                      const std::string& request) {
+                 path_.OnNotice(target, notice, request, loop_.Now());
+               },
            .max_in_flight = MaxRelays(settings)}),
       reach_monitor_(loop, path_, FailureDomainName(settings.failure_domain)),
       peer_handler_(mirror_handler_, relay_handler_),
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -56,6 +56,12 @@
 
   void OnTargetChange(request_path::TargetChange change,
                       const request_path::TargetRecord& target) override;
+  void OnRestStarted(const request_path::TargetIdentity& target,
+                     Duration length,
+                     std::string_view request) override;
+  void OnRestEnded(const request_path::TargetIdentity& target) override;
+  void OnLeavingStated(const request_path::TargetIdentity& target,
+                       std::string_view request) override;
 
  private:
   struct ListenerSpecification {
--- a/programs/node/node_gauges.cc
+++ b/programs/node/node_gauges.cc
@@ -26,6 +26,8 @@
       [this] { return static_cast<double>(peers_.KnownHosts()); });
   add({"medlar_targets", "Targets that are registered."},
       [this] { return static_cast<double>(targets_.Size()); });
+  add({"medlar_resting_targets", "Targets that this host lets rest."},
+      [this] { return static_cast<double>(targets_.RestingCount()); });
   add({"medlar_operator_news_age_seconds",
        "Since the store last answered about the operator's rows."},
       [this] {
--- a/tests/unit/adapters/event/event_http_client_test.cc
+++ b/tests/unit/adapters/event/event_http_client_test.cc
@@ -291,5 +291,82 @@
   EXPECT_FALSE(was_called);
 }
 
+struct HeadCase {
+  std::string name;
+  std::string sent;
+  std::vector<int> statuses;
+};
+
+class HeadTest : public EventHttpClientTest,
+                 public testing::WithParamInterface<HeadCase> {};
+
+// Guards against losing what a head says when its response is never complete,
+// belongs to another request, or comes when none is due.
+TEST_P(HeadTest, IsReportedWhateverBecomesOfTheResponse) {
+  ScriptedServer server([](ScriptedConnection& connection, int) {
+    connection.ReadHead();
+    connection.Write(GetParam().sent);
+  });
+  std::vector<int> statuses;
+  OutboundRequest request = MakeRequest(server);
+  request.on_head = [&](const HttpResponse& head) {
+    EXPECT_TRUE(head.headers.Find("Id"));
+    statuses.push_back(head.status);
+  };
+  (void)Exchange(std::move(request));
+  EXPECT_EQ(statuses, GetParam().statuses);
+}
+
+constexpr std::string_view kBusyHead =
+    "HTTP/1.1 503 Busy\r\nId: 0\r\nContent-Length: 9\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    HeadTest,
+    testing::Values(
+        HeadCase{"complete", std::string(kOk), {200}},
+        HeadCase{"body_missing", std::string(kBusyHead), {503}},
+        HeadCase{"body_breaks_off", std::string(kBusyHead) + "part", {503}},
+        HeadCase{"body_malformed",
+                 "HTTP/1.1 503 Busy\r\nId: 1\r\nTransfer-Encoding: "
+                 "chunked\r\n\r\nnot a size\r\n",
+                 {503}},
+        HeadCase{"head_breaks_off",
+                 "HTTP/1.1 503 Busy\r\nId: 1\r\nRetry-After",
+                 {}},
+        HeadCase{"interim",
+                 "HTTP/1.1 103 Early Hints\r\nId: 1\r\n\r\n" + std::string(kOk),
+                 {200}},
+        HeadCase{"late_response_first",
+                 std::string(kBusyHead) + "too late." + std::string(kOk),
+                 {503, 200}},
+        HeadCase{"extra_response",
+                 std::string(kOk) + std::string(kBusyHead),
+                 {200, 503}},
+        HeadCase{"extra_bytes", std::string(kOk) + "garbage\r\n\r\n", {200}}),
+    [](const auto& tested) { return tested.param.name; });
+
+TEST_F(EventHttpClientTest, HeadOfAResponseOnAnIdleConnectionIsReported) {
+  ScriptedServer server([](ScriptedConnection& connection, int) {
+    connection.ReadHead();
+    connection.Write(kOk);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    connection.Write(kBusyHead);
+    connection.WaitForClose();
+  });
+  std::vector<int> statuses;
+  OutboundRequest request = MakeRequest(server);
+  request.on_head = [&](const HttpResponse& head) {
+    statuses.push_back(head.status);
+    if (statuses.size() == 2) {
+      loop_.Finish(0);
+    }
+  };
+  client_.Send(std::move(request), [&](ExchangeResult) {});
+  loop_.Run();
+  EXPECT_EQ(statuses, (std::vector<int>{200, 503}));
+  EXPECT_EQ(client_.IdleConnections(), 0U);
+}
+
 }  // namespace
 }  // namespace medlarcroft::adapters
--- a/tests/unit/adapters/forward/relay_protocol_test.cc
+++ b/tests/unit/adapters/forward/relay_protocol_test.cc
@@ -57,6 +57,41 @@
                     InvalidField{"Medlar-Relay-Repeatable", "yes"},
                     InvalidField{"Medlar-Relay-Head", ""}));
 
+class RelayedNotice
+    : public testing::TestWithParam<request_path::TargetNotice> {};
+
+// Guards against a target that hears no rest from the host for which another
+// one sends, with a whole answer or one that broke off.
+TEST_P(RelayedNotice, ReachesTheOtherHostAndNoCaller) {
+  for (HttpResponse response :
+       {EncodeRelayedAnswer({.status = 503}, GetParam()),
+        EncodeRelayFailure(RelayEnd::kLost, GetParam())}) {
+    EXPECT_EQ(DecodeRelayedNotice(response), GetParam());
+    EXPECT_TRUE(DecodeRelayResponse(response));
+    EXPECT_TRUE(response.headers.Fields().empty());
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Notices,
+    RelayedNotice,
+    testing::Values(request_path::TargetNotice{},
+                    request_path::TargetNotice{
+                        .rest = std::chrono::milliseconds(1500)},
+                    request_path::TargetNotice{.is_leaving = true},
+                    request_path::TargetNotice{.rest = std::chrono::seconds(3),
+                                               .is_leaving = true}));
+
+TEST(RelayProtocolTest, ATargetCannotPassForAHelper) {
+  EXPECT_TRUE(
+      DecodeRelayedNotice(
+          {.status = 503, .headers = {{"Medlar-Relay-Target-Leaving", "1"}}})
+          .IsEmpty());
+  HttpResponse forged{.status = 200,
+                      .headers = {{"Medlar-Relay-Target-Leaving", "1"}}};
+  EXPECT_TRUE(DecodeRelayedNotice(EncodeRelayedAnswer(forged)).IsEmpty());
+}
+
 class RelayEnds : public testing::TestWithParam<RelayEnd> {};
 
 TEST_P(RelayEnds, AreReadFromTheResponse) {
--- a/tests/unit/adapters/forward/single_loop_deployment.h
+++ b/tests/unit/adapters/forward/single_loop_deployment.h
@@ -82,6 +82,15 @@
                        ? request_path::AttemptEnd::kNotRun
                        : request_path::AttemptEnd::kAnswered};
   }
+  [[nodiscard]] request_path::TargetNotice ReadNotice(
+      const HttpResponse& head) const override {
+    request_path::TargetNotice notice;
+    if (const auto rest = head.headers.Find("Retry-After")) {
+      notice.rest = std::chrono::seconds(std::stoi(std::string(*rest)));
+    }
+    notice.is_leaving = head.headers.Find("Server-Leaving").has_value();
+    return notice;
+  }
   [[nodiscard]] HttpResponse ForwardResponse(
       HttpResponse answer) const override {
     return answer;
@@ -217,11 +226,37 @@
     std::this_thread::sleep_for(kLoopDelay);
   }
   void CloseCaller() { caller_->Close(); }
+  /// @brief Has `act` run after the loop has found the caller's connection
+  /// unchanged once more.
+  void AfterNextEvent(std::function<void()> act) {
+    loop_.After(Duration(0), [this, act = std::move(act)] {
+      loop_.After(Duration(0), act);
+    });
+  }
+  void After(Duration delay, std::function<void()> act) {
+    loop_.After(delay, std::move(act));
+  }
+  /// @brief All targets say this to the host.
+  void Notice(const request_path::TargetNotice& notice) {
+    for (int i = 0; i < kTargets; ++i) {
+      path_.OnNotice({TargetName("t" + std::to_string(i))}, notice, "other",
+                     loop_.Now());
+    }
+  }
+  /// @return how many targets rest or leave.
+  [[nodiscard]] int UnwillingTargets() const {
+    int count = 0;
+    for (int i = 0; i < kTargets; ++i) {
+      const request_path::TargetIdentity target{
+          TargetName("t" + std::to_string(i))};
+      count += path_.WantsNothing(target, loop_.Now()) ? 1 : 0;
+    }
+    return count;
+  }
   /// @brief Leaves after the loop has found the caller's connection unchanged
   /// once more, so that the loop finds what happened before that first.
   void LeaveAfterNextEvent() {
-    loop_.After(Duration(0),
-                [this] { loop_.After(Duration(0), [this] { Leave(); }); });
+    AfterNextEvent([this] { Leave(); });
   }
   void GrantToken() {
     quota_.Grant();
@@ -327,6 +362,12 @@
        .metrics = metrics_,
        .on_connected = [] {},
        .on_connect_failed = [](const request_path::TargetIdentity&) {},
+       .on_notice =
+           [this](const request_path::TargetIdentity& target,
+                  const request_path::TargetNotice& notice,
+                  const std::string& request) {
+             path_.OnNotice(target, notice, request, loop_.Now());
+           },
        .max_in_flight = 1}};
   std::unique_ptr<fakes::ScriptedConnection> caller_;
   std::vector<std::unique_ptr<fakes::ScriptedConnection>> others_;
--- a/tests/unit/platform/platform_codec_test.cc
+++ b/tests/unit/platform/platform_codec_test.cc
@@ -13,6 +13,7 @@
 using request_path::AttemptEnd;
 using request_path::FailureReason;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 HttpRequest MakeCall() {
   return {.method = "POST",
@@ -73,6 +74,73 @@
         LimitHeaderCase{"infinite", {{"Server-Limit", "inf"}}, std::nullopt}),
     [](const auto& info) { return info.param.name; });
 
+struct NoticeCase {
+  std::string name;
+  int status = 503;
+  adapters::HttpHeaders headers;
+  request_path::TargetNotice notice;
+};
+
+class NoticeTest : public testing::TestWithParam<NoticeCase> {};
+
+// What cannot be read as a positive number of seconds is no rest; only 503 asks
+// for one, and the longest that is named counts.
+TEST_P(NoticeTest, ReadsWhatATargetSaysAboutItself) {
+  EXPECT_EQ(PlatformCodec().ReadNotice(
+                {.status = GetParam().status, .headers = GetParam().headers}),
+            GetParam().notice);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    NoticeTest,
+    testing::Values(
+        NoticeCase{"nothing", 503, {}, {}},
+        NoticeCase{"whole", 503, {{"Retry-After", "3"}}, {.rest = seconds(3)}},
+        NoticeCase{"fraction",
+                   503,
+                   {{"retry-after", "0.25"}},
+                   {.rest = milliseconds(250)}},
+        NoticeCase{"longest",
+                   503,
+                   {{"Retry-After", "1"}, {"Retry-After", "4"}},
+                   {.rest = seconds(4)}},
+        NoticeCase{"zero", 503, {{"Retry-After", "0"}}, {}},
+        NoticeCase{"negative", 503, {{"Retry-After", "-3"}}, {}},
+        NoticeCase{"date",
+                   503,
+                   {{"Retry-After", "Fri, 04 Dec 2026 02:00:00 GMT"}},
+                   {}},
+        NoticeCase{"unit", 503, {{"Retry-After", "3s"}}, {}},
+        NoticeCase{"exponent", 503, {{"Retry-After", "3e2"}}, {}},
+        NoticeCase{"infinite", 503, {{"Retry-After", "inf"}}, {}},
+        NoticeCase{"not_a_number", 503, {{"Retry-After", "nan"}}, {}},
+        NoticeCase{"empty", 503, {{"Retry-After", ""}}, {}},
+        NoticeCase{"huge",
+                   503,
+                   {{"Retry-After", "1" + std::string(300, '0')}},
+                   {.rest = seconds(1'000'000'000)}},
+        NoticeCase{"beyond_any_number",
+                   503,
+                   {{"Retry-After", "1" + std::string(400, '0')}},
+                   {}},
+        NoticeCase{"other_status", 429, {{"Retry-After", "3"}}, {}},
+        NoticeCase{"served", 200, {{"Retry-After", "3"}}, {}},
+        NoticeCase{"leaving",
+                   200,
+                   {{"Server-Leaving", "1"}},
+                   {.is_leaving = true}},
+        NoticeCase{"not_leaving", 200, {{"Server-Leaving", "0"}}, {}},
+        NoticeCase{"both",
+                   503,
+                   {{"Server-Leaving", "1"}, {"Retry-After", "2"}},
+                   {.rest = seconds(2), .is_leaving = true}},
+        NoticeCase{"other_target",
+                   421,
+                   {{"Server-Leaving", "1"}, {"Retry-After", "2"}},
+                   {}}),
+    [](const auto& info) { return info.param.name; });
+
 // A retry differs only in its identifier and deadline. A request with another
 // caller or body must have another fingerprint.
 TEST(PlatformCodecTest, RetryHasTheSameFingerprint) {
