--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_deployment.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_deployment.h
@@ -70,6 +70,11 @@
   /// Each affected target declares a rate limit of `strength` requests a
   /// second, summed over all hosts.
   kRateLimit,
+  /// Each affected target turns all requests away and asks the host for
+  /// `strength` seconds of rest.
+  kRest,
+  /// Each affected target says in its responses that it leaves, but serves on.
+  kLeaving,
 };
 
 /// @brief A fault that is injected for a limited time.
--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
@@ -81,6 +81,15 @@
   void SendToOtherHosts(std::size_t host,
                         const std::function<void(EmulatedHost&)>& deliver);
   void RecordLimitUse(std::size_t target);
+  /// @brief Counts a request that reaches a target against the wishes that the
+  /// target told its host.
+  void RecordUnwantedRequest(std::size_t target, std::size_t host);
+  /// @brief Rejects a request and asks its host for rest.
+  void TurnAway(const ActiveRequestPointer& active,
+                request_path::AttemptNumber attempt,
+                Duration latency);
+  /// @brief Tells a host what the target says about itself.
+  void DeliverNotice(std::size_t target, std::size_t host);
   void ScheduleNextArrival(std::size_t class_index, std::size_t region);
   [[nodiscard]] double RateAt(std::size_t class_index,
                               std::size_t region,
@@ -116,6 +125,13 @@
   [[nodiscard]] double Exponential();
   [[nodiscard]] double Normal();
 
+  /// @brief What a target last told a host about itself.
+  struct ToldHost {
+    MonotonicTime rest_from;
+    MonotonicTime rest_until;
+    std::uint32_t requests_in_rest = 0;
+    std::optional<MonotonicTime> leaving_at;
+  };
   struct TargetInstance {
     request_path::TargetRecord record;
     std::string service;
@@ -127,6 +143,9 @@
     MonotonicTime limit_changed_at;
     /// Requests within the rate limit window, while a limit is declared.
     std::deque<MonotonicTime> arrivals;
+    std::optional<Duration> rest;  ///< Asked for in responses.
+    bool says_leaving = false;
+    std::map<std::size_t, ToldHost> told_hosts;
     /// Accepted since the last crash, including those that have ended.
     std::vector<std::pair<ActiveRequestPointer, request_path::AttemptNumber>>
         accepted_attempts;
--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulation_metrics.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulation_metrics.h
@@ -63,6 +63,20 @@
     largest_limit_use_ = std::max(largest_limit_use_, use);
   }
 
+  /// @param requests that a target got from a host in a rest that it had asked
+  /// that host for.
+  void OnRequestInRest(std::uint32_t requests) {
+    most_requests_in_rest_ = std::max(most_requests_in_rest_, requests);
+  }
+  void OnRequestAfterLeaving() { ++requests_after_leaving_; }
+  [[nodiscard]] std::uint32_t MostRequestsInRest() const {
+    return most_requests_in_rest_;
+  }
+  /// @return requests that a target got from a host which it had told long
+  /// before that it leaves.
+  [[nodiscard]] std::uint64_t RequestsAfterLeaving() const {
+    return requests_after_leaving_;
+  }
   /// @return number of target crashes.
   [[nodiscard]] std::uint64_t Crashes() const { return crashes_; }
   /// @return the highest fraction of its tolerated requests that a rate-limited
@@ -102,6 +116,8 @@
   std::uint64_t extra_attempts_ = 0;
   std::uint64_t crashes_ = 0;
   double largest_limit_use_ = 0;
+  std::uint32_t most_requests_in_rest_ = 0;
+  std::uint64_t requests_after_leaving_ = 0;
   std::uint64_t runs_ = 0;
   std::uint64_t warm_runs_ = 0;
   Credit overall_;
--- a/lib/libmedlarcroft/source/adapters/emulation/deployment_schema.cc
+++ b/lib/libmedlarcroft/source/adapters/emulation/deployment_schema.cc
@@ -20,9 +20,10 @@
 constexpr double kMaxValue = 1e6;
 constexpr std::array<std::string_view, 2> kRequestKinds = {"idempotent",
                                                            "non-idempotent"};
-constexpr std::array<std::string_view, 7> kFaultTypes = {
-    "slow",      "lost-answers",     "gone",      "more-callers",
-    "cut-hosts", "crashing-request", "rate-limit"};
+constexpr std::array<std::string_view, 9> kFaultTypes = {
+    "slow",         "lost-answers", "gone",
+    "more-callers", "cut-hosts",    "crashing-request",
+    "rate-limit",   "rest",         "leaving"};
 
 SettingsSchema<EmulatedRegion> MakeRegionSchema() {
   SettingsSchema<EmulatedRegion> schema;
@@ -121,7 +122,8 @@
                  "affected fraction of the service's targets or of the hosts"})
       .Real("strength", &EmulatedFault::strength, {0, 1000},
             {.description = "slowdown factor, fraction of responses lost, "
-                            "demand factor, or requests per second"})
+                            "demand factor, requests per second, or "
+                            "seconds of rest"})
       .DurationText("from", &EmulatedFault::from, kAnyDuration,
                     {.description = "time from the start of the run"})
       .DurationText("until", &EmulatedFault::until, kAnyDuration,
--- a/lib/libmedlarcroft/source/emulation/emulation.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation.cc
@@ -272,6 +272,11 @@
   if (instance.limit) {
     RecordLimitUse(state.target);
   }
+  RecordUnwantedRequest(state.target, active->host);
+  if (instance.rest) {
+    TurnAway(active, attempt, latency);
+    return;
+  }
   const bool is_lost = random_.NextUnit() < instance.loss_probability;
   const auto done = [this, active, attempt, latency,
                      is_lost](const request_path::LoadReport& report) {
@@ -281,6 +286,7 @@
       if (!is_lost) {
         const request_path::TargetIdentity target =
             targets_[ended.target].record.Identity();
+        DeliverNotice(ended.target, active->host);
         hosts_[active->host]->Path().OnReport(target, report, events_.Now());
         ShareLoad(*active, target, report);
         hosts_[active->host]->Path().OnRateLimit(active->ticket, attempt,
--- a/lib/libmedlarcroft/source/emulation/emulation_faults.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_faults.cc
@@ -70,6 +70,13 @@
         instance.limit = is_on ? std::optional(fault.strength) : std::nullopt;
         instance.limit_changed_at = events_.Now();
         break;
+      case EmulatedFaultType::kRest:
+        instance.rest =
+            is_on ? std::optional(FromSeconds(fault.strength)) : std::nullopt;
+        break;
+      case EmulatedFaultType::kLeaving:
+        instance.says_leaving = is_on;
+        break;
       default:
         break;
     }
--- a/tests/unit/emulation/emulation_test.cc
+++ b/tests/unit/emulation/emulation_test.cc
@@ -123,6 +123,11 @@
         FaultCase{"Unreachable",
                   FaultBetween8And18(EmulatedFaultType::kUnreachable, 0.3, 1),
                   0.90},
+        FaultCase{"Rest", FaultBetween8And18(EmulatedFaultType::kRest, 0.3, 3),
+                  0.90},
+        FaultCase{"Leaving",
+                  FaultBetween8And18(EmulatedFaultType::kLeaving, 0.3, 1),
+                  0.90},
         FaultCase{
             "IncreasedDemand",
             FaultBetween8And18(EmulatedFaultType::kIncreasedDemand, 1, 1.7),
@@ -220,5 +225,48 @@
   EXPECT_LE(metrics.LargestLimitUse(), 1.0);
 }
 
+struct UnwillingCase {
+  std::string name;
+  std::string deployment;
+  EmulatedFaultType type = EmulatedFaultType::kRest;
+  double fraction = 0.2;
+  double strength = 3;
+};
+
+class UnwillingTargetsTable : public testing::TestWithParam<UnwillingCase> {};
+
+// Guards against hosts that go on sending to targets that ask them for rest or
+// say that they leave: two requests in a rest are tolerated.
+TEST_P(UnwillingTargetsTable, HostsDoWhatTargetsTellThem) {
+  constexpr std::uint32_t kToleratedInRest = 2;
+  constexpr std::uint64_t kSeeds = 3;
+  EmulatedDeployment deployment = Load(GetParam().deployment);
+  deployment.duration = seconds(16);
+  deployment.faults = {{.type = GetParam().type,
+                        .fraction = GetParam().fraction,
+                        .strength = GetParam().strength,
+                        .from = seconds(4),
+                        .until = seconds(12)}};
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const EmulationMetrics metrics = RunOnce(deployment, seed);
+    EXPECT_LE(metrics.MostRequestsInRest(), kToleratedInRest);
+    EXPECT_EQ(metrics.RequestsAfterLeaving(), 0U);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    UnwillingTargetsTable,
+    testing::Values(
+        UnwillingCase{"rest", "campos"},
+        UnwillingCase{"rest_of_slow_service", "uwimana"},
+        UnwillingCase{"short_rest", "campos", EmulatedFaultType::kRest, 0.2,
+                      0.8},
+        UnwillingCase{"rest_of_all", "campos", EmulatedFaultType::kRest, 1, 3},
+        UnwillingCase{"leaving", "campos", EmulatedFaultType::kLeaving},
+        UnwillingCase{"leaving_of_slow_service", "uwimana",
+                      EmulatedFaultType::kLeaving}),
+    [](const auto& tested) { return tested.param.name; });
+
 }  // namespace
 }  // namespace medlarcroft::emulation
