--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -225,22 +225,25 @@
                           .is_not_run = !request.may_have_run,
                           .retry_after = blocked};
   }
-  RequestFailure exhausted =
-      RefuseWithoutTarget(request, FailureReason::kRetriesExhausted, now);
-  exhausted.is_not_run = !request.may_have_run;
+  const auto exhausted = [&] {
+    RequestFailure failure =
+        RefuseWithoutTarget(request, FailureReason::kRetriesExhausted, now);
+    failure.is_not_run = !request.may_have_run;
+    return failure;
+  };
   if (request.delivered_attempts >= request.route->max_attempts) {
-    return exhausted;
+    return exhausted();
   }
   const std::optional<Placement> placement =
       Place(request, request.allowed_regions, now);
   if (!placement || placement->expected > request.deadline - now) {
-    return exhausted;
+    return exhausted();
   }
   // A send that never reached a target does not use the retry limit that all
   // hosts share.
   if (request.delivered_attempts > 0 &&
       !RetryBudgetOf(request.service).TryTake(host_count_, now)) {
-    return exhausted;
+    return exhausted();
   }
   return Send(request, *placement, now);
 }
