Let medlar-entryd keep requests from targets that ask for rest

Cause: as in the node. medlar-entryd read its own sign of leaving from whole answers alone, and no Retry-After: a target that asked for rest got half of its share a moment later, queued requests waited for it, and it was polled on.

Change: a rest is state of the target in TargetTable, up to ten minutes; it outlives the target's entry. It counts in placement, retries, hedges, the queue (refused at once when all targets rest), headroom and polls, and once more when the connection for a request is there. The target then ramps up within 2 s. Heads of answers that break off or belong to another request count. Both programs share one reader of Retry-After and the times of a rest.

--- a/lib/libmedlarcroft/include/medlarcroft/decision/explanation.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/explanation.h
@@ -32,6 +32,7 @@
   kLeaving,       ///< Reported as leaving by any source.
   kLeaseExpired,  ///< The lease on this host's share has expired.
   kNoShare,       ///< This host holds none of its slots.
+  kResting,       ///< It asked this host for rest.
 };
 
 /// @brief The rule that applies to one target, and its inputs.
--- a/lib/libmedlarcroft/include/medlarcroft/decision/request.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/request.h
@@ -49,6 +49,7 @@
   kRetryNotAllowed,    ///< It may have run and must not run twice.
   kRetryBudgetSpent,   ///< Too many retries per successful request.
   kAttemptsExhausted,  ///< The maximum number of attempts was made.
+  kTargetsResting,     ///< Every target that does not leave asked for rest.
 };
 
 /// @brief Whether a target ran a request, as far as this host can prove.
@@ -99,6 +100,7 @@
   kSilentConnection,  ///< No data arrives on the open connection; not
                       ///< counted as a failure of the target.
   kCancelled,         ///< Cancelled by this host.
+  kWithheld,          ///< Not sent: the target asked for rest or leaves.
 };
 
 /// @brief Instruction to pass the attempt's complete answer to the caller; the
--- a/lib/libmedlarcroft/include/medlarcroft/decision/request_scheduler.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/request_scheduler.h
@@ -85,7 +85,8 @@
   /// not counted as failures of the target; failures to connect still are.
   void OnSilentConnection(const TargetName& target, MonotonicTime now);
   /// Reports that the target is leaving: it gets no new requests.
-  void MarkLeaving(const TargetName& target, MonotonicTime now);
+  /// @return whether this was not known.
+  bool MarkLeaving(const TargetName& target, MonotonicTime now);
   /// Reports that the target, queried at `queried_at`, is not leaving. This
   /// overrides an earlier report by the target itself, but not one made by an
   /// operator or the target's host.
@@ -93,6 +94,22 @@
                    MonotonicTime queried_at,
                    MonotonicTime now);
 
+  /// Reports that the target wants no requests from this host for `rest`, of
+  /// which ten minutes count at most.
+  /// @return until when it gets none, if it did not rest before.
+  std::optional<MonotonicTime> OnTargetRest(const TargetName& target,
+                                            Duration rest,
+                                            MonotonicTime now);
+  /// @return the targets whose rest has ended, each once.
+  [[nodiscard]] std::vector<TargetName> TakeEndedRests(MonotonicTime now) {
+    return targets_.TakeEndedRests(now);
+  }
+  [[nodiscard]] bool IsResting(const TargetName& target,
+                               MonotonicTime now) const;
+  /// @return whether a request that was dispatched to the target may be sent
+  /// now.
+  [[nodiscard]] bool MaySend(const TargetName& target, MonotonicTime now) const;
+
   [[nodiscard]] std::optional<ServiceLoad> Load(const ServiceName& service,
                                                 MonotonicTime now) const;
   [[nodiscard]] std::vector<ServiceLoad> Loads(MonotonicTime now) const;
--- a/lib/libmedlarcroft/include/medlarcroft/decision/target_table.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/target_table.h
@@ -59,9 +59,18 @@
   /// of the target: a connection to it was found silent (open, but no data
   /// arrives), and others that were opened as early may be silent too.
   MonotonicTime failures_excused_until{};
+  /// Until this time, the target wants no requests from this host.
+  MonotonicTime rests_until{};
+  bool is_rest_end_unreported = false;
   std::vector<TargetMembership> memberships;
 };
 
+/// @brief The targets of a service, all of which rest or leave.
+struct RestingTargets {
+  Duration shortest_rest{0};
+  std::uint32_t slots = 0;  ///< This host's on the targets that rest.
+};
+
 /// @brief A service's targets according to a routing snapshot.
 struct ServiceTargets {
   ServiceIndex service = 0;
@@ -88,7 +97,7 @@
   [[nodiscard]] std::span<const TargetIndex> Members(
       ServiceIndex service) const;
   [[nodiscard]] std::uint32_t UsableSlots(ServiceIndex service) const;
-  /// @return whether any target of the service is not leaving.
+  /// @return whether any target of the service neither leaves nor rests.
   [[nodiscard]] bool HasLiveTarget(ServiceIndex service,
                                    MonotonicTime now) const;
 
@@ -129,6 +138,18 @@
   void MarkStaying(TargetIndex target,
                    MonotonicTime queried_at,
                    MonotonicTime now);
+  /// Records that the target wants no requests from this host until `until`. It
+  /// then ramps up. The latest time counts, also if the target is removed from
+  /// the snapshot and returns meanwhile.
+  /// @return whether the target did not rest before.
+  bool Rest(TargetIndex target, MonotonicTime until, MonotonicTime now);
+  /// @return the targets whose rest has ended, each once.
+  [[nodiscard]] std::vector<TargetName> TakeEndedRests(MonotonicTime now);
+  /// @return nullopt if some target of the service neither rests nor leaves, or
+  /// all leave.
+  [[nodiscard]] std::optional<RestingTargets> AllResting(
+      ServiceIndex service,
+      MonotonicTime now) const;
   /// Recomputes the usable slots and the availability of the target.
   void Refresh(TargetIndex target, MonotonicTime now);
   /// Removes the target from the lists of available targets until its next
@@ -163,7 +184,7 @@
                         MonotonicTime now);
   void AddMembership(const ServiceTargets& service, TargetIndex target);
   void MarkLongRunningClasses(std::span<const ServiceTargets> services);
-  void EraseRemovedTargets();
+  void EraseRemovedTargets(MonotonicTime now);
   [[nodiscard]] bool MayEject(TargetIndex target, MonotonicTime now) const;
   [[nodiscard]] std::uint32_t ComputeUsableSlots(const TargetState& target,
                                                  MonotonicTime now) const;
@@ -187,8 +208,11 @@
   // Ramping, ejected or probing targets, which are refreshed periodically.
   std::vector<TargetIndex> watched_targets_;
   MonotonicTime next_refresh_ = MonotonicTime::max();
-  // The earliest expiry of a lease or of a report that a target is leaving.
+  // The earliest end of a lease, of a rest or of a report that a target is
+  // leaving.
   MonotonicTime next_expiry_ = MonotonicTime::max();
+  /// Targets whose rest has not been reported as ended.
+  std::size_t unreported_rests_ = 0;
 };
 
 }  // namespace medlarcroft::decision
--- a/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "adapters/entry/protocol.h"
+#include "adapters/http/retry_after.h"
 
 namespace medlarcroft::adapters {
 
@@ -11,11 +12,15 @@
 using decision::AttemptOutcome;
 
 constexpr int kFirstServerError = 500;
+constexpr int kUnavailable = 503;
 
 AttemptOutcome OutcomeOf(const TransportError& error) {
   if (error.failure == TransportFailure::kCancelled) {
     return AttemptOutcome::kCancelled;
   }
+  if (error.failure == TransportFailure::kWithheld) {
+    return AttemptOutcome::kWithheld;
+  }
   if (error.is_proved_unsent) {
     return AttemptOutcome::kNeverSent;
   }
@@ -45,6 +50,15 @@
                                             : AttemptOutcome::kAnswered;
 }
 
+/// @brief Reads what the head of an answer says about its target.
+void ReadHead(int status, const HttpHeaders& headers, AttemptResult& result) {
+  result.is_target_leaving =
+      headers.Find(protocol::kTargetDraining).has_value();
+  if (status == kUnavailable) {
+    result.rest = ParseRetryAfter(headers);
+  }
+}
+
 bool HasMismatchedId(const ClientResponse& answer,
                      std::string_view attempt_id) {
   const auto echoed = answer.headers.Find(protocol::kRequestId);
@@ -56,17 +70,20 @@
 AttemptResult ClassifyAttempt(ClientResult result,
                               std::string_view attempt_id) {
   if (!IsOk(result)) {
-    return {.outcome = OutcomeOf(ErrorOf(result))};
+    const TransportError& error = ErrorOf(result);
+    AttemptResult failed{.outcome = OutcomeOf(error)};
+    ReadHead(error.status, error.headers, failed);
+    return failed;
   }
   ClientResponse answer = TakeValue(std::move(result));
+  AttemptResult classified{.outcome = OutcomeOf(answer)};
+  ReadHead(answer.status, answer.headers, classified);
   if (HasMismatchedId(answer, attempt_id)) {
-    return {.outcome = AttemptOutcome::kConnectionLost,
-            .is_id_mismatched = true};
+    classified.outcome = AttemptOutcome::kConnectionLost;
+    classified.is_id_mismatched = true;
+    return classified;
   }
 
-  AttemptResult classified{.outcome = OutcomeOf(answer)};
-  classified.is_target_leaving =
-      answer.headers.Find(protocol::kTargetDraining).has_value();
   const bool is_not_run = classified.outcome == AttemptOutcome::kShed ||
                           classified.outcome == AttemptOutcome::kTargetLeaving;
   if (!is_not_run) {
--- a/lib/libmedlarcroft/source/adapters/entry/attempt_result.h
+++ b/lib/libmedlarcroft/source/adapters/entry/attempt_result.h
@@ -17,6 +17,9 @@
   std::optional<ClientResponse> answer;
   /// The target announced that it is draining, whatever else it answered.
   bool is_target_leaving = false;
+  /// How long the target wants no requests from this host, whatever it
+  /// answered; nullopt: it does not say so.
+  std::optional<Duration> rest;
   /// The answer echoed the ID of another attempt, so it belongs to another
   /// request.
   bool is_id_mismatched = false;
--- a/lib/libmedlarcroft/source/adapters/entry/entry_operator_endpoints.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/entry_operator_endpoints.cc
@@ -17,9 +17,9 @@
 constexpr std::array<std::string_view, 4> kStandingNames = {"none", "waiting",
                                                             "held", "doubtful"};
 
-constexpr std::array<std::string_view, 7> kRuleNames = {
-    "full-share", "ramping",      "probing", "ejected",
-    "leaving",    "lease-lapsed", "no-share"};
+constexpr std::array<std::string_view, 8> kRuleNames = {
+    "full-share", "ramping",      "probing",  "ejected",
+    "leaving",    "lease-lapsed", "no-share", "resting"};
 
 Json TargetToJson(const decision::TargetExplanation& target) {
   Json item = {{"target", target.target.Value()},
--- a/lib/libmedlarcroft/source/adapters/entry/entry_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/entry_telemetry.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "adapters/entry/problem.h"
+#include "adapters/process/log.h"
 
 namespace medlarcroft::adapters {
 
@@ -28,10 +29,21 @@
     "medlar_silent_connections_total",
     "Connections found open with nothing coming through."};
 
+constexpr MetricDescription kRestsStarted = {
+    "medlar_target_rests_started_total",
+    "Times that a target began to rest because it asked this host for it."};
+constexpr MetricDescription kRestsEnded = {
+    "medlar_target_rests_ended_total",
+    "Times that this host could use a target again after its rest."};
+constexpr MetricDescription kLeavingStated = {
+    "medlar_targets_leaving_stated_total",
+    "Answers in which a target said that it leaves, which was not known."};
+
 /// In the order of `decision::AttemptOutcome`.
-constexpr std::array<std::string_view, 10> kAttemptOutcomeNames = {
-    "answered",  "server-error",    "never-sent", "shed",   "leaving",
-    "truncated", "connection-lost", "timed-out",  "silent", "cancelled"};
+constexpr std::array<std::string_view, 11> kAttemptOutcomeNames = {
+    "answered", "server-error", "never-sent",      "shed",
+    "leaving",  "truncated",    "connection-lost", "timed-out",
+    "silent",   "cancelled",    "withheld"};
 
 constexpr std::array<std::string_view, 3> kDispatchKindNames = {
     "first", "retry", "hedge"};
@@ -130,4 +142,26 @@
   metrics_.CounterOf(kSilentConnections, {target}).Add();
 }
 
+void EntryTelemetry::OnRestStarted(const TargetName& target,
+                                   Duration length,
+                                   std::string_view attempt) {
+  metrics_.CounterOf(kRestsStarted, {target}).Add();
+  Log(LogLevel::kInfo, "target-rest-started",
+      {{"target", target.Value()},
+       {"length_ms", ToMilliseconds(length)},
+       {"attempt", attempt}});
+}
+
+void EntryTelemetry::OnRestEnded(const TargetName& target) {
+  metrics_.CounterOf(kRestsEnded, {target}).Add();
+  Log(LogLevel::kInfo, "target-rest-ended", {{"target", target.Value()}});
+}
+
+void EntryTelemetry::OnLeavingStated(const TargetName& target,
+                                     std::string_view attempt) {
+  metrics_.CounterOf(kLeavingStated, {target}).Add();
+  Log(LogLevel::kInfo, "target-leaving-stated",
+      {{"target", target.Value()}, {"attempt", attempt}});
+}
+
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/entry/problem.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/problem.cc
@@ -68,6 +68,7 @@
     RefusalText{"retry-not-allowed", 504},
     RefusalText{"retry-budget-spent", 503},
     RefusalText{"attempts-exhausted", 504},
+    RefusalText{"targets-resting", 503},
 };
 
 constexpr std::array<std::string_view, 3> kOutcomes = {"not-run", "unknown",
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine.cc
@@ -130,6 +130,16 @@
   WakeSchedulerIfEarlier();
 }
 
+bool RequestEngine::MayPoll(const TargetName& target) const {
+  const std::lock_guard lock(mutex_);
+  return !scheduler_.IsResting(target, clock_.Now());
+}
+
+bool RequestEngine::MaySend(const TargetName& target) const {
+  const std::lock_guard lock(mutex_);
+  return scheduler_.MaySend(target, clock_.Now());
+}
+
 std::size_t RequestEngine::InFlight() const {
   const std::lock_guard lock(mutex_);
   return in_flight_.size();
@@ -188,6 +198,9 @@
 }
 
 void RequestEngine::RunDueActions(Replies& replies) {
+  for (const TargetName& target : scheduler_.TakeEndedRests(clock_.Now())) {
+    events_.OnRestEnded(target);
+  }
   for (const decision::Action& action : scheduler_.Advance(clock_.Now())) {
     if (const auto* dispatch = std::get_if<decision::Dispatch>(&action)) {
       Send(*dispatch);
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine.h
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine.h
@@ -95,6 +95,12 @@
   /// draining.
   void MarkStaying(const TargetName& target, MonotonicTime requested_at);
 
+  /// @return whether the target does not rest. A target that leaves is polled,
+  /// since it may say that it stays.
+  [[nodiscard]] bool MayPoll(const TargetName& target) const;
+  /// @return whether the target neither rests nor leaves.
+  [[nodiscard]] bool MaySend(const TargetName& target) const;
+
   [[nodiscard]] std::size_t InFlight() const;
   [[nodiscard]] std::vector<ServiceLoad> Loads() const;
   [[nodiscard]] std::vector<decision::TargetObservationReport> Observations()
@@ -138,7 +144,9 @@
       const Attempt& attempt,
       const ServiceRoute& route) const;
   void OnClientResult(decision::AttemptId attempt, ClientResult result);
-  void ReportTargetState(const Attempt& attempt, const AttemptResult& result);
+  void ReportTargetState(const Attempt& attempt,
+                         decision::AttemptId id,
+                         const AttemptResult& result);
   void ApplyNextStep(decision::RequestTicket ticket,
                      const decision::NextStep& step,
                      const TargetName& target,
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine_attempts.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine_attempts.cc
@@ -72,6 +72,8 @@
   out.timeout = std::max<Duration>(time_left, std::chrono::milliseconds(1));
   out.needs_fresh_connection = !route.config.request_class.IsIdempotent();
   out.max_answer_bytes = route.config.request_class.max_answer_bytes;
+  // The target may ask for rest while the connection is being established.
+  out.may_send = [this, target = dispatch.target] { return MaySend(target); };
   return out;
 }
 
@@ -97,7 +99,7 @@
                           .outcome = result.outcome,
                           .latency = now - attempt.started,
                           .trace = attempt.trace});
-    ReportTargetState(attempt, result);
+    ReportTargetState(attempt, id, result);
 
     const decision::NextStep step =
         scheduler_.OnAttemptEnd(id, result.outcome, now);
@@ -112,10 +114,17 @@
 }
 
 void RequestEngine::ReportTargetState(const Attempt& attempt,
+                                      decision::AttemptId id,
                                       const AttemptResult& result) {
   const MonotonicTime now = clock_.Now();
-  if (result.is_target_leaving) {
-    scheduler_.MarkLeaving(attempt.target, now);
+  if (result.is_target_leaving && scheduler_.MarkLeaving(attempt.target, now)) {
+    events_.OnLeavingStated(attempt.target, FormatAttemptId(id));
+  }
+  if (result.rest) {
+    if (const auto until =
+            scheduler_.OnTargetRest(attempt.target, *result.rest, now)) {
+      events_.OnRestStarted(attempt.target, *until - now, FormatAttemptId(id));
+    }
   }
   if (result.outcome == decision::AttemptOutcome::kSilentConnection) {
     // When a middlebox has dropped its state of the connection, requests on it
--- a/lib/libmedlarcroft/source/adapters/entry/request_events.h
+++ b/lib/libmedlarcroft/source/adapters/entry/request_events.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/time.h"
@@ -45,6 +46,16 @@
                          const decision::Refusal& refusal) = 0;
   /// A connection was open but carried no data until the timeout.
   virtual void OnSilentConnection(const TargetName& target) = 0;
+  /// A target that did not rest asked for it.
+  /// @param length including the time by which this host returns later.
+  /// @param attempt whose answer asked for it.
+  virtual void OnRestStarted(const TargetName& target,
+                             Duration length,
+                             std::string_view attempt) = 0;
+  virtual void OnRestEnded(const TargetName& target) = 0;
+  /// The target says that it leaves, which was not known.
+  virtual void OnLeavingStated(const TargetName& target,
+                               std::string_view attempt) = 0;
 };
 
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/entry/target_poller.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/target_poller.cc
@@ -122,7 +122,9 @@
             ? now + FromSeconds(ToSeconds(period->second) * unit)
             : known->second;
     if (poll_at <= now) {
-      PollLoad(limit.target, *address);
+      if (dependencies_.engine.MayPoll(limit.target)) {
+        PollLoad(limit.target, *address);
+      }
       poll_at =
           now + FromSeconds(ToSeconds(period->second) * (0.75 + 0.5 * unit));
     }
--- a/lib/libmedlarcroft/source/adapters/http/http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.cc
@@ -31,6 +31,7 @@
   ClientResponse response;
   bool is_framed = false;
   bool is_too_large = false;
+  bool is_withheld = false;
 
   Transfer() = default;
   Transfer(const Transfer&) = delete;
@@ -58,6 +59,16 @@
   return bytes;
 }
 
+int OnConnection(void* self,
+                 char* /*peer*/,
+                 char* /*local*/,
+                 int /*peer_port*/,
+                 int /*local_port*/) {
+  auto& transfer = *static_cast<Transfer*>(self);
+  transfer.is_withheld = !transfer.request.may_send();
+  return transfer.is_withheld ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 std::string_view TrimSpace(std::string_view text) {
   const auto first = text.find_first_not_of(" \t\r\n");
   if (first == std::string_view::npos) {
@@ -107,6 +118,9 @@
 }
 
 TransportFailure FailureOf(CURLcode code, const Transfer& transfer) {
+  if (transfer.is_withheld) {
+    return TransportFailure::kWithheld;
+  }
   if (transfer.is_too_large) {
     return TransportFailure::kTooLarge;
   }
@@ -144,12 +158,16 @@
   if (code != CURLE_OK) {
     return TransportError{.failure = FailureOf(code, transfer),
                           .is_proved_unsent = IsProvedUnsent(transfer.easy),
-                          .was_connection_reused = was_reused};
+                          .was_connection_reused = was_reused,
+                          .status = transfer.response.status,
+                          .headers = std::move(transfer.response.headers)};
   }
   if (!transfer.is_framed && !HasNoBody(transfer)) {
     return TransportError{.failure = TransportFailure::kUnframed,
                           .is_proved_unsent = false,
-                          .was_connection_reused = was_reused};
+                          .was_connection_reused = was_reused,
+                          .status = transfer.response.status,
+                          .headers = std::move(transfer.response.headers)};
   }
   return std::move(transfer.response);
 }
@@ -286,6 +304,10 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    if (request.may_send) {
+      curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnConnection);
+      curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    }
   }
 
   void SetConnectionOptions(Transfer& transfer) {
--- a/lib/libmedlarcroft/source/adapters/http/http_client.h
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.h
@@ -26,6 +26,9 @@
   /// new connection it never does. Costs a connect, about 1 ms.
   bool needs_fresh_connection = false;
   std::size_t max_answer_bytes = std::size_t{1024} * 1024;
+  /// Asked on the client's thread once there is a connection: whether the
+  /// request may still be sent. None: it may.
+  std::function<bool()> may_send;
 };
 
 /// @brief A complete response.
@@ -44,6 +47,7 @@
   kTooLarge,       ///< The response exceeds `max_answer_bytes`.
   kBroken,         ///< Any other failure of the connection.
   kCancelled,      ///< `Cancel` was called.
+  kWithheld,       ///< `may_send` said no; nothing was sent.
 };
 
 /// @brief Describes a failed exchange.
@@ -52,6 +56,9 @@
   /// True only when it is certain that no byte of the request was sent.
   bool is_proved_unsent = false;
   bool was_connection_reused = false;
+  /// Of the response that is not complete; 0 if no head arrived.
+  int status = 0;
+  HttpHeaders headers;
 };
 
 using ClientResult = Result<ClientResponse, TransportError>;
--- a/lib/libmedlarcroft/source/decision/attempt_rules.cc
+++ b/lib/libmedlarcroft/source/decision/attempt_rules.cc
@@ -30,14 +30,16 @@
 constexpr AttemptRules kSilentConnection{
     .is_retryable = true,
     .release = SlotRelease::kAfterDeadline};
+constexpr AttemptRules kWithheld = kTargetLeaving;
 constexpr AttemptRules kCancelled{.release = SlotRelease::kAfterGracePeriod};
 
 // Indexed by AttemptOutcome.
-constexpr std::array kRules{
-    kAnswered,  kServerError,    kNeverSent, kNotRunByTarget,   kTargetLeaving,
-    kTruncated, kConnectionLost, kTimedOut,  kSilentConnection, kCancelled};
+constexpr std::array kRules{kAnswered,       kServerError,   kNeverSent,
+                            kNotRunByTarget, kTargetLeaving, kTruncated,
+                            kConnectionLost, kTimedOut,      kSilentConnection,
+                            kCancelled,      kWithheld};
 static_assert(kRules.size() ==
-              static_cast<std::size_t>(AttemptOutcome::kCancelled) + 1);
+              static_cast<std::size_t>(AttemptOutcome::kWithheld) + 1);
 
 }  // namespace
 
--- a/lib/libmedlarcroft/source/decision/request_scheduler.cc
+++ b/lib/libmedlarcroft/source/decision/request_scheduler.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "medlarcroft/core/target_rest.h"
+
 namespace medlarcroft::decision {
 namespace {
 
@@ -181,6 +183,20 @@
     return refusal;
   }
 
+  const auto resting = reason == RefusalReason::kNoTarget
+                           ? targets_.AllResting(service, now)
+                           : std::nullopt;
+  if (resting) {
+    const Duration spread =
+        PartOf(CallerReturnSpread(resting->shortest_rest), random_.NextUnit());
+    refusal.reason = RefusalReason::kTargetsResting;
+    refusal.retry_after = state.pacer.Next(
+        now, resting->shortest_rest + spread,
+        resting->slots / std::max(ToSeconds(state.latency.Mean()), 1e-6),
+        random_);
+    return refusal;
+  }
+
   const std::uint32_t usable = targets_.UsableSlots(service);
   const Duration not_before =
       usable == 0
--- a/lib/libmedlarcroft/source/decision/request_scheduler_attempts.cc
+++ b/lib/libmedlarcroft/source/decision/request_scheduler_attempts.cc
@@ -83,15 +83,17 @@
   if (outcome == AttemptOutcome::kTimedOut) {
     service.OnServiceTime(elapsed, members);
   }
-  if (outcome == AttemptOutcome::kShed)
+  // A target that asked for rest ramps up after that.
+  if (outcome == AttemptOutcome::kShed && now >= target.rests_until)
     target.ramp.Halve(now, kShedRampDuration);
   if (outcome == AttemptOutcome::kTargetLeaving) {
     targets_.MarkLeaving(attempt.target, now);
   }
 
-  const bool is_excused = now < target.failures_excused_until &&
-                          (outcome == AttemptOutcome::kTimedOut ||
-                           outcome == AttemptOutcome::kConnectionLost);
+  const bool is_excused = now < target.rests_until ||
+                          (now < target.failures_excused_until &&
+                           (outcome == AttemptOutcome::kTimedOut ||
+                            outcome == AttemptOutcome::kConnectionLost));
   if (RulesFor(outcome).is_target_failure && !is_excused) {
     target.health.OnFailure();
   }
--- a/lib/libmedlarcroft/source/decision/request_scheduler_reports.cc
+++ b/lib/libmedlarcroft/source/decision/request_scheduler_reports.cc
@@ -1,6 +1,7 @@
 // RequestScheduler: incoming reports on targets, and reports on its own state.
 #include <algorithm>
 
+#include "medlarcroft/core/target_rest.h"
 #include "medlarcroft/decision/request_scheduler.h"
 
 namespace medlarcroft::decision {
@@ -37,10 +38,13 @@
   }
 }
 
-void RequestScheduler::MarkLeaving(const TargetName& name, MonotonicTime now) {
-  if (const auto target = targets_.Find(name)) {
-    targets_.MarkLeaving(*target, now);
-  }
+bool RequestScheduler::MarkLeaving(const TargetName& name, MonotonicTime now) {
+  const auto target = targets_.Find(name);
+  if (!target)
+    return false;
+  const bool is_known = targets_.At(*target).leaving.IsLeaving(now);
+  targets_.MarkLeaving(*target, now);
+  return !is_known;
 }
 
 void RequestScheduler::MarkStaying(const TargetName& name,
@@ -51,6 +55,34 @@
   }
 }
 
+std::optional<MonotonicTime> RequestScheduler::OnTargetRest(
+    const TargetName& name,
+    Duration rest,
+    MonotonicTime now) {
+  const auto target = targets_.Find(name);
+  if (!target || rest <= Duration(0))
+    return std::nullopt;
+
+  const Duration length = std::min(rest, kMaxTargetRest);
+  const MonotonicTime until =
+      now + length + PartOf(ReturnSpread(length), random_.NextUnit());
+  return targets_.Rest(*target, until, now) ? std::optional(until)
+                                            : std::nullopt;
+}
+
+bool RequestScheduler::IsResting(const TargetName& name,
+                                 MonotonicTime now) const {
+  const auto target = targets_.Find(name);
+  return target && now < targets_.At(*target).rests_until;
+}
+
+bool RequestScheduler::MaySend(const TargetName& name,
+                               MonotonicTime now) const {
+  const auto target = targets_.Find(name);
+  return !target || (!targets_.At(*target).leaving.IsLeaving(now) &&
+                     now >= targets_.At(*target).rests_until);
+}
+
 std::optional<ServiceLoad> RequestScheduler::Load(const ServiceName& service,
                                                   MonotonicTime now) const {
   const auto index = FindService(service);
--- a/lib/libmedlarcroft/source/decision/target_table.cc
+++ b/lib/libmedlarcroft/source/decision/target_table.cc
@@ -13,6 +13,12 @@
 // them are slow, they have a common cause, and the remaining targets could not
 // carry the load.
 constexpr std::size_t kEjectedTargetsDivisor = 3;
+// A target that has just asked for rest gets its share back in this time.
+constexpr Duration kRampAfterRest = std::chrono::seconds(2);
+
+bool IsResting(const TargetState& target, MonotonicTime now) {
+  return now < target.rests_until;
+}
 
 }  // namespace
 
@@ -30,10 +36,29 @@
 }
 
 bool TargetTable::HasLiveTarget(ServiceIndex service, MonotonicTime now) const {
-  return std::ranges::any_of(services_[service].members,
-                             [&](TargetIndex target) {
-                               return !targets_[target].leaving.IsLeaving(now);
-                             });
+  return std::ranges::any_of(
+      services_[service].members, [&](TargetIndex target) {
+        const TargetState& state = targets_[target];
+        return !state.leaving.IsLeaving(now) && !IsResting(state, now);
+      });
+}
+
+std::optional<RestingTargets> TargetTable::AllResting(ServiceIndex service,
+                                                      MonotonicTime now) const {
+  std::optional<RestingTargets> resting;
+  for (const TargetIndex target : services_[service].members) {
+    const TargetState& state = targets_[target];
+    if (state.leaving.IsLeaving(now))
+      continue;
+    if (!IsResting(state, now))
+      return std::nullopt;
+    const Duration left = state.rests_until - now;
+    if (!resting)
+      resting = RestingTargets{.shortest_rest = left};
+    resting->shortest_rest = std::min(resting->shortest_rest, left);
+    resting->slots += std::min(state.config.share, state.config.slots);
+  }
+  return resting;
 }
 
 std::optional<TargetIndex> TargetTable::Find(const TargetName& name) const {
@@ -115,6 +140,36 @@
   }
 }
 
+bool TargetTable::Rest(TargetIndex target,
+                       MonotonicTime until,
+                       MonotonicTime now) {
+  TargetState& state = targets_[target];
+  const bool is_new = !IsResting(state, now);
+  if (until <= state.rests_until)
+    return false;
+  state.rests_until = until;
+  unreported_rests_ += state.is_rest_end_unreported ? 0 : 1;
+  state.is_rest_end_unreported = true;
+  state.ramp.Start(until, 0.0, kRampAfterRest);
+  next_expiry_ = std::min(next_expiry_, until);
+  Refresh(target, now);
+  return is_new;
+}
+
+std::vector<TargetName> TargetTable::TakeEndedRests(MonotonicTime now) {
+  std::vector<TargetName> ended;
+  if (unreported_rests_ == 0)
+    return ended;
+  for (TargetState& target : targets_) {
+    if (target.is_rest_end_unreported && !IsResting(target, now)) {
+      target.is_rest_end_unreported = false;
+      --unreported_rests_;
+      ended.push_back(target.config.name);
+    }
+  }
+  return ended;
+}
+
 void TargetTable::Refresh(TargetIndex target, MonotonicTime now) {
   TargetState& state = targets_[target];
   const std::uint32_t usable = ComputeUsableSlots(state, now);
@@ -179,6 +234,8 @@
   const TargetState& state = targets_[target];
   if (state.leaving.IsLeaving(now))
     return TargetUsageRule::kLeaving;
+  if (IsResting(state, now))
+    return TargetUsageRule::kResting;
   if (state.config.share_lease_until &&
       now >= *state.config.share_lease_until) {
     return TargetUsageRule::kLeaseExpired;
@@ -203,8 +260,10 @@
         for (const TargetIndex each : services_[membership.service].members) {
           const TargetState& state = targets_[each];
           // Targets without capacity cannot replace the ejected one.
-          if (state.leaving.IsLeaving(now) || state.config.share == 0)
+          if (state.leaving.IsLeaving(now) || IsResting(state, now) ||
+              state.config.share == 0) {
             continue;
+          }
           ++live;
           if (state.health.State() != HealthState::kHealthy)
             ++ejected;
@@ -219,8 +278,10 @@
 std::uint32_t TargetTable::ComputeUsableSlots(const TargetState& target,
                                               MonotonicTime now) const {
   const TargetConfig& config = target.config;
-  if (!target.is_configured || target.leaving.IsLeaving(now))
+  if (!target.is_configured || target.leaving.IsLeaving(now) ||
+      IsResting(target, now)) {
     return 0;
+  }
   if (config.share_lease_until && now >= *config.share_lease_until)
     return 0;
 
@@ -288,7 +349,7 @@
     const MonotonicTime lease_end =
         state.config.share_lease_until.value_or(MonotonicTime::max());
     for (const MonotonicTime end :
-         {lease_end, state.leaving.ReportExpiresAt()}) {
+         {lease_end, state.leaving.ReportExpiresAt(), state.rests_until}) {
       if (end > now)
         next_expiry_ = std::min(next_expiry_, end);
     }
--- a/lib/libmedlarcroft/source/decision/target_table_configuration.cc
+++ b/lib/libmedlarcroft/source/decision/target_table_configuration.cc
@@ -51,7 +51,7 @@
     });
   }
   RefreshAll(now);
-  EraseRemovedTargets();
+  EraseRemovedTargets(now);
 }
 
 TargetIndex TargetTable::FindOrAdd(const TargetConfig& config,
@@ -125,11 +125,13 @@
   }
 }
 
-void TargetTable::EraseRemovedTargets() {
+void TargetTable::EraseRemovedTargets(MonotonicTime now) {
   std::erase_if(indexes_, [&](const auto& entry) {
     TargetState& target = targets_[entry.second];
-    if (target.is_configured || target.outstanding > 0)
+    if (target.is_configured || target.outstanding > 0 ||
+        now < target.rests_until)
       return false;
+    unreported_rests_ -= target.is_rest_end_unreported ? 1 : 0;
     target = TargetState{};
     free_target_indexes_.push_back(entry.second);
     return true;
--- a/lib/libmedlarcroft/source/request_path/request_path_notices.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_notices.cc
@@ -1,30 +1,11 @@
 // RequestPath: targets that ask for rest or say that they leave.
 #include <algorithm>
 
+#include "medlarcroft/core/target_rest.h"
 #include "medlarcroft/request_path/request_path.h"
 
 namespace medlarcroft::request_path {
 
-namespace {
-
-// A longer rest that a target asks for is most likely an error, and would take
-// the target from this host for good.
-constexpr Duration kMaxRest = std::chrono::minutes(10);
-// Hosts that were told at the same moment return at different times, up to this
-// fraction of the rest later.
-constexpr double kReturnSpread = 0.25;
-constexpr Duration kMinReturnSpread = std::chrono::milliseconds(100);
-constexpr Duration kMaxReturnSpread = std::chrono::seconds(2);
-// Callers return later than the host, also spread.
-constexpr Duration kMinCallerSpread = std::chrono::milliseconds(400);
-
-Duration SpreadOf(Duration rest) {
-  return std::clamp(FromSeconds(kReturnSpread * ToSeconds(rest)),
-                    kMinReturnSpread, kMaxReturnSpread);
-}
-
-}  // namespace
-
 void RequestPath::OnNotice(const TargetIdentity& target,
                            const TargetNotice& notice,
                            std::string_view request,
@@ -33,12 +14,12 @@
     targets_.MarkLeaving(target, request);
   }
   if (notice.rest && *notice.rest > Duration(0)) {
-    const Duration length = std::min(*notice.rest, kMaxRest);
-    const double delay = ToSeconds(SpreadOf(length)) * random_.NextUnit();
-    targets_.Rest(
-        target,
-        {.length = length, .delay = FromSeconds(delay), .request = request},
-        now);
+    const Duration length = std::min(*notice.rest, kMaxTargetRest);
+    targets_.Rest(target,
+                  {.length = length,
+                   .delay = PartOf(ReturnSpread(length), random_.NextUnit()),
+                   .request = request},
+                  now);
   }
 }
 
@@ -87,10 +68,9 @@
   if (!rest) {
     return {.reason = reason, .retry_after = RetryAfter(Duration(0))};
   }
-  const Duration spread = std::max(SpreadOf(*rest), kMinCallerSpread);
   return {.reason = FailureReason::kTargetsResting,
           .retry_after =
-              *rest + FromSeconds(ToSeconds(spread) * random_.NextUnit())};
+              *rest + PartOf(CallerReturnSpread(*rest), random_.NextUnit())};
 }
 
 }  // namespace medlarcroft::request_path
--- a/tests/scenarios/figures.cc
+++ b/tests/scenarios/figures.cc
@@ -47,10 +47,10 @@
 std::string NameOf(decision::RefusalReason reason) {
   // In the order of RefusalReason.
   static constexpr std::array kNames{
-      "unknown-service",   "no-target",         "no-share",
-      "deadline-short",    "queue-too-long",    "headroom-reserved",
-      "waited-too-long",   "retry-not-allowed", "retry-budget-spent",
-      "attempts-exhausted"};
+      "unknown-service",    "no-target",         "no-share",
+      "deadline-short",     "queue-too-long",    "headroom-reserved",
+      "waited-too-long",    "retry-not-allowed", "retry-budget-spent",
+      "attempts-exhausted", "targets-resting"};
   return kNames.at(static_cast<std::size_t>(reason));
 }
 
--- a/tests/standins/target/fault_plan.cc
+++ b/tests/standins/target/fault_plan.cc
@@ -31,6 +31,7 @@
 constexpr std::array kDurationFields = {
     DurationField{"latency_ms", &FaultPlan::latency},
     DurationField{"cold_start", &FaultPlan::cold_start},
+    DurationField{"rest_ms", &FaultPlan::rest},
 };
 
 std::optional<std::uint32_t> ReadNumber(const json& value) {
--- a/tests/standins/target/fault_plan.h
+++ b/tests/standins/target/fault_plan.h
@@ -16,6 +16,7 @@
   Duration latency{0};     ///< Added to each service time.
   Duration cold_start{0};  ///< How long responses are slower at first.
   bool shed = false;       ///< Rejects every request as not run.
+  Duration rest{0};        ///< Asked for with each rejection; zero: none.
   bool draining = false;   ///< Rejects new requests, finishes running ones.
   bool truncated_response = false;  ///< Sends half of each response body.
   bool silent_connections = false;  ///< Open connections stop responding.
--- a/tests/standins/target/target_handler.cc
+++ b/tests/standins/target/target_handler.cc
@@ -203,6 +203,10 @@
   HttpResponse response =
       MakeJson(503, {{"code", code}, {"target", options_.name}});
   response.headers.Add("Medlar-Target-Not-Run", "1");
+  if (faults_.rest > Duration(0)) {
+    response.headers.Add("Retry-After",
+                         std::to_string(ToSeconds(faults_.rest)));
+  }
   AddDrainingHeader(response);
   return response;
 }
--- a/tests/system/platform_standins.py
+++ b/tests/system/platform_standins.py
@@ -203,7 +203,7 @@
         self.mode, self.delay_s = "ok", 0.02
         self.limit_per_s = None
         self.rest, self.cuts_rejections, self.is_leaving = None, False, False
-        self.arrivals, self.rejections = [], []  # (time, own address that was called) of each request for this target.
+        self.arrivals, self.rejections = [], []  # (time, own address, request) of each request for this target.
         self.other_servers = []
         self.crash_paths, self.restart_delay_s = set(), 1.0
         self.on_crash = self.on_restart = None  # Used by a proxy in front of the target.
@@ -276,7 +276,7 @@
         if handler.headers["X-Medlarcroft-Expect-Instance"] != self.name:
             handler.answer(421, b"", headers + [("X-Medlarcroft-Not-Executed", "1")])
             return
-        arrival = (time.monotonic(), handler.server.server_address[0])
+        arrival = (time.monotonic(), handler.server.server_address[0], request)
         with self.lock:
             self.arrivals.append(arrival)
         if self.is_leaving:
@@ -320,4 +320,4 @@
             handler.wfile.write(b"rest")
             handler.close_connection = True
         with self.lock:
-            self.rejections.append((time.monotonic(), arrival[1]))
+            self.rejections.append((time.monotonic(), *arrival[1:]))
--- a/tests/system/resting_target_test.py
+++ b/tests/system/resting_target_test.py
@@ -2,6 +2,7 @@
 
 import http.client
 import pathlib
+import signal
 import tempfile
 import threading
 import time
@@ -86,8 +87,8 @@
     def requests_during_rest(self, target, rest_s):
         """Returns the most requests that arrived from one host while the target wanted rest from it."""
         most = 0
-        for told_at, host in target.rejections:
-            during = [at for at, address in target.arrivals
+        for told_at, host, _ in target.rejections:
+            during = [at for at, address, _ in target.arrivals
                       if address == host and told_at + SETTLE_S < at < told_at + rest_s]
             most = max(most, len(during))
         return most
@@ -98,7 +99,10 @@
         stop = self.start_calls()
         target = self.busiest_target()
         target.rest = REST_S
-        time.sleep(REST_S + 2)
+        time.sleep(1)
+        for node in self.nodes.values():
+            node.process.send_signal(signal.SIGHUP)
+        time.sleep(REST_S + 1)
         target.rest = None
         ended_at = time.monotonic()
         self.pause_s, self.objects = 0.01, OBJECTS
@@ -106,7 +110,7 @@
         stop()
         self.assertTrue(target.rejections)
         self.assertEqual(self.requests_during_rest(target, REST_S), 0)
-        self.assertTrue([at for at, _ in target.arrivals if at > ended_at], "not used again after its rest")
+        self.assertTrue([at for at, _, _ in target.arrivals if at > ended_at], "not used again after its rest")
         served = [status for _, status in self.statuses].count(200) / len(self.statuses)
         self.assertGreater(served, 0.97, "requests failed although other targets had room")
 
@@ -129,7 +133,7 @@
         said_at = time.monotonic()
         time.sleep(DRAIN_S + 2)
         stop()
-        self.assertFalse([at for at, _ in target.arrivals if at > said_at + DRAIN_S])
+        self.assertFalse([at for at, _, _ in target.arrivals if at > said_at + DRAIN_S])
         # As when a new version of the same entry of the same process arrives.
         self.store.put_json("servers", target.name, {**target.entry, "status": {**target.entry["status"], "sequence": 2}})
         self.assertEqual([status for _, status in self.statuses if status != 200], [])
--- a/tests/system/targets_test.py
+++ b/tests/system/targets_test.py
@@ -304,6 +304,22 @@
         self.assertEqual({answer.outcome for _, answer in placed}, {"ran"})
         self.assertEqual(set(self.runs_of({key for key, _ in placed}).values()), {1})
 
+    # One target rejects all requests and asks for rest. It gets none until then, and some afterwards.
+    def test_resting_target(self):
+        self.set_faults("desk-south-a", shed=True, rest_ms=6000)
+        self.send_lookups("south-a-1", 50)
+        self.assertEqual(self.rule_of("south-a-1", "desk-south-a"), "resting")
+        asked = self.requests_at("desk-south-a")
+        self.assert_nearly_all_answered(self.send_lookups("south-a-1", 100))
+        self.assertEqual(self.requests_at("desk-south-a"), asked)
+        self.set_faults("desk-south-a")
+        end = time.monotonic() + 20
+        while self.rule_of("south-a-1", "desk-south-a") == "resting":
+            self.assertLess(time.monotonic(), end, "the rest does not end")
+            time.sleep(0.1)
+        self.send_lookups("south-a-1", 300)
+        self.assertGreater(self.requests_at("desk-south-a"), asked)
+
     def check_gets_less_than_equal_share(self, slow):
         """Asserts that all look-ups are answered and `slow` serves less than an equal share."""
         names = self.targets_of("desk", "south-a")
--- a/tests/unit/adapters/entry/attempt_result_test.cc
+++ b/tests/unit/adapters/entry/attempt_result_test.cc
@@ -15,6 +15,7 @@
   AttemptOutcome outcome;
   bool has_answer = false;
   bool is_leaving = false;
+  std::optional<Duration> rest;
 };
 
 class ClassifyAttemptTest : public testing::TestWithParam<ClassifyCase> {};
@@ -24,6 +25,7 @@
   EXPECT_EQ(result.outcome, GetParam().outcome);
   EXPECT_EQ(result.answer.has_value(), GetParam().has_answer);
   EXPECT_EQ(result.is_target_leaving, GetParam().is_leaving);
+  EXPECT_EQ(result.rest, GetParam().rest);
 }
 
 ClientResult Answer(int status, HttpHeaders headers = {}) {
@@ -38,6 +40,12 @@
                         .was_connection_reused = was_reused};
 }
 
+ClientResult BrokenAnswer(int status, HttpHeaders headers) {
+  return TransportError{.failure = TransportFailure::kTruncated,
+                        .status = status,
+                        .headers = std::move(headers)};
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Table,
     ClassifyAttemptTest,
@@ -57,6 +65,34 @@
         ClassifyCase{"answer_of_a_draining_target",
                      Answer(200, {{"Medlar-Target-Draining", "1"}}),
                      AttemptOutcome::kAnswered, true, true},
+        ClassifyCase{
+            "shed_with_rest",
+            Answer(503,
+                   {{"Medlar-Target-Not-Run", "1"}, {"Retry-After", "1.5"}}),
+            AttemptOutcome::kShed, false, false,
+            std::chrono::milliseconds(1500)},
+        ClassifyCase{
+            "rest_that_cannot_be_read",
+            Answer(503,
+                   {{"Medlar-Target-Not-Run", "1"}, {"Retry-After", "soon"}}),
+            AttemptOutcome::kShed},
+        ClassifyCase{"time_to_retry_of_another_status",
+                     Answer(429, {{"Retry-After", "3"}}),
+                     AttemptOutcome::kAnswered, true},
+        ClassifyCase{"broken_answer",
+                     BrokenAnswer(503,
+                                  {{"Medlar-Target-Draining", "1"},
+                                   {"Retry-After", "2"}}),
+                     AttemptOutcome::kTruncated, false, true,
+                     std::chrono::seconds(2)},
+        ClassifyCase{
+            "answer_to_another_request",
+            Answer(503,
+                   {{"Medlar-Request-Id", "host-1-2-4"}, {"Retry-After", "2"}}),
+            AttemptOutcome::kConnectionLost, false, false,
+            std::chrono::seconds(2)},
+        ClassifyCase{"withheld", Failure(TransportFailure::kWithheld, true),
+                     AttemptOutcome::kWithheld},
         ClassifyCase{"matching_request_id",
                      Answer(200, {{"medlar-request-id", std::string(kName)}}),
                      AttemptOutcome::kAnswered, true},
--- a/tests/unit/adapters/entry/request_engine_test.cc
+++ b/tests/unit/adapters/entry/request_engine_test.cc
@@ -41,6 +41,12 @@
   void OnRefused(const ServiceRequest& /*request*/,
                  const decision::Refusal& /*refusal*/) override {}
   void OnSilentConnection(const TargetName& /*target*/) override {}
+  void OnRestStarted(const TargetName& /*target*/,
+                     Duration /*length*/,
+                     std::string_view /*attempt*/) override {}
+  void OnRestEnded(const TargetName& /*target*/) override {}
+  void OnLeavingStated(const TargetName& /*target*/,
+                       std::string_view /*attempt*/) override {}
 };
 
 class AnySlot final : public ports::SlotSource {
--- a/tests/unit/adapters/http_test.cc
+++ b/tests/unit/adapters/http_test.cc
@@ -107,5 +107,17 @@
   EXPECT_TRUE(ErrorOf(result).is_proved_unsent);
 }
 
+// Guards against requests that reach a server although the reason for them
+// ended while the connection was being established.
+TEST_F(HttpRoundTripTest, RequestIsWithheldOnceItMayNotBeSent) {
+  ClientRequest request{.url = Url("/")};
+  request.may_send = [] { return false; };
+  const ClientResult result = client_.SendAndWait(request);
+  ASSERT_FALSE(IsOk(result));
+  EXPECT_EQ(ErrorOf(result).failure, TransportFailure::kWithheld);
+  request.may_send = [] { return true; };
+  EXPECT_TRUE(IsOk(client_.SendAndWait(request)));
+}
+
 }  // namespace
 }  // namespace medlarcroft::adapters
