--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,7 +11,8 @@
 - a draining target that receives new requests;
 - a request that a planned stop interrupts;
 - a request that is still sent to targets after it crashed three of them;
-- a target that receives more requests than its rate limit.
+- a target that receives more requests than its rate limit;
+- a target that receives requests from a node that it asked for rest, or told that it leaves.
 Time limits are generous, so that a slow machine causes no violations.
 """
 
@@ -46,6 +47,7 @@
 CALLERS = 6
 DRAIN_LIMIT_S = 4.0  # A draining target receives no new requests after this time.
 BLOCK_LIMIT_S = 5.0  # Counted from the third crash: 4 s in-touch bound plus a margin.
+REST_S, REST_SETTLE_S, TOLERATED_IN_REST = 3.0, 0.5, 2
 LIMIT_PER_S, LIMIT_SETTLE_S, LIMIT_WINDOW_S = 3.0, 1.0, 4.0
 ACTIVE_LIMIT_S = 5.0  # Hosts are up to date 4 s after the store hung; plus a margin of 1 s.
 
@@ -57,6 +59,7 @@
         self.lock = threading.Lock()
         self.rejected_orders, self.closed_connections, self.violations = [], [], []
         self.served = 0
+        self.nodes_of = {}  # Request -> number of the node that it was sent to.
 
     def add_violation(self, text):
         with self.lock:
@@ -162,6 +165,7 @@
         prefix = "/order/" if is_order else self.random.choice([path for path in prefixes if path != "/order/"])
         path, body = f"{prefix}{request}", request.encode() if is_order else None
         number = self.random.randint(1, NODES)
+        self.observations.nodes_of[request] = number
         node = self.deployment.nodes[number]
         connection = self.connections.get(number)
         if connection is None or connection[0] is not node:
@@ -202,6 +206,7 @@
         self.crash_random = random.Random(f"crashes of {seed}")
         self.crash_count = 0
         self.limit_random = random.Random(f"limits of {seed}")
+        self.notice_random = random.Random(f"notices of {seed}")
         self.log = []
 
     def round(self, index):
@@ -228,6 +233,10 @@
         if self.limit_random.random() < 0.4:
             self.log.append(f"round {index}: limit")
             self.limit_rate()
+        if self.notice_random.random() < 0.4:
+            notice = self.notice_random.choice([self.ask_for_rest, self.leave_in_answers])
+            self.log.append(f"round {index}: {notice.__name__}")
+            notice()
 
     def kill_node(self):
         number = self.random.randint(1, NODES)
@@ -318,6 +327,47 @@
             self.observations.add_violation(f"{target.name}: {most} requests in {LIMIT_WINDOW_S} s "
                                             f"with a rate limit of {LIMIT_PER_S} per second")
 
+    def arrivals_by_node(self, target, since):
+        arrivals = {number: [] for number in self.deployment.nodes}
+        for at, _, request in target.arrivals:
+            if at >= since and request in self.observations.nodes_of:
+                arrivals[self.observations.nodes_of[request]].append(at)
+        return arrivals
+
+    def ask_for_rest(self):
+        """A target rejects all requests and asks for rest, without other faults."""
+        time.sleep(DRAIN_LIMIT_S)  # Until no node sends for another one.
+        target = self.notice_random.choice(self.deployment.targets_of_service("desk"))
+        target.cuts_rejections = self.notice_random.random() < 0.3
+        started = time.monotonic()
+        target.rest = REST_S
+        time.sleep(2 * REST_S)
+        target.rest = None
+        time.sleep(REST_S)
+        arrivals = self.arrivals_by_node(target, started)
+        for told_at, _, request in target.rejections:
+            node = self.observations.nodes_of.get(request)
+            during = [at for at in arrivals.get(node, []) if told_at + REST_SETTLE_S < at < told_at + REST_S]
+            if len(during) > TOLERATED_IN_REST:
+                self.observations.add_violation(f"{target.name}: {len(during)} requests from node {node} in a rest")
+                return
+
+    def leave_in_answers(self):
+        """A target says in its answers alone that it leaves, without other faults, and another one replaces it."""
+        time.sleep(DRAIN_LIMIT_S)
+        leaving = self.notice_random.choice(self.deployment.targets_of_service("desk"))
+        self.deployment.add_target("desk")
+        started = time.monotonic()
+        leaving.is_leaving = True
+        time.sleep(2 * DRAIN_LIMIT_S)
+        for node, arrivals in self.arrivals_by_node(leaving, started).items():
+            late = [at for at in arrivals if at > arrivals[0] + DRAIN_LIMIT_S]
+            if late:
+                self.observations.add_violation(f"{leaving.name}: {len(late)} requests from node {node}, which it had told "
+                                                "that it leaves")
+        self.deployment.removed_targets.append(self.deployment.targets.pop(leaving.base_name))
+        self.deployment.store.remove("servers", leaving.name)
+
     def stop_node(self):
         """Stops a node as planned, without other faults: requests that reached a target must be answered."""
         time.sleep(DRAIN_LIMIT_S)
