--- a/tests/unit/adapters/event/event_http_client_test.cc
+++ b/tests/unit/adapters/event/event_http_client_test.cc
@@ -362,7 +362,7 @@
       loop_.Finish(0);
     }
   };
-  client_.Send(std::move(request), [&](ExchangeResult) {});
+  client_.Send(std::move(request), [&](const ExchangeResult&) {});
   loop_.Run();
   EXPECT_EQ(statuses, (std::vector<int>{200, 503}));
   EXPECT_EQ(client_.IdleConnections(), 0U);
--- a/tests/unit/decision/request_scheduler_rest_test.cc
+++ b/tests/unit/decision/request_scheduler_rest_test.cc
@@ -141,9 +141,11 @@
 // Guards against ejecting a target for failures during the rest that it asked
 // for, which keep it from use for longer.
 TEST_F(SchedulerRestTest, RestingTargetIsNotEjected) {
+  constexpr std::size_t kRequests = 18;
   Configure(MakeService(MakeTargets(3, 8)));
   std::vector<Dispatch> sent;
-  for (int i = 0; i < 18; ++i)
+  sent.reserve(kRequests);
+  for (std::size_t i = 0; i < kRequests; ++i)
     sent.push_back(SubmitAndDispatch());
   AskForRest("t0", seconds(1));
   for (const Dispatch& dispatch : sent) {
--- a/tests/unit/request_path/request_path_notices_test.cc
+++ b/tests/unit/request_path/request_path_notices_test.cc
@@ -126,8 +126,10 @@
 // under way counts as a failure, and many of them back the target off.
 TEST(RequestPathNoticesTest, RefusalsDuringTheRestDoNotProlongIt) {
   Host host(1, 0);
+  constexpr int kRequests = 12;
   std::vector<RequestStart> sent;
-  for (int i = 0; i < 12; ++i) {
+  sent.reserve(kRequests);
+  for (int i = 0; i < kRequests; ++i) {
     sent.push_back(host.Begin(kStart, std::to_string(i)));
   }
   const TargetIdentity target = SentIn(sent.front().step).target;
