--- a/tests/soak/faulty_link.py
+++ b/tests/soak/faulty_link.py
@@ -23,6 +23,9 @@
         self.listener = socket.create_server(address, backlog=64)
         threading.Thread(target=self._accept, args=(self.listener,), daemon=True).start()
 
+    def is_listening(self):
+        return self.listener.fileno() >= 0
+
     def refuse(self):
         """Closes the listener, as if the target process had exited. Returns the address for `listen`."""
         address = self.listener.getsockname()
--- a/tests/system/platform_standins.py
+++ b/tests/system/platform_standins.py
@@ -195,14 +195,15 @@
     """One target. `mode`: ok, slow (responds after `delay_s`), cut (runs, then closes without a response). A request
     whose path is in `crash_paths` crashes the target, which restarts on the same address after `restart_delay_s`.
     While `limit_per_s` is set, responses declare that rate limit. While `rest` is set, requests are rejected with it as
-    Retry-After, and with `cuts_rejections` the connection ends within the body. While `is_leaving`, all responses say so.
+    Retry-After, and with `cuts_rejections` the connection ends within the body. While `is_shedding`, they are rejected
+    without it. While `is_leaving`, all responses say so.
     Hosts are told apart by the addresses that they use, see `listen_at`."""
 
     def __init__(self, store, name, service, domain, address, slots=2):
         self.store, self.name, self.slots = store, name, slots
         self.mode, self.delay_s = "ok", 0.02
         self.limit_per_s = None
-        self.rest, self.cuts_rejections, self.is_leaving = None, False, False
+        self.rest, self.cuts_rejections, self.is_shedding, self.is_leaving = None, False, False, False
         self.arrivals, self.rejections = [], []  # (time, own address, request) of each request for this target.
         self.other_servers = []
         self.crash_paths, self.restart_delay_s = set(), 1.0
@@ -281,7 +282,7 @@
             self.arrivals.append(arrival)
         if self.is_leaving:
             headers.append(("Server-Leaving", "1"))
-        if self.rest is not None:
+        if self.rest is not None or self.is_shedding:
             self._reject(handler, headers, arrival)
             return
         with self.lock:
@@ -309,7 +310,7 @@
 
     def _reject(self, handler, headers, arrival):
         headers = headers + [("X-Medlarcroft-Not-Executed", "1"), ("X-Medlarcroft-Server-Load", f"0,0,{self.slots}"),
-                             ("Retry-After", str(self.rest))]
+                             *([("Retry-After", str(self.rest))] if self.rest is not None else [])]
         if not self.cuts_rejections:
             handler.answer(503, b"rest", headers)
         else:
--- a/tests/unit/adapters/forward/single_loop_deployment.h
+++ b/tests/unit/adapters/forward/single_loop_deployment.h
@@ -3,6 +3,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -163,6 +164,7 @@
     host_listener_ = Listen(host);
     target_listener_ = Listen(target);
     helper_listener_ = Listen(helper);
+    other_helper_listener_ = Listen(other_helper);
     routes_.Apply(
         {.version = 1,
          .routes = {{.name = "r",
@@ -200,6 +202,10 @@
     }
   }
 
+  [[nodiscard]] bool IsCutOff() const { return path_.Reach().IsCutOff(); }
+  /// @brief The two helpers differ; otherwise `helper` is both.
+  void UseOtherHelper() { uses_other_helper_ = true; }
+
   void Call() { caller_ = SendToHost(std::string(kCall)); }
   /// @brief Other callers send a request each.
   void CallFromOthers(int count) {
@@ -207,6 +213,20 @@
       others_.push_back(SendToHost(std::string(kCall)));
     }
   }
+  /// @brief Other callers send a request each, one after the other, until
+  /// `Run` returns.
+  void CallRegularly(int count, Duration interval) {
+    for (int i = 0; i < count; ++i) {
+      loop_.After(interval * i, [this] { CallFromOthers(1); });
+    }
+    loop_.After(interval * count + kLoopDelay, [this] { loop_.Finish(0); });
+  }
+  /// @return how many of the other callers got a target's answer.
+  [[nodiscard]] int Served() {
+    return static_cast<int>(std::ranges::count_if(others_, [](auto& caller) {
+      return caller->ReadHead().starts_with("HTTP/1.1 200");
+    }));
+  }
   /// @brief The caller does not wait for the answer to its first request.
   void SendNextRequest() { caller_->Write(kCall); }
   /// @brief Another host has this one send to a target, and is the caller.
@@ -294,6 +314,7 @@
   RecordingHandler host;
   RecordingHandler target;
   RecordingHandler helper;
+  RecordingHandler other_helper;
 
  private:
   static std::string AddressOf(const HttpListener& listener) {
@@ -333,6 +354,8 @@
   std::unique_ptr<HttpListener> host_listener_;
   std::unique_ptr<HttpListener> target_listener_;
   std::unique_ptr<HttpListener> helper_listener_;
+  std::unique_ptr<HttpListener> other_helper_listener_;
+  bool uses_other_helper_ = false;
   RelaySender relays_{
       {.loop = loop_,
        .caller = client_,
@@ -341,7 +364,9 @@
        .find_helpers = [this](const RegionName&) {
          return std::vector<RelayHelper>{
              {HostName("1"), kDomain, AddressOf(*helper_listener_)},
-             {HostName("2"), kDomain, AddressOf(*helper_listener_)}};
+             {HostName("2"), kDomain,
+              AddressOf(uses_other_helper_ ? *other_helper_listener_
+                                           : *helper_listener_)}};
        }}};
   RequestForwarder forwarder_{
       {.loop = loop_,
