--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -126,9 +126,13 @@
   void OnConnectFailed(const TargetIdentity& target, MonotonicTime now) {
     reach_.OnConnectFailed(NumberOf(target), now);
   }
-  /// @brief Another host sent for this one, or could not reach the target.
-  void OnRelayed(const HostName& helper, bool is_reached, MonotonicTime now) {
-    reach_.OnRelayed(helper, is_reached, now);
+  /// @brief Another host sent for this one.
+  void OnRelayed(MonotonicTime now) { reach_.OnRelayed(now); }
+  /// @brief Another host could not reach the target for this one.
+  void OnRelayMissed(const HostName& helper,
+                     const TargetIdentity& target,
+                     MonotonicTime now) {
+    reach_.OnRelayMissed(helper, NumberOf(target), now);
   }
   /// @return targets to which connections must be tried now, each of which
   /// `OnReachProbed` must follow.
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_reach.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_reach.h
@@ -32,7 +32,8 @@
 /// hosts. Failures of single targets are common and must not cause that belief,
 /// so connections to targets of several failure domains are tried first. The
 /// belief ends when several targets accept connections again, or when other
-/// hosts reach no target either: then the targets are down.
+/// hosts reach none of many targets either: then the targets are down. Where no
+/// other host can help, one target that accepts is better than none.
 class TargetReach {
  public:
   struct Options {
@@ -63,8 +64,14 @@
   void OnConnectFailed(TargetNumber target, MonotonicTime now);
   /// @brief A target answered on this host's own connection.
   void OnAnswered(MonotonicTime now) { last_answer_at_ = now; }
-  /// @brief Another host sent for this one, or could not reach the target.
-  void OnRelayed(const HostName& helper, bool is_reached, MonotonicTime now);
+  /// @brief Another host sent for this one.
+  void OnRelayed(MonotonicTime now);
+  /// @brief Another host could not reach the target for this one.
+  void OnRelayMissed(const HostName& helper,
+                     TargetNumber target,
+                     MonotonicTime now);
+  /// @brief No other host could be found that reaches targets.
+  void OnNoHelper(MonotonicTime now) { no_helper_at_ = now; }
 
   /// @param outstanding_since when the oldest of this host's own sends that
   /// wait for an answer was sent; nullopt: none waits.
@@ -85,7 +92,8 @@
       std::span<const ReachCandidate> candidates,
       const FailureDomainName& first_domain,
       std::size_t count);
-  [[nodiscard]] std::size_t TargetsForReturn() const;
+  [[nodiscard]] std::size_t TargetsForReturn(MonotonicTime now) const;
+  [[nodiscard]] bool AreTargetsDown() const;
   [[nodiscard]] std::size_t CutOffProbes() const;
   void CutOff(MonotonicTime now);
   void Return(MonotonicTime now);
@@ -102,7 +110,12 @@
   std::size_t round_size_ = 0;
   std::size_t known_targets_ = 0;
   std::map<TargetNumber, MonotonicTime> reached_;  ///< While cut off.
-  std::set<HostName> helpers_without_reach_;
+  struct Miss {
+    MonotonicTime at{};
+    std::set<HostName> helpers;
+  };
+  std::map<TargetNumber, Miss> missed_;  ///< By helpers, since one reached any.
+  std::optional<MonotonicTime> no_helper_at_;
   std::size_t targets_for_return_;
   std::optional<MonotonicTime> returned_at_;
 };
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -31,6 +31,7 @@
   kTimedOut,      ///< No response in time; it may have run.
   kNoHelper,      ///< This host is cut off from the targets, and no other host
                   ///< sent for it.
+  kHelperLost,    ///< The helper did not answer; it may have run.
   kWithheld,      ///< Not sent: the target must get no requests any more.
 };
 
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -57,9 +57,17 @@
 // A host that is cut off itself would only pass the failure on, and one that
 // has too much to do would serve its own callers late. Either way nothing is
 // sent, so the other host can ask a third one.
-bool RelayHandler::MayRelay() const {
-  return is_accepting_ && !parts_.reach.IsCutOff() &&
-         limit_.Admits(in_flight_.size(), parts_.loop.Now());
+std::optional<RelayEnd> RelayHandler::RefusalNow() const {
+  if (!is_accepting_) {
+    return RelayEnd::kRefused;
+  }
+  if (parts_.reach.IsCutOff()) {
+    return RelayEnd::kCutOff;
+  }
+  if (!limit_.Admits(in_flight_.size(), parts_.loop.Now())) {
+    return RelayEnd::kBusy;
+  }
+  return std::nullopt;
 }
 
 void RelayHandler::OnRequest(HttpRequest call,
@@ -69,8 +77,8 @@
     exchange->Respond({.status = 400});
     return;
   }
-  if (!MayRelay()) {
-    Fail(*exchange, RelayEnd::kRefused);
+  if (const auto refusal = RefusalNow()) {
+    Fail(*exchange, *refusal);
     return;
   }
   // The other host may not have heard that the target leaves or rests, that its
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -61,7 +62,8 @@
     ExchangeId sent = 0;
   };
 
-  [[nodiscard]] bool MayRelay() const;
+  /// @return why this host sends for no other one now; nullopt: it does.
+  [[nodiscard]] std::optional<RelayEnd> RefusalNow() const;
   void Send(RelayRequest relay,
             const std::string& address,
             const std::shared_ptr<HttpExchange>& exchange);
--- a/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
@@ -19,12 +19,20 @@
 constexpr std::string_view kRepeatableHeader = "Medlar-Relay-Repeatable";
 constexpr std::string_view kHeadHeader = "Medlar-Relay-Head";
 constexpr std::string_view kEndHeader = "Medlar-Relay-End";
+constexpr std::string_view kReasonHeader = "Medlar-Relay-Reason";
 constexpr std::string_view kRestHeader = "Medlar-Relay-Target-Rest-Ms";
 constexpr std::string_view kLeavingHeader = "Medlar-Relay-Target-Leaving";
 
-constexpr std::array<std::string_view, 6> kEndNames = {
-    "answered", "refused", "not-sent", "not-allowed", "lost", "timed-out"};
-constexpr std::array<int, 6> kEndStatuses = {200, 503, 503, 503, 502, 504};
+constexpr std::array<std::string_view, 8> kEndNames = {
+    "answered", "refused",     "busy", "cut-off",
+    "not-sent", "not-allowed", "lost", "timed-out"};
+constexpr std::array<int, 8> kEndStatuses = {200, 503, 503, 503,
+                                             503, 503, 502, 504};
+
+bool IsRefusal(RelayEnd end) {
+  return end == RelayEnd::kRefused || end == RelayEnd::kBusy ||
+         end == RelayEnd::kCutOff;
+}
 
 std::optional<std::uint64_t> FindNumber(const HttpHeaders& headers,
                                         std::string_view name) {
@@ -37,6 +45,15 @@
   return is_whole ? std::optional(number) : std::nullopt;
 }
 
+std::optional<RelayEnd> FindEnd(const HttpHeaders& headers,
+                                std::string_view name) {
+  const auto found =
+      std::ranges::find(kEndNames, headers.Find(name).value_or(""));
+  return found == kEndNames.end() ? std::nullopt
+                                  : std::optional(static_cast<RelayEnd>(
+                                        found - kEndNames.begin()));
+}
+
 void AddNotice(HttpHeaders& headers, const request_path::TargetNotice& notice) {
   headers.Remove(kRestHeader);
   headers.Remove(kLeavingHeader);
@@ -98,7 +115,14 @@
                                 const request_path::TargetNotice& notice) {
   HttpResponse response;
   response.status = kEndStatuses.at(static_cast<std::size_t>(end));
-  response.headers.Add(kEndHeader, NameOf(end));
+  // A version that doesn't know the reasons must still read that nothing was
+  // sent: an unknown end would mean that the request may have run.
+  const bool is_refusal = IsRefusal(end);
+  response.headers.Add(kEndHeader,
+                       NameOf(is_refusal ? RelayEnd::kRefused : end));
+  if (is_refusal) {
+    response.headers.Add(kReasonHeader, NameOf(end));
+  }
   AddNotice(response.headers, notice);
   return response;
 }
@@ -126,13 +150,16 @@
 }
 
 std::optional<RelayEnd> DecodeRelayResponse(HttpResponse& response) {
-  const auto name = response.headers.Find(kEndHeader);
-  const auto found = std::ranges::find(kEndNames, name.value_or(""));
-  if (found == kEndNames.end()) {
+  auto end = FindEnd(response.headers, kEndHeader);
+  if (!end) {
     return std::nullopt;
   }
-  const auto end = static_cast<RelayEnd>(found - kEndNames.begin());
+  const auto reason = FindEnd(response.headers, kReasonHeader);
+  if (end == RelayEnd::kRefused && reason && IsRefusal(*reason)) {
+    end = reason;
+  }
   response.headers.Remove(kEndHeader);
+  response.headers.Remove(kReasonHeader);
   response.headers.Remove(kRestHeader);
   response.headers.Remove(kLeavingHeader);
   return end;
--- a/lib/libmedlarcroft/source/adapters/forward/relay_protocol.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.h
@@ -34,7 +34,9 @@
 /// @brief How a relayed send ended.
 enum class RelayEnd {
   kAnswered,    ///< The response is the target's.
-  kRefused,     ///< Not sent: the helper takes no relays at the moment.
+  kRefused,     ///< Not sent: the helper takes no relays, since it stops.
+  kBusy,        ///< Not sent: the helper has too much to do at the moment.
+  kCutOff,      ///< Not sent: the helper reaches no target itself.
   kNotSent,     ///< Not sent: the helper can't reach the target.
   kNotAllowed,  ///< Not sent: the helper must send nothing to the target.
   kLost,        ///< Sent, but the response is lost; it may have run.
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
@@ -1,22 +1,18 @@
 #include "adapters/forward/relay_sender.h"
 
-#include <algorithm>
-#include <set>
 #include <utility>
 
 namespace medlarcroft::adapters {
 
 namespace {
 
+using request_path::HelperSign;
 using telemetry::Label;
 
 constexpr telemetry::MetricDescription kRelayedSends = {
     "medlar_relayed_sends_total",
     "Sends that other hosts made for this one, by how they ended."};
 
-// A host that is cut off too, has too much to do or is paused stays so for a
-// while.
-constexpr Duration kAvoidTime = std::chrono::seconds(1);
 // The target's own time ends earlier; this is for its answer to travel back.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(100);
 // As for targets: a host that closes an idle connection while a request is sent
@@ -32,6 +28,33 @@
                                                      : RelayEnd::kLost;
 }
 
+/// @param is_stated whether `end` is the helper's word.
+HelperSign SignOf(RelayEnd end, bool is_stated) {
+  if (!is_stated) {
+    return HelperSign::kSilent;
+  }
+  switch (end) {
+    case RelayEnd::kRefused:
+    case RelayEnd::kCutOff:
+      return HelperSign::kCutOff;
+    case RelayEnd::kBusy:
+      return HelperSign::kBusy;
+    case RelayEnd::kNotSent:
+      return HelperSign::kMissedTarget;
+    case RelayEnd::kAnswered:
+    case RelayEnd::kNotAllowed:
+    case RelayEnd::kLost:
+    case RelayEnd::kTimedOut:
+      break;
+  }
+  return HelperSign::kWorks;
+}
+
+bool MayAskNextHelper(RelayEnd end) {
+  return end == RelayEnd::kRefused || end == RelayEnd::kBusy ||
+         end == RelayEnd::kCutOff;
+}
+
 }  // namespace
 
 RelaySender::~RelaySender() {
@@ -96,28 +119,12 @@
 
 std::optional<RelayHelper> RelaySender::ChooseHelper(
     std::span<const RegionName> regions) {
-  const MonotonicTime now = parts_.loop.Now();
-  std::erase_if(avoided_, [now](const auto& avoided) {
-    return now >= avoided.second.until;
-  });
-  // Hosts are often cut off with others of their failure domain.
-  std::set<FailureDomainName> avoided_domains;
-  for (const auto& [host, avoided] : avoided_) {
-    avoided_domains.insert(avoided.failure_domain);
-  }
   for (const RegionName& region : regions) {
-    std::vector<RelayHelper> helpers = parts_.find_helpers(region);
-    std::erase_if(helpers, [this](const RelayHelper& helper) {
-      return avoided_.contains(helper.host);
-    });
-    const auto end = std::partition(
-        helpers.begin(), helpers.end(), [&](const RelayHelper& helper) {
-          return !avoided_domains.contains(helper.failure_domain);
-        });
-    const auto preferred = static_cast<std::size_t>(end - helpers.begin());
-    const std::size_t count = preferred > 0 ? preferred : helpers.size();
-    if (count > 0) {
-      return std::move(helpers[parts_.random.NextBelow(count)]);
+    const std::vector<RelayHelper> helpers = parts_.find_helpers(region);
+    const RelayHelper* const chosen =
+        selector_.Choose(helpers, parts_.loop.Now());
+    if (chosen != nullptr) {
+      return *chosen;
     }
   }
   return std::nullopt;
@@ -134,20 +141,18 @@
   RelayResult relayed{.end = RelayEnd::kLost, .helper = helper.host};
   if (IsOk(result)) {
     relayed.response = TakeValue(std::move(result));
-    relayed.end =
-        DecodeRelayResponse(relayed.response).value_or(RelayEnd::kLost);
+    const auto stated = DecodeRelayResponse(relayed.response);
+    relayed.end = stated.value_or(RelayEnd::kLost);
+    relayed.is_stated = stated.has_value();
   } else {
     relayed.end = EndOfFailure(ErrorOf(result));
   }
   parts_.metrics
       .CounterOf(kRelayedSends, {Label::OfConstant("end", NameOf(relayed.end))})
       .Add();
-  if (relayed.end != RelayEnd::kAnswered &&
-      relayed.end != RelayEnd::kNotAllowed) {
-    avoided_[helper.host] = {.failure_domain = helper.failure_domain,
-                             .until = parts_.loop.Now() + kAvoidTime};
-  }
-  if (relayed.end == RelayEnd::kRefused) {
+  selector_.OnEnd(helper, SignOf(relayed.end, relayed.is_stated),
+                  parts_.loop.Now());
+  if (MayAskNextHelper(relayed.end)) {
     const auto cancel_if_unwanted = found->second.callbacks.cancel_if_unwanted;
     if (!cancel_if_unwanted()) {
       SendToNextHelper(number);
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -15,21 +14,20 @@
 #include "adapters/forward/relay_protocol.h"
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/ports/random_source.h"
+#include "medlarcroft/request_path/helper_selector.h"
 #include "medlarcroft/telemetry/metrics.h"
 
 namespace medlarcroft::adapters {
 
-/// @brief Another host that can send for this one.
-struct RelayHelper {
-  HostName host;
-  FailureDomainName failure_domain;
-  std::string address;  ///< IP:port for requests between hosts.
-};
+using request_path::RelayHelper;
 
 /// @brief The end of a relayed send.
 struct RelayResult {
   RelayEnd end = RelayEnd::kRefused;
   HostName helper;        ///< Empty: no helper was found.
+  /// Whether `end` is the helper's word. Otherwise it did not answer, which
+  /// says nothing of the target.
+  bool is_stated = false;
   HttpResponse response;  ///< The target's, if `end` is `kAnswered`.
 };
 
@@ -61,7 +59,8 @@
     std::function<std::vector<RelayHelper>(const RegionName&)> find_helpers;
   };
 
-  explicit RelaySender(Parts parts) : parts_(std::move(parts)) {}
+  explicit RelaySender(Parts parts)
+      : parts_(std::move(parts)), selector_(parts_.random) {}
   ~RelaySender();
   RelaySender(const RelaySender&) = delete;
   RelaySender& operator=(const RelaySender&) = delete;
@@ -99,12 +98,7 @@
   Parts parts_;
   std::uint64_t last_relay_ = 0;
   std::unordered_map<std::uint64_t, Relay> relays_;
-  /// Helpers that did not send, which are not chosen until then.
-  struct Avoided {
-    FailureDomainName failure_domain;
-    MonotonicTime until{};
-  };
-  std::map<HostName, Avoided> avoided_;
+  request_path::HelperSelector selector_;
   std::shared_ptr<RelaySender*> alive_ = std::make_shared<RelaySender*>(this);
 };
 
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -20,20 +20,22 @@
 // Callers of a draining host can use another host at once.
 constexpr Duration kRetryAfterWhenLeaving = std::chrono::milliseconds(50);
 
-AttemptEnd AttemptEndOf(RelayEnd end) {
-  switch (end) {
+AttemptEnd AttemptEndOf(const RelayResult& result) {
+  switch (result.end) {
     case RelayEnd::kRefused:
+    case RelayEnd::kBusy:
+    case RelayEnd::kCutOff:
       return AttemptEnd::kNoHelper;
     case RelayEnd::kNotSent:
     case RelayEnd::kNotAllowed:
       return AttemptEnd::kNeverSent;
     case RelayEnd::kTimedOut:
-      return AttemptEnd::kTimedOut;
+      return result.is_stated ? AttemptEnd::kTimedOut : AttemptEnd::kHelperLost;
     case RelayEnd::kAnswered:
     case RelayEnd::kLost:
       break;
   }
-  return AttemptEnd::kLost;
+  return result.is_stated ? AttemptEnd::kLost : AttemptEnd::kHelperLost;
 }
 
 AttemptEnd AttemptEndOf(const ExchangeError& error) {
@@ -256,16 +258,16 @@
   ActiveRequest& active = *found->second;
   const MonotonicTime now = parts_.loop.Now();
   if (result.end == RelayEnd::kAnswered) {
-    parts_.path.OnRelayed(result.helper, true, now);
+    parts_.path.OnRelayed(now);
     EndAttempt(
         ticket, active, attempt,
         AcceptAnswer(ticket, active, attempt, std::move(result.response)));
     return;
   }
   if (result.end == RelayEnd::kNotSent) {
-    parts_.path.OnRelayed(result.helper, false, now);
+    parts_.path.OnRelayMissed(result.helper, attempt.target, now);
   }
-  EndAttempt(ticket, active, attempt, AttemptEndOf(result.end));
+  EndAttempt(ticket, active, attempt, AttemptEndOf(result));
 }
 
 AttemptEnd RequestForwarder::AcceptAnswer(RequestTicket ticket,
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -49,9 +49,9 @@
     "region-forbidden",
     "targets-out-of-reach",
     "targets-resting"};
-constexpr std::array<std::string_view, 9> kAttemptEndNames = {
+constexpr std::array<std::string_view, 10> kAttemptEndNames = {
     "answered", "target-failed", "not-run",   "other-target", "never-sent",
-    "lost",     "timed-out",     "no-helper", "withheld"};
+    "lost",     "timed-out",     "no-helper", "helper-lost",  "withheld"};
 
 RequestOutcome OutcomeOf(const routing::Route* route) {
   const bool is_non_idempotent =
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -23,7 +23,8 @@
 constexpr double kMaxRetryAfterSeconds = 2.0;
 
 bool MayHaveRun(AttemptEnd end) {
-  return end == AttemptEnd::kLost || end == AttemptEnd::kTimedOut;
+  return end == AttemptEnd::kLost || end == AttemptEnd::kTimedOut ||
+         end == AttemptEnd::kHelperLost;
 }
 
 /// @return the regions that both the route and the account allow; empty: all.
@@ -295,6 +296,9 @@
   if (has_open_attempt) {
     return AwaitAttempt{};
   }
+  if (end == AttemptEnd::kNoHelper) {
+    reach_.OnNoHelper(now);
+  }
   // The other hosts have been asked, and this one reaches no target.
   Step step =
       end == AttemptEnd::kNoHelper
--- a/lib/libmedlarcroft/source/request_path/request_path_reports.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_reports.cc
@@ -21,9 +21,11 @@
   if (target == nullptr) {
     return;
   }
-  // A host that is cut off, or sent nothing, learns nothing of the target.
+  // A host that is cut off, lost its helper or sent nothing, learns nothing of
+  // the target.
   const bool is_own_failure =
-      end == AttemptEnd::kNoHelper || end == AttemptEnd::kWithheld ||
+      end == AttemptEnd::kNoHelper || end == AttemptEnd::kHelperLost ||
+      end == AttemptEnd::kWithheld ||
       (reach_.IsCutOff() && !attempt.is_relayed &&
        (end == AttemptEnd::kNeverSent || end == AttemptEnd::kLost ||
         end == AttemptEnd::kTimedOut));
--- a/lib/libmedlarcroft/source/request_path/target_reach.cc
+++ b/lib/libmedlarcroft/source/request_path/target_reach.cc
@@ -19,8 +19,12 @@
 // requests would fail each time that some connections pass.
 constexpr Duration kRelapseTime = std::chrono::seconds(5);
 constexpr std::size_t kMaxTargetsForReturn = 12;
-// This many other hosts without reach show that the targets are down.
+// This many other hosts that miss targets show that the targets are down.
 constexpr std::size_t kHelpersWithoutReach = 2;
+// Of few targets, more than half must be missed: some of them may be down.
+constexpr std::size_t kMaxTargetsToMiss = 12;
+// Without any helper for this long, there may be one by now.
+constexpr Duration kNoHelperMemory = std::chrono::seconds(1);
 constexpr Duration kPauseAfterTargetsDown = std::chrono::seconds(2);
 
 void ForgetBefore(std::map<TargetNumber, MonotonicTime>& events,
@@ -41,20 +45,38 @@
   failed_[target] = now;
 }
 
-void TargetReach::OnRelayed(const HostName& helper,
-                            bool is_reached,
-                            MonotonicTime now) {
-  if (is_reached) {
-    helpers_without_reach_.clear();
-    return;
-  }
-  helpers_without_reach_.insert(helper);
-  if (is_cut_off_ && helpers_without_reach_.size() >= kHelpersWithoutReach) {
+void TargetReach::OnRelayed(MonotonicTime /*now*/) {
+  missed_.clear();
+  no_helper_at_.reset();
+}
+
+void TargetReach::OnRelayMissed(const HostName& helper,
+                                TargetNumber target,
+                                MonotonicTime now) {
+  std::erase_if(missed_, [now](const auto& entry) {
+    return now - entry.second.at > kReachMemory;
+  });
+  Miss& miss = missed_[target];
+  miss.at = now;
+  miss.helpers.insert(helper);
+  if (is_cut_off_ && AreTargetsDown()) {
     Return(now);
     next_round_at_ = now + kPauseAfterTargetsDown;
   }
 }
 
+// Guards against asking other hosts in vain. A helper that misses a few targets
+// shows only that these are down, and one that misses many may be cut off too.
+bool TargetReach::AreTargetsDown() const {
+  std::set<HostName> helpers;
+  for (const auto& [target, miss] : missed_) {
+    helpers.insert(miss.helpers.begin(), miss.helpers.end());
+  }
+  const std::size_t needed =
+      std::min(known_targets_ / 2 + 1, kMaxTargetsToMiss);
+  return missed_.size() >= needed && helpers.size() >= kHelpersWithoutReach;
+}
+
 bool TargetReach::ShouldProbe(std::optional<MonotonicTime> outstanding_since,
                               MonotonicTime now) const {
   if (pending_probes_ > 0 || now < next_round_at_) {
@@ -117,7 +139,7 @@
     if (is_reached) {
       reached_[target] = now;
     }
-    if (reached_.size() >= TargetsForReturn()) {
+    if (reached_.size() >= TargetsForReturn(now)) {
       Return(now);
     }
     return;
@@ -135,7 +157,10 @@
 }
 
 // Some of few targets may be down, so half of them suffice.
-std::size_t TargetReach::TargetsForReturn() const {
+std::size_t TargetReach::TargetsForReturn(MonotonicTime now) const {
+  if (no_helper_at_ && now - *no_helper_at_ <= kNoHelperMemory) {
+    return 1;
+  }
   return std::min(targets_for_return_, (known_targets_ + 1) / 2);
 }
 
@@ -152,7 +177,8 @@
                  : options_.targets_for_return;
   is_cut_off_ = true;
   reached_.clear();
-  helpers_without_reach_.clear();
+  missed_.clear();
+  no_helper_at_.reset();
 }
 
 void TargetReach::Return(MonotonicTime now) {
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -213,7 +213,8 @@
     if (is_in_region && host.host.Value() != settings_.host) {
       helpers.push_back({.host = host.host,
                          .failure_domain = host.failure_domain,
-                         .address = host.address});
+                         .address = host.address,
+                         .link_mbps = host.link_mbps});
     }
   }
   return helpers;
--- a/tests/unit/adapters/forward/relay_protocol_test.cc
+++ b/tests/unit/adapters/forward/relay_protocol_test.cc
@@ -106,11 +106,29 @@
                          RelayEnds,
                          testing::Values(RelayEnd::kAnswered,
                                          RelayEnd::kRefused,
+                                         RelayEnd::kBusy,
+                                         RelayEnd::kCutOff,
                                          RelayEnd::kNotSent,
                                          RelayEnd::kNotAllowed,
                                          RelayEnd::kLost,
                                          RelayEnd::kTimedOut));
 
+class RelayRefusals : public testing::TestWithParam<RelayEnd> {};
+
+// Guards against a host of an earlier version that takes an end which it does
+// not know for a request that may have run.
+TEST_P(RelayRefusals, EarlierVersionsReadThatNothingWasSent) {
+  HttpResponse response = EncodeRelayFailure(GetParam());
+  response.headers.Remove("Medlar-Relay-Reason");
+  EXPECT_EQ(DecodeRelayResponse(response), RelayEnd::kRefused);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         RelayRefusals,
+                         testing::Values(RelayEnd::kRefused,
+                                         RelayEnd::kBusy,
+                                         RelayEnd::kCutOff));
+
 // Guards against passing a response on that is no target's: a helper of another
 // version, or something else at its address.
 TEST(RelayProtocolTest, AResponseWithoutAnEndIsNoAnswer) {
--- a/tests/unit/request_path/request_path_reach_test.cc
+++ b/tests/unit/request_path/request_path_reach_test.cc
@@ -157,17 +157,41 @@
   EXPECT_EQ(path_.InFlight(), 0U);
 }
 
+// Guards against refusing all callers since a helper that is silent leaves the
+// targets marked as failed.
+TEST_F(CutOffPathTest, ASilentHelperCountsAgainstNoTarget) {
+  Configure(RequestKind::kIdempotent);
+  CutOff();
+  for (int request = 0; request < 8; ++request) {
+    (void)End(Begin(), 1, AttemptEnd::kHelperLost);
+  }
+  for (const RegionTargets& region : directory_.Usable(kService)) {
+    for (const TargetState* const target : region.targets) {
+      EXPECT_FALSE(target->IsBackedOff(kStart));
+    }
+  }
+}
+
+class LostAtHelperTable : public CutOffPathTest,
+                          public testing::WithParamInterface<AttemptEnd> {};
+
 // Guards against a second run of an order whose helper was lost.
-TEST_F(CutOffPathTest, AnOrderLostAtItsHelperIsNotSentAgain) {
+TEST_P(LostAtHelperTable, AnOrderIsNotSentAgain) {
   Configure(RequestKind::kNonIdempotent);
   CutOff();
   const RequestStart start = Begin();
-  const Step step = End(start, 1, AttemptEnd::kLost);
+  const Step step = End(start, 1, GetParam());
   ASSERT_TRUE(std::holds_alternative<RequestFailure>(step));
   EXPECT_EQ(std::get<RequestFailure>(step).reason, FailureReason::kMayHaveRun);
   EXPECT_FALSE(std::get<RequestFailure>(step).is_not_run);
 }
 
+INSTANTIATE_TEST_SUITE_P(Ends,
+                         LostAtHelperTable,
+                         testing::Values(AttemptEnd::kLost,
+                                         AttemptEnd::kHelperLost,
+                                         AttemptEnd::kTimedOut));
+
 // As above, after an idempotent request whose first send was lost: the refusal
 // must not state that it did not run.
 TEST_F(CutOffPathTest, ARequestThatMayHaveRunIsNotRefusedAsNotRun) {
