Begin with no share of the limits for all hosts that is not known

Cause: retries, the cold rate and rate limits were divided by the entries known at the moment, 1 until the list is read, and each process began as if nothing had been used. Ten hosts that restart together used the fixed part twice, or, before they had the list, up to ten times. Quotas had a guard (ShareCount); the others had none.

Evidence: sharing-hosts-changed, new, shows 10 hosts from a quarter of a second after the start on, also after the store's return: entries don't lapse there, the divisor is wrong between the start and the list.

Change: SharingHosts answers for retries, cold rate, rate limits and quotas among how many hosts a limit is divided, and since when this host's use of it is known; a limit over a window is used one window later. The part of the retries in proportion to requests is granted at once.

Fixed parts of hosts that are gone stay unused for 30 to 60 minutes, as for quotas.

--- a/lib/libmedlarcroft/include/medlarcroft/quota/quota_hosts.h
+++ b/lib/libmedlarcroft/include/medlarcroft/quota/quota_hosts.h
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "medlarcroft/core/identifiers.h"
-#include "medlarcroft/core/time.h"
 #include "medlarcroft/quota/quota_message.h"
 
 namespace medlarcroft::quota {
@@ -51,28 +50,6 @@
     const QuotaCandidate& self,
     QuotaGroup group);
 
-/// @brief Counts the hosts that have a share of the quotas.
-///
-/// A host that is disconnected may be removed from the list while it still uses
-/// its share, and does not count hosts that join meanwhile. If the others
-/// divided the quotas among fewer hosts, or it among too few, all of them
-/// together would exceed the quotas. So a removed host counts for a while, and
-/// a host without a current list assumes that others have joined.
-class ShareCount {
- public:
-  /// @param listed hosts in the list, this one included.
-  /// @param is_current whether the list contains all recent changes.
-  /// @return the number of hosts that share the quotas.
-  std::uint32_t Update(std::uint32_t listed,
-                       bool is_current,
-                       MonotonicTime now);
-
- private:
-  std::uint32_t most_in_period_ = 0;
-  std::uint32_t most_in_last_period_ = 0;
-  MonotonicTime period_began_at_{};
-};
-
 }  // namespace medlarcroft::quota
 
 #endif  // MEDLARCROFT_QUOTA_QUOTA_HOSTS_H_
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/rate_limits.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/rate_limits.h
@@ -34,6 +34,9 @@
   std::size_t known_in_region = 1;
   /// Number of listed hosts in all regions.
   std::uint32_t known_hosts = 1;
+  /// Whether this host may use its share; otherwise it sends to no target that
+  /// declares a limit.
+  bool has_share = true;
 
   friend bool operator==(const LimitHosts&, const LimitHosts&) = default;
 };
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -15,6 +15,7 @@
 
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/membership/host_share.h"
 #include "medlarcroft/ports/random_source.h"
 #include "medlarcroft/quota/quota_gate.h"
 #include "medlarcroft/request_path/bound_demand.h"
@@ -72,9 +73,8 @@
               TargetDirectory& targets,
               ports::RandomSource& random);
 
-  /// @brief Sets how many hosts share the limits for all hosts: those that are
-  /// or may be sending.
-  void SetHostCount(std::uint32_t hosts) { host_count_ = std::max(hosts, 1U); }
+  /// @brief Sets this host's share of the limits for all hosts.
+  void SetShare(const membership::HostShare& share) { share_ = share; }
   /// @brief Sets whether the configuration may be older than the one in force.
   void SetConfigurationStale(bool is_stale) {
     is_configuration_stale_ = is_stale;
@@ -171,7 +171,6 @@
   [[nodiscard]] RateLimits& Limits() { return limits_; }
   [[nodiscard]] CrashTracker& Crashes() { return crashes_; }
   [[nodiscard]] std::size_t InFlight() const { return requests_.size(); }
-  [[nodiscard]] std::uint32_t HostCount() const { return host_count_; }
   [[nodiscard]] std::uint64_t ConfigurationVersion() const {
     return routes_.Version();
   }
@@ -223,7 +222,8 @@
   [[nodiscard]] RetryBudgetShare& RetryBudgetOf(const ServiceName& service);
   [[nodiscard]] ServiceTimes& TimesOf(const ServiceName& service,
                                       Duration latency_objective);
-  [[nodiscard]] std::uint32_t ColdSendLimit(const ServiceName& service) const;
+  [[nodiscard]] std::uint32_t ColdSendLimit(const ServiceName& service,
+                                            MonotonicTime now) const;
   /// @param regions that are allowed; empty: all.
   [[nodiscard]] std::optional<Placement> Place(
       const Request& request,
@@ -294,7 +294,7 @@
   CrashTracker crashes_;
   RateLimits limits_;
   TargetReach reach_;
-  std::uint32_t host_count_ = 1;
+  membership::HostShare share_{.hosts = 1};
   bool is_configuration_stale_ = false;
   quota::QuotaGate* quotas_ = nullptr;
   /// Requests that wait for a token, in the order of arrival. Some of them may
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/retry_budget_share.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/retry_budget_share.h
@@ -1,9 +1,8 @@
 #ifndef MEDLARCROFT_REQUEST_PATH_RETRY_BUDGET_SHARE_H_
 #define MEDLARCROFT_REQUEST_PATH_RETRY_BUDGET_SHARE_H_
 
-#include <cstdint>
-
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/membership/host_share.h"
 #include "medlarcroft/request_path/event_window.h"
 
 namespace medlarcroft::request_path {
@@ -28,11 +27,12 @@
   explicit RetryBudgetShare(const RetryLimit& bound);
 
   void OnRequest(MonotonicTime now) { requests_.Add(now); }
-  /// @param hosts number of hosts that share the fixed amount: all that may be
-  /// sending.
+  /// @param share of the fixed amount.
   /// @return true when another send is granted; it is then counted.
-  [[nodiscard]] bool TryTake(std::uint32_t hosts, MonotonicTime now);
-  [[nodiscard]] double Remaining(std::uint32_t hosts, MonotonicTime now) const;
+  [[nodiscard]] bool TryTake(const membership::HostShare& share,
+                             MonotonicTime now);
+  [[nodiscard]] double Remaining(const membership::HostShare& share,
+                                 MonotonicTime now) const;
 
  private:
   RetryLimit bound_;
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -19,6 +19,11 @@
   std::uint32_t slots = 0;
 };
 
+/// The limit on requests to a cold target holds per second at the target. The
+/// window is longer, because sends may arrive closer together than they were
+/// sent.
+inline constexpr Duration kColdWindow = std::chrono::milliseconds(1200);
+
 /// @brief How one attempt ended, as observed by the transport.
 enum class AttemptEnd {
   kAnswered,      ///< Complete response without a failure of the target.
--- a/lib/libmedlarcroft/source/emulation/emulated_host.cc
+++ b/lib/libmedlarcroft/source/emulation/emulated_host.cc
@@ -72,7 +72,7 @@
       targets_(RegionsOf(deployment), *this),
       path_(InRegion(std::move(options), region), routes_, targets_, random_) {
   routes_.Apply(ConfigurationOf(deployment));
-  path_.SetHostCount(HostsOf(deployment));
+  path_.SetShare({.hosts = HostsOf(deployment)});
   path_.Crashes().Observe(this);
   path_.Limits().Observe(this);
 }
--- a/lib/libmedlarcroft/source/quota/quota_hosts.cc
+++ b/lib/libmedlarcroft/source/quota/quota_hosts.cc
@@ -1,7 +1,6 @@
 #include "medlarcroft/quota/quota_hosts.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <string>
 #include <tuple>
@@ -13,10 +12,6 @@
 
 namespace {
 
-// A removed host counts for one to two periods.
-constexpr Duration kCountPeriod = std::chrono::minutes(30);
-// Growth that a host without a current list allows for.
-constexpr double kUnseenGrowth = 1.25;
 // Hosts of another group that are tried as its issuer, one after another.
 constexpr std::size_t kMaxHostsPerGroup = 4;
 
@@ -79,18 +74,4 @@
   return hosts;
 }
 
-std::uint32_t ShareCount::Update(std::uint32_t listed,
-                                 bool is_current,
-                                 MonotonicTime now) {
-  if (now - period_began_at_ >= kCountPeriod) {
-    most_in_last_period_ = std::exchange(most_in_period_, 0);
-    period_began_at_ = now;
-  }
-  most_in_period_ = std::max(most_in_period_, std::max(listed, 1U));
-  const std::uint32_t most = std::max(most_in_period_, most_in_last_period_);
-  return is_current
-             ? most
-             : static_cast<std::uint32_t>(std::ceil(most * kUnseenGrowth));
-}
-
 }  // namespace medlarcroft::quota
--- a/lib/libmedlarcroft/source/request_path/rate_limits.cc
+++ b/lib/libmedlarcroft/source/request_path/rate_limits.cc
@@ -196,6 +196,9 @@
 }
 
 bool RateLimits::IsInProbeSlot(const Limit& limit, MonotonicTime now) const {
+  if (limit.own_rate <= 0) {
+    return false;
+  }
   const Duration period = FromSeconds(1.0 / limit.own_rate);
   if (limit.last_sent_at && now - *limit.last_sent_at < period) {
     return false;
@@ -217,7 +220,8 @@
       hosts_.live_in_region,
       [&](std::uint64_t host) { return OrderOf(host, target) > own; }));
   const bool was_sender = limit.is_sender;
-  limit.is_sender = limit.region == hosts_.own_region && rank < senders;
+  limit.is_sender =
+      hosts_.has_share && limit.region == hosts_.own_region && rank < senders;
   // Starts at a random level, so that hosts that get a share at the same time
   // do not send their first requests at the same time: each that only probed
   // before has saved up one.
@@ -226,11 +230,14 @@
   }
   const double live_fraction =
       static_cast<double>(live) / static_cast<double>(known);
-  limit.own_rate = limit.is_sender
-                       ? limit.requests_per_second * live_fraction /
-                             static_cast<double>(senders)
-                       : options_.probe_fraction * limit.requests_per_second /
-                             std::max(hosts_.known_hosts, 1U);
+  limit.own_rate = 0;
+  if (limit.is_sender) {
+    limit.own_rate = limit.requests_per_second * live_fraction /
+                     static_cast<double>(senders);
+  } else if (hosts_.has_share) {
+    limit.own_rate = options_.probe_fraction * limit.requests_per_second /
+                     std::max(hosts_.known_hosts, 1U);
+  }
 }
 
 }  // namespace medlarcroft::request_path
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -243,7 +243,7 @@
   // A send that never reached a target does not use the retry limit that all
   // hosts share.
   if (request.delivered_attempts > 0 &&
-      !RetryBudgetOf(request.service).TryTake(host_count_, now)) {
+      !RetryBudgetOf(request.service).TryTake(share_, now)) {
     return exhausted();
   }
   return Send(request, *placement, now);
@@ -347,7 +347,7 @@
   const Duration max_queue_wait = MaxQueueWait(request);
   if (!placement || placement->expected > request.deadline - now ||
       placement->expected_wait > max_queue_wait ||
-      !RetryBudgetOf(request.service).TryTake(host_count_, now)) {
+      !RetryBudgetOf(request.service).TryTake(share_, now)) {
     return AwaitAttempt{};
   }
   return Send(request, *placement, now);
@@ -408,7 +408,7 @@
 
 double RequestPath::RemainingRetries(const ServiceName& service,
                                      MonotonicTime now) {
-  return RetryBudgetOf(service).Remaining(host_count_, now);
+  return RetryBudgetOf(service).Remaining(share_, now);
 }
 
 Duration RequestPath::SpreadRetryAfter(Duration wait) {
--- a/lib/libmedlarcroft/source/request_path/request_path_placement.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_placement.cc
@@ -21,7 +21,7 @@
        .times = TimesOf(request.service, request.route->latency_objective),
        .distances = distances_,
        .loads = loads_[request.service],
-       .cold_send_limit = ColdSendLimit(request.service),
+       .cold_send_limit = ColdSendLimit(request.service, now),
        .limits = &limits_,
        .excluded = excluded,
        .allowed_regions = regions,
@@ -97,7 +97,8 @@
   return times_.try_emplace(service, latency_objective).first->second;
 }
 
-std::uint32_t RequestPath::ColdSendLimit(const ServiceName& service) const {
+std::uint32_t RequestPath::ColdSendLimit(const ServiceName& service,
+                                         MonotonicTime now) const {
   const routing::ServiceRules* const rules = routes_.FindService(service);
   if (rules == nullptr) {
     return 1;
@@ -105,7 +106,7 @@
   const double total_rate =
       rules->cold_requests_per_second * options_.cold_over +
       options_.cold_extra;
-  return static_cast<std::uint32_t>(total_rate / host_count_);
+  return static_cast<std::uint32_t>(total_rate * share_.Of(kColdWindow, now));
 }
 
 }  // namespace medlarcroft::request_path
--- a/lib/libmedlarcroft/source/request_path/retry_budget_share.cc
+++ b/lib/libmedlarcroft/source/request_path/retry_budget_share.cc
@@ -1,7 +1,5 @@
 #include "medlarcroft/request_path/retry_budget_share.h"
 
-#include <algorithm>
-
 namespace medlarcroft::request_path {
 
 namespace {
@@ -16,17 +14,17 @@
 RetryBudgetShare::RetryBudgetShare(const RetryLimit& bound)
     : bound_(bound), requests_(bound.window), retries_(bound.window) {}
 
-double RetryBudgetShare::Remaining(std::uint32_t hosts,
+double RetryBudgetShare::Remaining(const membership::HostShare& share,
                                    MonotonicTime now) const {
   const double granted =
-      kUsableFraction *
-      (bound_.ratio * requests_.Count(now) +
-       bound_.fixed / static_cast<double>(std::max(hosts, 1U)));
+      kUsableFraction * (bound_.ratio * requests_.Count(now) +
+                         bound_.fixed * share.Of(bound_.window, now));
   return granted - retries_.Count(now);
 }
 
-bool RetryBudgetShare::TryTake(std::uint32_t hosts, MonotonicTime now) {
-  if (Remaining(hosts, now) < 1.0) {
+bool RetryBudgetShare::TryTake(const membership::HostShare& share,
+                               MonotonicTime now) {
+  if (Remaining(share, now) < 1.0) {
     return false;
   }
   retries_.Add(now);
--- a/lib/libmedlarcroft/source/request_path/target_state.cc
+++ b/lib/libmedlarcroft/source/request_path/target_state.cc
@@ -40,9 +40,6 @@
 // After a rest, a request whose answer takes longer than this does not hold up
 // the next one.
 constexpr Duration kMaxReturnPause = std::chrono::seconds(1);
-// The limit holds per second at the target. The window is longer, because sends
-// may arrive closer together than they were sent.
-constexpr Duration kColdWindow = std::chrono::milliseconds(1200);
 
 bool IsFailure(AttemptEnd end) {
   return end == AttemptEnd::kNeverSent || end == AttemptEnd::kLost ||
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -211,7 +211,6 @@
                                  .overage = settings_.bounds.quota_overage,
                                  .slack = static_cast<double>(
                                      settings_.bounds.quota_slack)},
-                      .in_touch_after = settings_.bounds.in_touch_after,
                       .on_tokens =
                           [this](const ClientAccountName& account) {
                             forwarder_.OnTokens(account);
@@ -265,6 +264,7 @@
       peer_handler_(mirror_handler_, relay_handler_),
       stop_(StopOptions(settings)) {
   path_.EnforceQuotas(quota_sharing_.Enforcer());
+  path_.SetShare(peers_.Sharing().Share());
 }
 
 std::optional<StartFailure> Node::Start() {
@@ -374,7 +374,8 @@
 
 void Node::Tick() {
   targets_.Advance(loop_.Now());
-  path_.SetHostCount(peers_.KnownHosts());
+  peers_.UpdateShare();
+  path_.SetShare(peers_.Sharing().Share());
   path_.Limits().SetHosts(peers_.LimitHosts(), loop_.Now());
   path_.Limits().Advance(loop_.Now());
   quota_sharing_.UpdateHosts();
--- a/programs/node/node_gauges.cc
+++ b/programs/node/node_gauges.cc
@@ -22,8 +22,11 @@
       [this] { return path_.Reach().IsCutOff() ? 1.0 : 0.0; });
   add({"medlar_relays_in_flight", "Sends that this host makes for others."},
       [this] { return static_cast<double>(relay_handler_.InFlight()); });
-  add({"medlar_known_hosts", "Hosts that share the bounds for all."},
+  add({"medlar_known_hosts", "Hosts that are listed, this one included."},
       [this] { return static_cast<double>(peers_.KnownHosts()); });
+  add({"medlar_sharing_hosts",
+       "Hosts among which limits for all are divided; 0: unknown."},
+      [this] { return static_cast<double>(peers_.Sharing().Share().hosts); });
   add({"medlar_targets", "Targets that are registered."},
       [this] { return static_cast<double>(targets_.Size()); });
   add({"medlar_resting_targets", "Targets that this host lets rest."},
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -24,6 +24,8 @@
 // The timeouts of the membership table itself are not used; they only must not
 // be shorter than those used here.
 constexpr Duration kUnusedTableTimeout = std::chrono::seconds(20);
+// Rate limits hold per second.
+constexpr Duration kRateLimitWindow = std::chrono::seconds(1);
 constexpr Duration kStartupPeriod = std::chrono::seconds(3);
 constexpr Duration kStartupStoreWait = std::chrono::milliseconds(800);
 
@@ -82,17 +84,20 @@
                 .timers = parts.loop,
                 .random = parts.random,
                 .regions = parts.regions}),
-      follower_(
-          {.timers = parts.loop,
-           .store = parts.store,
-           .random = parts.random,
-           .listener = *this},
-          {.table = std::string(platform::kHostTable),
-           .timing = StartupTiming(),
-           .ask_reader = [this](const replication::RowsRequest& rows_request,
-                                replication::RowsCallback callback) {
-             return readers_.AskReader(rows_request, std::move(callback));
-           }}) {}
+      follower_({.timers = parts.loop,
+                 .store = parts.store,
+                 .random = parts.random,
+                 .listener = *this},
+                {.table = std::string(platform::kHostTable),
+                 .timing = StartupTiming(),
+                 .ask_reader =
+                     [this](const replication::RowsRequest& rows_request,
+                            replication::RowsCallback callback) {
+                       return readers_.AskReader(rows_request,
+                                                 std::move(callback));
+                     }}),
+      sharing_({.in_touch_after = settings.bounds.in_touch_after,
+                .started_at = parts.loop.Now()}) {}
 
 bool PeerGroup::Start() {
   auto channel = adapters::PeerChannel::Open(
@@ -252,6 +257,27 @@
                          : entries_.contains(HostName(settings_.host));
 }
 
+void PeerGroup::UpdateShare() {
+  const std::uint32_t before = sharing_.Share().hosts;
+  sharing_.Update(
+      {.listed = KnownHosts(),
+       .listed_in_region = static_cast<std::uint32_t>(HostsInRegion()),
+       .is_known = follower_.HasTable(),
+       .is_current = IsHostListCurrent(),
+       .row_written_at = row_written_at_},
+      parts_.loop.Now());
+  const membership::HostShare& share = sharing_.Share();
+  if (share.hosts != before) {
+    Log(LogLevel::kInfo, "sharing-hosts-changed",
+        {{"hosts", share.hosts},
+         {"before", before},
+         {"listed", KnownHosts()},
+         {"is_list_current", IsHostListCurrent()},
+         {"used_from_in_ms",
+          ToMilliseconds(share.known_since - parts_.loop.Now())}});
+  }
+}
+
 std::uint32_t PeerGroup::KnownHosts() const {
   const bool is_listed = entries_.contains(HostName(settings_.host));
   return static_cast<std::uint32_t>(entries_.size()) + (is_listed ? 0 : 1);
@@ -295,8 +321,10 @@
   request_path::LimitHosts hosts{
       .own_hash = membership::HashOf(table_.Self().host),
       .own_region = RegionName(settings_.region),
-      .known_in_region = HostsInRegion(),
-      .known_hosts = KnownHosts()};
+      .known_in_region = sharing_.HostsInRegion(),
+      .known_hosts = sharing_.Share().hosts,
+      .has_share =
+          sharing_.Share().Of(kRateLimitWindow, parts_.loop.Now()) > 0};
   hosts.live_in_region.push_back(hosts.own_hash);
   table_.VisitHostStates([&](const membership::HostStateView& host) {
     if (IsLive(host) && host.state.phase == HostPhase::kReady) {
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -15,6 +15,7 @@
 #include "adapters/process/node_settings.h"
 #include "logging_table_listener.h"
 #include "medlarcroft/membership/membership_table.h"
+#include "medlarcroft/membership/sharing_hosts.h"
 #include "medlarcroft/peer_updates/global_broadcaster.h"
 #include "medlarcroft/peer_updates/region_broadcaster.h"
 #include "medlarcroft/ports/host_list.h"
@@ -70,6 +71,11 @@
   /// @brief Sends the reports to the hosts of all regions.
   void PublishCrashes(std::span<const request_path::CrashReport> reports);
   void PublishLimits(std::span<const request_path::LimitReport> reports);
+  /// @brief Counts the hosts that share limits, as they are listed now.
+  void UpdateShare();
+  [[nodiscard]] const membership::SharingHosts& Sharing() const {
+    return sharing_;
+  }
   /// @return the hosts among which rate limits are divided.
   [[nodiscard]] request_path::LimitHosts LimitHosts() const;
   /// @return all listed hosts and this one.
@@ -82,10 +88,6 @@
   [[nodiscard]] bool IsHostListCurrent() const {
     return follower_.HasTable() && !follower_.IsDisconnected();
   }
-  /// @return when this process wrote its row; nullopt: it found one.
-  [[nodiscard]] std::optional<MonotonicTime> RowWrittenAt() const {
-    return row_written_at_;
-  }
   /// @brief Sends one datagram to a listed host. Others are ignored.
   void SendTo(quota::HostNumber host, peer_updates::PeerUpdate update);
   /// @return empty when the host is not listed.
@@ -172,6 +174,7 @@
   std::uint32_t heartbeats_sent_ = 0;
   bool is_row_write_pending_ = false;
   std::optional<MonotonicTime> row_written_at_;
+  membership::SharingHosts sharing_;
 };
 
 }  // namespace medlarcroft::node
--- a/programs/node/quota_sharing.cc
+++ b/programs/node/quota_sharing.cc
@@ -49,18 +49,14 @@
   const MonotonicTime now = parts_.loop.Now();
   quota::QuotaHosts hosts = quota::MakeQuotaHosts(
       parts_.peers.QuotaCandidates(), parts_.peers.OwnCandidate(), kQuotaGroup);
-  hosts.listed = share_count_.Update(parts_.peers.KnownHosts(),
-                                     parts_.peers.IsHostListCurrent(), now);
+  hosts.listed = parts_.peers.Sharing().Share().hosts;
   enforcer_.SetHosts(std::move(hosts));
   if (parts_.peers.IsHostListCurrent() &&
       !std::exchange(is_share_confirmation_asked_, true)) {
     enforcer_.ConfirmUnusedShare(now);
   }
-  if (!parts_.peers.Follower().HasTable()) {
-    enforcer_.PostponeOwnShare(now + kUnknownHostsDelay);
-  } else if (const auto written_at = parts_.peers.RowWrittenAt()) {
-    enforcer_.PostponeOwnShare(*written_at + parts_.in_touch_after);
-  }
+  enforcer_.PostponeOwnShare(
+      parts_.peers.Sharing().CountedSince().value_or(now + kUnknownHostsDelay));
 }
 
 void QuotaSharing::Send(quota::HostNumber host,
--- a/programs/node/quota_sharing.h
+++ b/programs/node/quota_sharing.h
@@ -23,9 +23,6 @@
     ports::RandomSource& random;
     telemetry::MetricsRegistry& metrics;
     quota::QuotaBounds bounds;
-    /// Once the store and a host have worked without errors for this long, the
-    /// host counts every host whose row was written before.
-    Duration in_touch_after;
     /// Called when requests of the account may continue.
     std::function<void(const ClientAccountName&)> on_tokens;
   };
@@ -60,7 +57,6 @@
   [[nodiscard]] quota::QuotaEnforcer::Options EnforcerOptions() const;
 
   Parts parts_;
-  quota::ShareCount share_count_;
   bool is_share_confirmation_asked_ = false;
   quota::QuotaEnforcer enforcer_;
 };
--- a/tests/property/quota_world.cc
+++ b/tests/property/quota_world.cc
@@ -109,7 +109,7 @@
   /// Hosts that are cut at the same time are connected to each other.
   std::uint64_t cut_number = 0;
   MonotonicTime view_updated_at{};
-  ShareCount share_count;
+  membership::ShareCount share_count;
   std::unique_ptr<QuotaEnforcer> enforcer;
   std::map<std::size_t, std::deque<std::uint64_t>> waiting;
   std::uint64_t last_waiting = 0;
--- a/tests/unit/quota/held_tokens_test.cc
+++ b/tests/unit/quota/held_tokens_test.cc
@@ -72,16 +72,5 @@
   EXPECT_TRUE(lease.IsUsable(kStart + seconds(4)));
 }
 
-// Hosts that were removed from the list may still send, and a host without a
-// current list does not know those that joined.
-TEST(ShareCountTest, CountsHostsThatMaySend) {
-  ShareCount count;
-  EXPECT_EQ(count.Update(8, true, kStart), 8U);
-  EXPECT_EQ(count.Update(5, true, kStart + std::chrono::minutes(20)), 8U);
-  EXPECT_EQ(count.Update(5, true, kStart + hours(2)), 8U);
-  EXPECT_EQ(count.Update(5, true, kStart + hours(3)), 5U);
-  EXPECT_EQ(count.Update(8, false, kStart + hours(3)), 10U);
-}
-
 }  // namespace
 }  // namespace medlarcroft::quota
--- a/tests/unit/request_path/retry_budget_share_test.cc
+++ b/tests/unit/request_path/retry_budget_share_test.cc
@@ -33,6 +33,7 @@
   constexpr std::uint32_t kHosts = 8;
   const RetryLimit bound{.ratio = 0.2, .fixed = 56, .window = seconds(10)};
   fakes::SeededRandom random(7);
+  const membership::HostShare share{.hosts = kHosts};
   std::vector<RetryBudgetShare> hosts(kHosts, RetryBudgetShare(bound));
   std::deque<MonotonicTime> requests;
   std::deque<MonotonicTime> retries;
@@ -42,7 +43,7 @@
     RetryBudgetShare& host = hosts[random.NextBelow(kHosts)];
     host.OnRequest(now);
     requests.push_back(now);
-    if (host.TryTake(kHosts, now)) {
+    if (host.TryTake(share, now)) {
       retries.push_back(now);
     }
     while (requests.front() <= now - bound.window) {
@@ -61,7 +62,7 @@
   RetryBudgetShare budget({.ratio = 0.2, .fixed = 56});
   int granted = 0;
 
-  while (budget.TryTake(8, kStart)) {
+  while (budget.TryTake({.hosts = 8}, kStart)) {
     ++granted;
   }
 
