Let emulated hosts be cut off from all targets, restart in series and lose their list

Change: faults cut-off-hosts (each host has its own links; others send for it by the production HelperSelector and TargetReach), restarting-hosts, lost-host-list and crash. The run counts first tries at hosts that are cut off, repeats of a service against the bound, requests at cold targets.

--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_deployment.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_deployment.h
@@ -32,6 +32,10 @@
   /// Capacity, in objects, of a target's LRU cache. Requests for a cached
   /// object are processed faster.
   std::uint32_t cached_objects = 30;
+  /// How long a target stays cold after its start.
+  Duration cold_time{0};
+  /// Requests per second that a cold target can handle, from all hosts.
+  double cold_requests_per_second = 0;
   /// Service times of a target are scaled by a constant factor that is drawn
   /// uniformly from 1 - x to 1 + x.
   double speed_variation = 0.0;
@@ -75,6 +79,16 @@
   kRest,
   /// Each affected target says in its responses that it leaves, but serves on.
   kLeaving,
+  /// Affected hosts lose their links to all targets; other hosts and callers
+  /// still reach them. New connections are refused after `strength` seconds.
+  kCutOffHosts,
+  /// Affected hosts restart one after another, `strength` a second, and again.
+  kRestartingHosts,
+  /// The store is down and has lost the rows of all hosts, which write them
+  /// again afterwards.
+  kLostHostList,
+  /// Affected targets crash once and return cold.
+  kCrash,
 };
 
 /// @brief A fault that is injected for a limited time.
--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_host.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_host.h
@@ -9,7 +9,9 @@
 #include <utility>
 
 #include "medlarcroft/emulation/emulated_deployment.h"
+#include "medlarcroft/membership/sharing_hosts.h"
 #include "medlarcroft/ports/random_source.h"
+#include "medlarcroft/request_path/helper_selector.h"
 #include "medlarcroft/request_path/request_path.h"
 
 namespace medlarcroft::emulation {
@@ -38,18 +40,27 @@
   };
 
   /// @param options `own_region` is replaced by `region`.
+  /// @param started_at when its process began.
   EmulatedHost(const EmulatedDeployment& deployment,
                const std::string& region,
                request_path::RequestPath::Options options,
-               std::uint64_t seed);
+               std::uint64_t seed,
+               MonotonicTime started_at);
 
   /// @brief Replaces all known targets by the content of the target registry.
   void Register(std::span<const request_path::TargetRecord> targets,
                 MonotonicTime now);
 
+  /// @brief Applies what the host knows of the list of hosts.
+  void UpdateHostList(const membership::HostListView& view, MonotonicTime now);
+
   void SetReportSinks(ReportSinks sinks) { sinks_ = std::move(sinks); }
 
   [[nodiscard]] request_path::RequestPath& Path() { return path_; }
+  [[nodiscard]] request_path::HelperSelector& Helpers() { return helpers_; }
+  [[nodiscard]] const membership::SharingHosts& Sharing() const {
+    return sharing_;
+  }
   [[nodiscard]] const std::string& Region() const { return region_; }
 
   void OnTargetChange(request_path::TargetChange /*change*/,
@@ -74,6 +85,8 @@
   routing::RouteTable routes_;
   request_path::TargetDirectory targets_;
   request_path::RequestPath path_;
+  request_path::HelperSelector helpers_;
+  membership::SharingHosts sharing_;
 };
 
 /// @return the HTTP host name of all routes.
--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
@@ -61,22 +61,48 @@
     std::size_t host = 0;
     request_path::RequestTicket ticket = 0;
     bool is_over = false;
+    bool is_host_cut_off = false;  ///< On arrival.
+    std::uint32_t arrivals = 0;    ///< At targets.
     std::map<request_path::AttemptNumber, AttemptState> attempts;
   };
   using ActiveRequestPointer = std::shared_ptr<ActiveRequest>;
 
   void MakeTargets();
-  void MakeHosts(const EmulationOptions& options);
+  void MakeHosts();
   void PlanFaults();
   void SetFault(const EmulatedFault& fault, bool is_on);
   void SetTargetFault(const EmulatedFault& fault, bool is_on);
   void SetPartitionedHosts(double fraction);
+  void SetCutOffHosts(const EmulatedFault& fault, bool is_on);
+  /// @brief Tries connections for hosts that may be cut off from all targets.
+  void ProbeReach();
+  void FailDirectly(const ActiveRequestPointer& active,
+                    request_path::AttemptNumber attempt);
+  /// @brief Has another host send, or the next one if that one refuses.
+  /// @param tried hosts that refused.
+  void SendThroughHelper(const ActiveRequestPointer& active,
+                         const request_path::SendAttempt& attempt,
+                         std::size_t tried);
+  [[nodiscard]] std::vector<request_path::RelayHelper> HelpersOf(
+      std::size_t host,
+      const RegionName& region) const;
+  /// @return how the helper, which is asked now, ends the send.
+  [[nodiscard]] request_path::HelperSign AskHelper(std::size_t helper,
+                                                   std::size_t target);
+  /// @brief Restarts the next of the affected hosts, and so on until the fault
+  /// ends.
+  void RestartNextHost(const EmulatedFault& fault, std::size_t count);
+  void RestartHost(std::size_t host);
+  void SetHostListLost(bool is_lost);
+  void UpdateHostLists();
+  void RecordArrival(const ActiveRequestPointer& active, std::size_t target);
   void SendCrashingRequest(const EmulatedFault& fault);
   /// @brief Fails all requests at the target and schedules its restart.
   void CrashTarget(std::size_t target);
   void RestartTarget(std::size_t target);
   void RegisterTargets();
   void ConnectReportSinks();
+  void ConnectReportSinks(std::size_t host);
   void AdvanceRateLimits();
   void SendToOtherHosts(std::size_t host,
                         const std::function<void(EmulatedHost&)>& deliver);
@@ -145,13 +171,27 @@
     std::deque<MonotonicTime> arrivals;
     std::optional<Duration> rest;  ///< Asked for in responses.
     bool says_leaving = false;
+    MonotonicTime cold_until{};
+    std::deque<MonotonicTime> cold_arrivals;  ///< Within a second.
     std::map<std::size_t, ToldHost> told_hosts;
     /// Accepted since the last crash, including those that have ended.
     std::vector<std::pair<ActiveRequestPointer, request_path::AttemptNumber>>
         accepted_attempts;
   };
 
+  /// @brief What a host has to do with the list of hosts.
+  struct HostListing {
+    membership::HostListView view;
+    bool has_row = true;
+  };
+  /// @brief Requests and repeats of a service within the retry window.
+  struct RepeatWindow {
+    std::deque<MonotonicTime> requests;
+    std::deque<MonotonicTime> repeats;
+  };
+
   const EmulatedDeployment& deployment_;
+  request_path::RequestPath::Options path_options_;
   bool shares_placements_;
   bool shares_loads_;
   EventQueue events_;
@@ -162,6 +202,14 @@
   std::vector<std::unique_ptr<EmulatedHost>> hosts_;
   std::vector<std::vector<std::size_t>> hosts_by_region_;
   std::vector<bool> is_partitioned_;  ///< By host index.
+  /// When the host was cut off from all targets, by host index; nullopt: it is
+  /// not.
+  std::vector<std::optional<MonotonicTime>> cut_off_since_;
+  Duration refusal_delay_{0};  ///< Of connections of hosts that are cut off.
+  std::vector<HostListing> listings_;  ///< By host index.
+  bool is_host_list_lost_ = false;
+  std::vector<std::vector<std::weak_ptr<ActiveRequest>>> active_by_host_;
+  std::map<std::string, RepeatWindow> repeat_windows_;
   double demand_factor_ = 1.0;
   std::uint64_t last_fingerprint_ = 0;
   EmulationMetrics metrics_;
--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulation_metrics.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulation_metrics.h
@@ -63,6 +63,30 @@
     largest_limit_use_ = std::max(largest_limit_use_, use);
   }
 
+  /// @param use requests that a cold target received within a second, as a
+  /// fraction of those that it bears.
+  void OnColdUse(double use) {
+    largest_cold_use_ = std::max(largest_cold_use_, use);
+  }
+  /// @param use repeats that a service received within a window, as a fraction
+  /// of those allowed.
+  void OnRepeatUse(double use) {
+    largest_repeat_use_ = std::max(largest_repeat_use_, use);
+  }
+  /// @brief Records how a request ended at a host that was cut off from the
+  /// targets when it arrived, at the first try of its caller.
+  void OnCutOffOutcome(bool is_served) {
+    ++cut_off_requests_;
+    cut_off_served_ += is_served ? 1 : 0;
+  }
+  /// @return the share of them that was served; 1 without any.
+  [[nodiscard]] double CutOffServedShare() const;
+  [[nodiscard]] std::uint64_t CutOffRequests() const {
+    return cut_off_requests_;
+  }
+  [[nodiscard]] double LargestColdUse() const { return largest_cold_use_; }
+  [[nodiscard]] double LargestRepeatUse() const { return largest_repeat_use_; }
+
   /// @param requests that a target got from a host in a rest that it had asked
   /// that host for.
   void OnRequestInRest(std::uint32_t requests) {
@@ -116,6 +140,10 @@
   std::uint64_t extra_attempts_ = 0;
   std::uint64_t crashes_ = 0;
   double largest_limit_use_ = 0;
+  double largest_cold_use_ = 0;
+  double largest_repeat_use_ = 0;
+  std::uint64_t cut_off_requests_ = 0;
+  std::uint64_t cut_off_served_ = 0;
   std::uint32_t most_requests_in_rest_ = 0;
   std::uint64_t requests_after_leaving_ = 0;
   std::uint64_t runs_ = 0;
--- a/lib/libmedlarcroft/source/adapters/emulation/deployment_schema.cc
+++ b/lib/libmedlarcroft/source/adapters/emulation/deployment_schema.cc
@@ -20,10 +20,19 @@
 constexpr double kMaxValue = 1e6;
 constexpr std::array<std::string_view, 2> kRequestKinds = {"idempotent",
                                                            "non-idempotent"};
-constexpr std::array<std::string_view, 9> kFaultTypes = {
-    "slow",         "lost-answers", "gone",
-    "more-callers", "cut-hosts",    "crashing-request",
-    "rate-limit",   "rest",         "leaving"};
+constexpr std::array<std::string_view, 13> kFaultTypes = {"slow",
+                                                          "lost-answers",
+                                                          "gone",
+                                                          "more-callers",
+                                                          "cut-hosts",
+                                                          "crashing-request",
+                                                          "rate-limit",
+                                                          "rest",
+                                                          "leaving",
+                                                          "cut-off-hosts",
+                                                          "restarting-hosts",
+                                                          "lost-host-list",
+                                                          "crash"};
 
 SettingsSchema<EmulatedRegion> MakeRegionSchema() {
   SettingsSchema<EmulatedRegion> schema;
@@ -62,6 +71,11 @@
       .Integer("remembered_objects", &EmulatedService::cached_objects,
                kAnyCount,
                {.description = "capacity of a target's object cache"})
+      .DurationText("cold", &EmulatedService::cold_time, kAnyDuration,
+                    {.description = "time that a target is cold after a start"})
+      .Real("cold_per_second", &EmulatedService::cold_requests_per_second,
+            {0, kMaxValue},
+            {.description = "requests that a cold target bears, of all hosts"})
       .Real("uneven_by", &EmulatedService::speed_variation, {0, 0.95},
             {.description =
                  "relative variation of service times between targets"})
@@ -122,8 +136,9 @@
                  "affected fraction of the service's targets or of the hosts"})
       .Real("strength", &EmulatedFault::strength, {0, 1000},
             {.description = "slowdown factor, fraction of responses lost, "
-                            "demand factor, requests per second, or "
-                            "seconds of rest"})
+                            "demand factor, requests per second, seconds of "
+                            "rest or until a connection is refused, or "
+                            "restarts per second"})
       .DurationText("from", &EmulatedFault::from, kAnyDuration,
                     {.description = "time from the start of the run"})
       .DurationText("until", &EmulatedFault::until, kAnyDuration,
--- a/lib/libmedlarcroft/source/emulation/emulated_host.cc
+++ b/lib/libmedlarcroft/source/emulation/emulated_host.cc
@@ -40,18 +40,16 @@
          .is_sticky = true});
   }
   for (const EmulatedService& service : deployment.services) {
-    configuration.services.push_back({.name = ServiceName(service.name)});
+    configuration.services.push_back(
+        {.name = ServiceName(service.name),
+         .cold_time = service.cold_time,
+         .cold_requests_per_second = service.cold_requests_per_second});
   }
   return configuration;
 }
 
-std::uint32_t HostsOf(const EmulatedDeployment& deployment) {
-  std::uint32_t hosts = 0;
-  for (const EmulatedRegion& region : deployment.regions) {
-    hosts += region.hosts;
-  }
-  return hosts;
-}
+// Hosts whose rows were written count each other after this time.
+constexpr Duration kInTouchAfter = std::chrono::seconds(4);
 
 }  // namespace
 
@@ -66,13 +64,19 @@
 EmulatedHost::EmulatedHost(const EmulatedDeployment& deployment,
                            const std::string& region,
                            RequestPath::Options options,
-                           std::uint64_t seed)
+                           std::uint64_t seed,
+                           MonotonicTime started_at)
     : region_(region),
       random_(seed),
       targets_(RegionsOf(deployment), *this),
-      path_(InRegion(std::move(options), region), routes_, targets_, random_) {
+      path_(InRegion(std::move(options), region), routes_, targets_, random_),
+      helpers_(random_),
+      sharing_({.in_touch_after = kInTouchAfter, .started_at = started_at}) {
   routes_.Apply(ConfigurationOf(deployment));
-  path_.SetShare({.hosts = HostsOf(deployment)});
+  for (const EmulatedService& service : deployment.services) {
+    targets_.SetColdTime(ServiceName(service.name), service.cold_time);
+  }
+  path_.SetShare(sharing_.Share());
   path_.Crashes().Observe(this);
   path_.Limits().Observe(this);
 }
@@ -96,6 +100,12 @@
   }
 }
 
+void EmulatedHost::UpdateHostList(const membership::HostListView& view,
+                                  MonotonicTime now) {
+  sharing_.Update(view, now);
+  path_.SetShare(sharing_.Share());
+}
+
 void EmulatedHost::Register(std::span<const request_path::TargetRecord> targets,
                             MonotonicTime now) {
   targets_.ReplaceAll(targets, {}, std::nullopt, now);
--- a/lib/libmedlarcroft/source/emulation/emulation.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation.cc
@@ -32,6 +32,11 @@
 // Time after which a connection to an unreachable target fails.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 
+// Hosts have run for longer than any window of a limit when a run begins.
+constexpr Duration kKnownBefore = std::chrono::minutes(10);
+// A cut counts from when hosts can know of it.
+constexpr Duration kCutNoticeTime = std::chrono::seconds(1);
+
 double Phase(Duration at, Duration period) {
   return ToSeconds(at) / std::max(ToSeconds(period), 1e-3);
 }
@@ -41,6 +46,7 @@
 Emulation::Emulation(const EmulatedDeployment& deployment,
                      const EmulationOptions& options)
     : deployment_(deployment),
+      path_options_(options.path),
       shares_placements_(options.shares_placements),
       shares_loads_(options.shares_loads),
       start_time_(events_.Now()),
@@ -48,7 +54,7 @@
       hosts_by_region_(deployment.regions.size()),
       metrics_(deployment.window) {
   MakeTargets();
-  MakeHosts(options);
+  MakeHosts();
   ConnectReportSinks();
   PlanFaults();
 }
@@ -76,7 +82,7 @@
   }
 }
 
-void Emulation::MakeHosts(const EmulationOptions& options) {
+void Emulation::MakeHosts() {
   std::vector<request_path::TargetRecord> records;
   for (const TargetInstance& instance : targets_) {
     records.push_back(instance.record);
@@ -86,11 +92,16 @@
     for (std::uint32_t number = 0; number < region_settings.hosts; ++number) {
       hosts_by_region_[region].push_back(hosts_.size());
       hosts_.push_back(std::make_unique<EmulatedHost>(
-          deployment_, region_settings.name, options.path, random_.Next()));
+          deployment_, region_settings.name, path_options_, random_.Next(),
+          events_.Now() - kKnownBefore));
       hosts_.back()->Register(records, events_.Now());
     }
   }
   is_partitioned_.resize(hosts_.size());
+  cut_off_since_.resize(hosts_.size());
+  listings_.resize(hosts_.size());
+  active_by_host_.resize(hosts_.size());
+  UpdateHostLists();
 }
 
 double Emulation::DemandShare(std::size_t region) const {
@@ -184,6 +195,8 @@
         .object = caller.object,
         .time_left = caller.request_class->deadline - spent,
         .fingerprint = caller.fingerprint};
+    repeat_windows_[caller.request_class->service].requests.push_back(
+        events_.Now());
     const request_path::RequestStart begun =
         hosts_[host]->Path().Begin(request, events_.Now());
     if (begun.ticket == 0) {
@@ -192,10 +205,17 @@
     }
     const auto active = std::make_shared<ActiveRequest>(
         ActiveRequest{.caller = caller, .host = host, .ticket = begun.ticket});
+    active->is_host_cut_off =
+        cut_off_since_[host] &&
+        events_.Now() - *cut_off_since_[host] > kCutNoticeTime;
+    active_by_host_[host].push_back(active);
     events_.After(begun.time_left, [this, active] {
       if (!active->is_over) {
         (void)hosts_[active->host]->Path().OnTimeout(active->ticket,
                                                      events_.Now());
+        if (active->is_host_cut_off) {
+          metrics_.OnCutOffOutcome(false);
+        }
         Finish(active);
         RecordOutcome(active->caller, false, false);
       }
@@ -211,11 +231,17 @@
     return;
   }
   if (std::holds_alternative<PassOn>(step)) {
+    if (active->is_host_cut_off) {
+      metrics_.OnCutOffOutcome(true);
+    }
     Finish(active);
     RecordOutcome(active->caller, true, false);
     return;
   }
   if (const auto* const ending = std::get_if<RequestFailure>(&step)) {
+    if (active->is_host_cut_off) {
+      metrics_.OnCutOffOutcome(false);
+    }
     Finish(active);
     OnRefused(active->caller, *ending);
   }
@@ -241,7 +267,6 @@
   if (attempt.should_announce && shares_placements_) {
     SharePlacement(*active, attempt);
   }
-  host.Path().OnConnected(attempt.region, 2 * latency, events_.Now());
   if (attempt.hedge_after) {
     events_.After(*attempt.hedge_after, [this, active] {
       if (!active->is_over) {
@@ -250,6 +275,15 @@
       }
     });
   }
+  if (!attempt.helper_regions.empty()) {
+    SendThroughHelper(active, attempt, 0);
+    return;
+  }
+  if (cut_off_since_[active->host]) {
+    FailDirectly(active, attempt.attempt);
+    return;
+  }
+  host.Path().OnConnected(attempt.region, 2 * latency, events_.Now());
   events_.After(latency, [this, active, number = attempt.attempt, latency] {
     Deliver(active, number, latency);
   });
@@ -269,6 +303,7 @@
     });
     return;
   }
+  RecordArrival(active, state.target);
   if (instance.limit) {
     RecordLimitUse(state.target);
   }
@@ -289,9 +324,12 @@
         DeliverNotice(ended.target, active->host);
         hosts_[active->host]->Path().OnReport(target, report, events_.Now());
         ShareLoad(*active, target, report);
-        hosts_[active->host]->Path().OnRateLimit(active->ticket, attempt,
-                                                 targets_[ended.target].limit,
-                                                 events_.Now());
+        // A host that has restarted uses its tickets again.
+        if (!active->is_over) {
+          hosts_[active->host]->Path().OnRateLimit(active->ticket, attempt,
+                                                   targets_[ended.target].limit,
+                                                   events_.Now());
+        }
       }
       EndAttempt(active, attempt,
                  is_lost ? AttemptEnd::kLost : AttemptEnd::kAnswered);
--- a/lib/libmedlarcroft/source/emulation/emulation_faults.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_faults.cc
@@ -23,6 +23,17 @@
     case EmulatedFaultType::kPartitionedHosts:
       SetPartitionedHosts(is_on ? fault.fraction : 0.0);
       break;
+    case EmulatedFaultType::kCutOffHosts:
+      SetCutOffHosts(fault, is_on);
+      break;
+    case EmulatedFaultType::kRestartingHosts:
+      if (is_on) {
+        RestartNextHost(fault, 0);
+      }
+      break;
+    case EmulatedFaultType::kLostHostList:
+      SetHostListLost(is_on);
+      break;
     case EmulatedFaultType::kCrashingRequest:
       if (is_on) {
         SendCrashingRequest(fault);
@@ -44,7 +55,8 @@
 
 void Emulation::SetTargetFault(const EmulatedFault& fault, bool is_on) {
   std::map<std::string, double> accumulated;
-  for (TargetInstance& instance : targets_) {
+  for (std::size_t target = 0; target < targets_.size(); ++target) {
+    TargetInstance& instance = targets_[target];
     if (!fault.service.empty() && fault.service != instance.service) {
       continue;
     }
@@ -77,6 +89,11 @@
       case EmulatedFaultType::kLeaving:
         instance.says_leaving = is_on;
         break;
+      case EmulatedFaultType::kCrash:
+        if (is_on) {
+          CrashTarget(target);
+        }
+        break;
       default:
         break;
     }
--- /dev/null
+++ b/lib/libmedlarcroft/source/emulation/emulation_hosts.cc
@@ -0,0 +1,274 @@
+// Emulation: hosts that are cut off from all targets or restart, and the list
+// of hosts.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "medlarcroft/emulation/emulation.h"
+
+namespace medlarcroft::emulation {
+
+namespace {
+
+using request_path::AttemptEnd;
+using request_path::HelperSign;
+using request_path::RelayHelper;
+
+constexpr Duration kProbePeriod = std::chrono::milliseconds(100);
+constexpr Duration kListPeriod = std::chrono::milliseconds(250);
+constexpr std::size_t kMaxHelpers = 4;
+constexpr Duration kColdUnit = std::chrono::seconds(1);
+
+void ForgetBefore(std::deque<MonotonicTime>& events, MonotonicTime oldest) {
+  while (!events.empty() && events.front() <= oldest) {
+    events.pop_front();
+  }
+}
+
+AttemptEnd EndOf(HelperSign sign) {
+  return sign == HelperSign::kMissedTarget ? AttemptEnd::kNeverSent
+                                           : AttemptEnd::kNoHelper;
+}
+
+}  // namespace
+
+void Emulation::SetCutOffHosts(const EmulatedFault& fault, bool is_on) {
+  refusal_delay_ = FromSeconds(fault.strength);
+  double accumulated = 0;
+  for (std::size_t host = 0; host < hosts_.size(); ++host) {
+    accumulated += fault.fraction;
+    if (accumulated < 1.0) {
+      continue;
+    }
+    accumulated -= 1.0;
+    cut_off_since_[host] = is_on ? std::optional(events_.Now()) : std::nullopt;
+  }
+  if (is_on) {
+    ProbeReach();
+  }
+}
+
+void Emulation::ProbeReach() {
+  bool may_be_cut_off = false;
+  for (std::size_t host = 0; host < hosts_.size(); ++host) {
+    EmulatedHost* const process = hosts_[host].get();
+    may_be_cut_off = may_be_cut_off || cut_off_since_[host] ||
+                     process->Path().Reach().IsCutOff();
+    const auto probes = process->Path().StartReachProbes(
+        FailureDomainName(process->Region()), events_.Now());
+    for (const request_path::ReachCandidate& probe : probes) {
+      const std::size_t target = target_indices_.at(TargetName(probe.address));
+      const bool is_reached = !cut_off_since_[host] &&
+                              !targets_[target].is_unreachable &&
+                              !targets_[target].has_crashed;
+      const Duration delay = is_reached
+                                 ? 2 * LatencyTo(process->Region(), target)
+                                 : refusal_delay_;
+      events_.After(delay, [this, host, process, probe, is_reached] {
+        if (hosts_[host].get() == process) {
+          process->Path().OnReachProbed(probe.target, is_reached,
+                                        events_.Now());
+        }
+      });
+    }
+  }
+  if (may_be_cut_off) {
+    events_.After(kProbePeriod, [this] { ProbeReach(); });
+  }
+}
+
+void Emulation::FailDirectly(const ActiveRequestPointer& active,
+                             request_path::AttemptNumber attempt) {
+  events_.After(refusal_delay_, [this, active, attempt] {
+    const std::size_t target = active->attempts.at(attempt).target;
+    if (!active->is_over) {
+      hosts_[active->host]->Path().OnConnectFailed(
+          targets_[target].record.Identity(), events_.Now());
+    }
+    EndAttempt(active, attempt, AttemptEnd::kNeverSent);
+  });
+}
+
+std::vector<RelayHelper> Emulation::HelpersOf(std::size_t host,
+                                              const RegionName& region) const {
+  std::vector<RelayHelper> helpers;
+  for (std::size_t other = 0; other < hosts_.size(); ++other) {
+    const std::string& of_other = hosts_[other]->Region();
+    const bool is_in_region = region.IsEmpty()
+                                  ? of_other != hosts_[host]->Region()
+                                  : of_other == region.Value();
+    if (other != host && is_in_region) {
+      helpers.push_back({.host = HostName(std::to_string(other)),
+                         .failure_domain = FailureDomainName(of_other)});
+    }
+  }
+  return helpers;
+}
+
+HelperSign Emulation::AskHelper(std::size_t helper, std::size_t target) {
+  if (hosts_[helper]->Path().Reach().IsCutOff()) {
+    return HelperSign::kCutOff;
+  }
+  const TargetInstance& instance = targets_[target];
+  if (cut_off_since_[helper] || instance.is_unreachable ||
+      instance.has_crashed) {
+    hosts_[helper]->Path().OnConnectFailed(instance.record.Identity(),
+                                           events_.Now());
+    return HelperSign::kMissedTarget;
+  }
+  return HelperSign::kWorks;
+}
+
+void Emulation::SendThroughHelper(const ActiveRequestPointer& active,
+                                  const request_path::SendAttempt& attempt,
+                                  std::size_t tried) {
+  EmulatedHost& host = *hosts_[active->host];
+  std::optional<RelayHelper> chosen;
+  for (const RegionName& region : attempt.helper_regions) {
+    const auto helpers = HelpersOf(active->host, region);
+    const RelayHelper* const found =
+        host.Helpers().Choose(helpers, events_.Now());
+    if (found != nullptr && !chosen) {
+      chosen = *found;
+    }
+  }
+  if (!chosen || tried >= kMaxHelpers) {
+    events_.After(Duration(0), [this, active, number = attempt.attempt] {
+      EndAttempt(active, number, AttemptEnd::kNoHelper);
+    });
+    return;
+  }
+  const auto helper =
+      static_cast<std::size_t>(std::stoul(chosen->host.Value()));
+  const std::size_t target = active->attempts.at(attempt.attempt).target;
+  const Duration hop = hosts_[helper]->Region() == host.Region()
+                           ? deployment_.intra_region_latency
+                           : deployment_.inter_region_latency;
+  const Duration latency = LatencyTo(hosts_[helper]->Region(), target);
+  events_.After(hop, [this, active, attempt, tried, helper, target, hop,
+                      latency, chosen = *chosen] {
+    if (active->is_over) {
+      return;
+    }
+    EmulatedHost& sender = *hosts_[active->host];
+    const HelperSign sign = AskHelper(helper, target);
+    sender.Helpers().OnEnd(chosen, sign, events_.Now());
+    if (sign == HelperSign::kWorks) {
+      sender.Path().OnRelayed(events_.Now());
+      events_.After(latency,
+                    [this, active, number = attempt.attempt,
+                     way = hop + latency] { Deliver(active, number, way); });
+      return;
+    }
+    if (sign == HelperSign::kCutOff) {
+      SendThroughHelper(active, attempt, tried + 1);
+      return;
+    }
+    sender.Path().OnRelayMissed(chosen.host, targets_[target].record.Identity(),
+                                events_.Now());
+    events_.After(hop, [this, active, number = attempt.attempt, sign] {
+      EndAttempt(active, number, EndOf(sign));
+    });
+  });
+}
+
+void Emulation::RestartNextHost(const EmulatedFault& fault, std::size_t count) {
+  if (Elapsed() >= fault.until || fault.strength <= 0) {
+    return;
+  }
+  const auto affected = static_cast<std::size_t>(
+      fault.fraction * static_cast<double>(hosts_.size()));
+  if (affected > 0) {
+    RestartHost(count % affected);
+  }
+  events_.After(FromSeconds(1.0 / fault.strength),
+                [this, &fault, count] { RestartNextHost(fault, count + 1); });
+}
+
+void Emulation::RestartHost(std::size_t host) {
+  for (const auto& pointer : std::exchange(active_by_host_[host], {})) {
+    if (const auto active = pointer.lock(); active && !active->is_over) {
+      Finish(active);
+      RecordOutcome(active->caller, false, false);
+    }
+  }
+  const std::string region = hosts_[host]->Region();
+  hosts_[host] = std::make_unique<EmulatedHost>(
+      deployment_, region, path_options_, random_.Next(), events_.Now());
+  ConnectReportSinks(host);
+  listings_[host].view = {};
+  std::vector<request_path::TargetRecord> records;
+  for (const TargetInstance& instance : targets_) {
+    records.push_back(instance.record);
+    // What an entry states is what was left when its target wrote it.
+    records.back().cold_remaining =
+        std::max(instance.cold_until - events_.Now(), Duration(0));
+  }
+  hosts_[host]->Register(records, events_.Now());
+}
+
+void Emulation::SetHostListLost(bool is_lost) {
+  is_host_list_lost_ = is_lost;
+  if (is_lost) {
+    for (HostListing& listing : listings_) {
+      listing.has_row = false;
+    }
+  }
+}
+
+void Emulation::UpdateHostLists() {
+  const auto rows = static_cast<std::uint32_t>(
+      std::ranges::count_if(listings_, &HostListing::has_row));
+  for (std::size_t host = 0; host < hosts_.size(); ++host) {
+    HostListing& listing = listings_[host];
+    membership::HostListView& view = listing.view;
+    view.is_current = !is_host_list_lost_;
+    if (view.is_current) {
+      view.is_known = true;
+      view.listed = rows + (listing.has_row ? 0 : 1);
+      view.listed_in_region = 0;
+      for (std::size_t other = 0; other < hosts_.size(); ++other) {
+        const bool is_listed = other == host || listings_[other].has_row;
+        const bool is_near = hosts_[other]->Region() == hosts_[host]->Region();
+        view.listed_in_region += is_listed && is_near ? 1 : 0;
+      }
+      if (!listing.has_row) {
+        listing.has_row = true;
+        view.row_written_at = events_.Now();
+      }
+    }
+    hosts_[host]->UpdateHostList(view, events_.Now());
+  }
+  events_.After(kListPeriod, [this] { UpdateHostLists(); });
+}
+
+void Emulation::RecordArrival(const ActiveRequestPointer& active,
+                              std::size_t target) {
+  const MonotonicTime now = events_.Now();
+  TargetInstance& instance = targets_[target];
+  if (now < instance.cold_until) {
+    const auto service = std::ranges::find(
+        deployment_.services, instance.service, &EmulatedService::name);
+    instance.cold_arrivals.push_back(now);
+    ForgetBefore(instance.cold_arrivals, now - kColdUnit);
+    const double bears =
+        service->cold_requests_per_second * path_options_.cold_over +
+        path_options_.cold_extra;
+    metrics_.OnColdUse(static_cast<double>(instance.cold_arrivals.size()) /
+                       std::max(bears, 1.0));
+  }
+  if (++active->arrivals == 1) {
+    return;
+  }
+  const request_path::RetryLimit& limit = path_options_.retry_limit;
+  RepeatWindow& window = repeat_windows_[instance.service];
+  window.repeats.push_back(now);
+  ForgetBefore(window.requests, now - limit.window);
+  ForgetBefore(window.repeats, now - limit.window);
+  metrics_.OnRepeatUse(
+      static_cast<double>(window.repeats.size()) /
+      (limit.ratio * static_cast<double>(window.requests.size()) +
+       limit.fixed));
+}
+
+}  // namespace medlarcroft::emulation
--- a/lib/libmedlarcroft/source/emulation/emulation_metrics.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_metrics.cc
@@ -110,6 +110,12 @@
   return shares;
 }
 
+double EmulationMetrics::CutOffServedShare() const {
+  return cut_off_requests_ == 0 ? 1.0
+                                : static_cast<double>(cut_off_served_) /
+                                      static_cast<double>(cut_off_requests_);
+}
+
 double EmulationMetrics::ServedShare() const {
   return Fraction(served_, requests_);
 }
--- a/lib/libmedlarcroft/source/emulation/emulation_reports.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_reports.cc
@@ -19,6 +19,7 @@
 // Requests are not checked against a limit that changed more recently, as
 // hosts learn of it only from responses.
 constexpr Duration kLimitPropagationTime = std::chrono::milliseconds(500);
+constexpr Duration kLimitUnit = std::chrono::seconds(1);
 constexpr Duration kLimitWindow = std::chrono::seconds(4);
 // Tolerated requests per window: kLimitTolerance times the limit, plus
 // kLimitBurst.
@@ -33,37 +34,43 @@
 
 void Emulation::ConnectReportSinks() {
   for (std::size_t host = 0; host < hosts_.size(); ++host) {
-    hosts_[host]->SetReportSinks(
-        {.on_crash =
-             [this, host](const request_path::CrashReport& report) {
-               SendToOtherHosts(host, [this, report](EmulatedHost& other) {
-                 other.Path().Crashes().OnReport(report, events_.Now());
-               });
-             },
-         .on_held =
-             [this, host](Duration delay) {
-               events_.After(delay, [this, host] {
-                 hosts_[host]->Path().Crashes().Advance(events_.Now());
-               });
-             },
-         .on_limit =
-             [this, host](const request_path::LimitReport& report) {
-               SendToOtherHosts(host, [this, report](EmulatedHost& other) {
-                 other.Path().OnLimitReport(report, events_.Now());
-               });
-             }});
+    ConnectReportSinks(host);
   }
   AdvanceRateLimits();
 }
 
+void Emulation::ConnectReportSinks(std::size_t host) {
+  hosts_[host]->SetReportSinks(
+      {.on_crash =
+           [this, host](const request_path::CrashReport& report) {
+             SendToOtherHosts(host, [this, report](EmulatedHost& other) {
+               other.Path().Crashes().OnReport(report, events_.Now());
+             });
+           },
+       .on_held =
+           [this, host](Duration delay) {
+             events_.After(delay, [this, host] {
+               hosts_[host]->Path().Crashes().Advance(events_.Now());
+             });
+           },
+       .on_limit =
+           [this, host](const request_path::LimitReport& report) {
+             SendToOtherHosts(host, [this, report](EmulatedHost& other) {
+               other.Path().OnLimitReport(report, events_.Now());
+             });
+           }});
+}
+
 void Emulation::AdvanceRateLimits() {
   for (const std::vector<std::size_t>& region : hosts_by_region_) {
     for (const std::size_t host : region) {
       request_path::LimitHosts hosts{
           .own_hash = HostHash(host),
           .own_region = RegionName(hosts_[host]->Region()),
-          .known_in_region = region.size(),
-          .known_hosts = static_cast<std::uint32_t>(hosts_.size())};
+          .known_in_region = hosts_[host]->Sharing().HostsInRegion(),
+          .known_hosts = hosts_[host]->Sharing().Share().hosts,
+          .has_share = hosts_[host]->Sharing().Share().Of(kLimitUnit,
+                                                          events_.Now()) > 0};
       for (const std::size_t other : region) {
         if (other == host ||
             (!is_partitioned_[host] && !is_partitioned_[other])) {
@@ -151,6 +158,12 @@
   TargetInstance& instance = targets_[target];
   instance.has_crashed = false;
   ++instance.record.incarnation;
+  for (const EmulatedService& service : deployment_.services) {
+    if (service.name == instance.service) {
+      instance.record.cold_remaining = service.cold_time;
+      instance.cold_until = events_.Now() + service.cold_time;
+    }
+  }
   RegisterTargets();
 }
 
--- a/tests/property/quota_world.cc
+++ b/tests/property/quota_world.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "medlarcroft/membership/sharing_hosts.h"
+
 namespace medlarcroft::quota {
 
 namespace {
--- a/tests/unit/emulation/emulation_test.cc
+++ b/tests/unit/emulation/emulation_test.cc
@@ -225,6 +225,130 @@
   EXPECT_LE(metrics.LargestLimitUse(), 1.0);
 }
 
+struct CutOffCase {
+  std::string name;
+  double cut_hosts = 0.5;
+  double refusal_delay = 0.001;  ///< In seconds.
+  EmulatedFault other;           ///< Meanwhile.
+};
+
+class CutOffHostsTable : public testing::TestWithParam<CutOffCase> {};
+
+// Guards against refusing the callers of hosts that are cut off from all
+// targets while targets fail as well: they are served like the others.
+TEST_P(CutOffHostsTable, ServeTheirCallersLikeOthers) {
+  EmulatedDeployment deployment = Load("campos");
+  deployment.duration = seconds(18);
+  EmulatedFault other = GetParam().other;
+  other.from = seconds(5);
+  other.until = seconds(14);
+  deployment.faults = {{.type = EmulatedFaultType::kCutOffHosts,
+                        .fraction = GetParam().cut_hosts,
+                        .strength = GetParam().refusal_delay,
+                        .from = seconds(4),
+                        .until = seconds(14)},
+                       other};
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const EmulationMetrics metrics = RunOnce(deployment, seed);
+    EXPECT_GT(metrics.CutOffRequests(), 100U);
+    EXPECT_GE(metrics.CutOffServedShare(), metrics.ServedShare() * 2 / 3);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults,
+    CutOffHostsTable,
+    testing::Values(
+        CutOffCase{.name = "no_other",
+                   .other = {.type = EmulatedFaultType::kIncreasedDemand,
+                             .strength = 1}},
+        CutOffCase{.name = "targets_gone",
+                   .other = {.type = EmulatedFaultType::kUnreachable}},
+        CutOffCase{.name = "one_helper_left_and_targets_gone",
+                   .cut_hosts = 0.95,
+                   .other = {.type = EmulatedFaultType::kUnreachable}},
+        CutOffCase{.name = "most_hosts_cut_and_targets_gone",
+                   .cut_hosts = 0.8,
+                   .other = {.type = EmulatedFaultType::kUnreachable}},
+        CutOffCase{.name = "connections_hang_and_targets_gone",
+                   .refusal_delay = 0.25,
+                   .other = {.type = EmulatedFaultType::kUnreachable}},
+        CutOffCase{.name = "targets_crash",
+                   .other = {.type = EmulatedFaultType::kCrash}},
+        CutOffCase{.name = "targets_rest",
+                   .other = {.type = EmulatedFaultType::kRest, .strength = 3}},
+        CutOffCase{.name = "hosts_restart",
+                   .other = {.type = EmulatedFaultType::kRestartingHosts,
+                             .fraction = 1,
+                             .strength = 0.5}}),
+    [](const auto& tested) { return tested.param.name; });
+
+struct RestartCase {
+  std::string name;
+  double restarts_per_second = 1;
+  bool is_list_lost = false;
+};
+
+class RestartingHostsTable : public testing::TestWithParam<RestartCase> {};
+
+// Guards against hosts that exceed the limits on repeats and on requests to
+// cold targets together, since they restart, while targets lose responses and
+// crash.
+TEST_P(RestartingHostsTable, KeepLimitsTogether) {
+  EmulatedDeployment deployment = Load("campos");
+  deployment.duration = seconds(24);
+  for (EmulatedService& service : deployment.services) {
+    service.cold_time = seconds(3);
+    service.cold_requests_per_second = 11;
+  }
+  deployment.faults = {{.type = EmulatedFaultType::kLostResponses,
+                        .fraction = 1,
+                        .strength = 0.4,
+                        .from = seconds(2),
+                        .until = seconds(22)},
+                       {.type = EmulatedFaultType::kRestartingHosts,
+                        .fraction = 1,
+                        .strength = GetParam().restarts_per_second,
+                        .from = seconds(6),
+                        .until = seconds(20)},
+                       {.type = EmulatedFaultType::kCrash,
+                        .fraction = 0.3,
+                        .from = seconds(6),
+                        .until = seconds(7)},
+                       {.type = EmulatedFaultType::kCrash,
+                        .fraction = 0.3,
+                        .from = seconds(12),
+                        .until = seconds(13)}};
+  if (GetParam().is_list_lost) {
+    deployment.faults.push_back({.type = EmulatedFaultType::kLostHostList,
+                                 .from = seconds(5),
+                                 .until = seconds(9)});
+  }
+  EmulationOptions options;
+  options.path.cold_over = 1.5;
+  options.path.cold_extra = 5;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    options.seed = seed;
+    const EmulationMetrics metrics = Emulation(deployment, options).Run();
+    EXPECT_LE(metrics.LargestRepeatUse(), 1.0);
+    EXPECT_LE(metrics.LargestColdUse(), 1.0);
+    EXPECT_GT(metrics.LargestRepeatUse(), 0.3);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Rates,
+    RestartingHostsTable,
+    testing::Values(RestartCase{.name = "one_a_second"},
+                    RestartCase{.name = "all_at_once",
+                                .restarts_per_second = 50},
+                    RestartCase{.name = "one_a_second_with_lost_list",
+                                .is_list_lost = true},
+                    RestartCase{.name = "all_at_once_with_lost_list",
+                                .restarts_per_second = 50,
+                                .is_list_lost = true}),
+    [](const auto& tested) { return tested.param.name; });
+
 struct UnwillingCase {
   std::string name;
   std::string deployment;
