Cut soaked nodes off from all targets, beside other troubles

Cause: all nodes of the soak reached the targets through the same links, so whatever it did to them, it did to all; no plan had a cut of single nodes.

Change: each node has links of its own to each target and to the store. A plan may now cut one or two of three nodes off (reset, hung, or only new connections refused), and a second later takes a target of each service away, loses the store or restarts a cut node. First tries at cut nodes are compared with those at the others, as in system_cut_off_host; where there are too few, the plan's log says so.

Faults of the store's link hit all nodes as before; a generator of its own keeps the other faults of a seed.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,7 +12,8 @@
 - a request that a planned stop interrupts;
 - a request that is still sent to targets after it crashed three of them;
 - a target that receives more requests than its rate limit;
-- a target that receives requests from a node that it asked for rest, or told that it leaves.
+- a target that receives requests from a node that it asked for rest, or told that it leaves;
+- a node that is cut off from all targets and serves first tries far worse than the others.
 Time limits are generous, so that a slow machine causes no violations.
 """
 
@@ -49,6 +50,8 @@
 BLOCK_LIMIT_S = 5.0  # Counted from the third crash: 4 s in-touch bound plus a margin.
 REST_S, REST_SETTLE_S, TOLERATED_IN_REST = 3.0, 0.5, 2
 LIMIT_PER_S, LIMIT_SETTLE_S, LIMIT_WINDOW_S = 3.0, 1.0, 4.0
+# A cut counts from this time on; nodes that are cut off serve at least this part of what the others serve.
+CUT_SETTLE_S, CUT_S, SERVED_IN_CUT, MIN_TRIES_IN_CUT = 4.0, 8.0, 2 / 3, 30
 ACTIVE_LIMIT_S = 5.0  # Hosts are up to date 4 s after the store hung; plus a margin of 1 s.
 
 
@@ -60,6 +63,7 @@
         self.rejected_orders, self.closed_connections, self.violations = [], [], []
         self.served = 0
         self.nodes_of = {}  # Request -> number of the node that it was sent to.
+        self.tries = []  # (time, number of the node, whether it was served) of each request.
 
     def add_violation(self, text):
         with self.lock:
@@ -67,7 +71,8 @@
 
 
 class Deployment:
-    """Nodes, targets and the store; the targets and the store are each behind a `FaultyLink`."""
+    """Nodes, targets and the store. Each target is behind a `FaultyLink`, and each node reaches it, and the store, through
+    further links of its own."""
 
     def __init__(self, folder, seed):
         self.folder, self.port = folder, 20000 + seed % 50 * 200
@@ -75,7 +80,12 @@
         self.store = Store((f"{NET}.0.1", 0))
         self.store.put_json("op", "config", make_configuration(1, self.routes))
         self.links, self.targets, self.removed_targets = [], {}, []
-        self.store_link = self._link(f"{NET}.0.2", self.store.server.server_address)
+        self.node_links = {number: {} for number in range(1, NODES + 1)}  # Number -> address of the target -> link.
+        self.node_addresses = {number: {} for number in self.node_links}  # Number -> address of the target -> link's.
+        self.store_links = []
+        for number in self.node_links:
+            view = self.store.serve_view((f"{NET}.0.{10 + number}", 0), self.node_addresses[number])
+            self.store_links.append(self._link(f"{NET}.0.2", view.server_address))
         for service in ("desk", "desk", "ledger", "ledger"):
             self.add_target(service)
         self.nodes = {}
@@ -96,12 +106,60 @@
         target = Target(self.store, name, service, "z1", (f"{NET}.2.1", self.port))
         target.link = self._link(f"{NET}.2.2", target.server.server_address)
         target.entry["address"] = target.link.address
-        target.on_crash, target.on_restart = target.link.refuse, target.link.listen
+        for number in self.node_links:
+            self._add_node_link(number, target)
+        target.on_crash, target.on_restart = lambda: self._refuse(target), self._listen
         self.store.put_json("servers", name, target.entry)
         self.targets[name] = target
 
+    def _add_node_link(self, number, target):
+        host, port = target.link.address.rsplit(":", 1)
+        link = self._link(f"{NET}.4.{number}", (host, int(port)))
+        self.node_links[number][target.link.address] = link
+        self.node_addresses[number][target.link.address] = link.address
+
+    def _refuse(self, target):
+        """Nothing listens at the target's address any more. Returns what `_listen` undoes."""
+        links = [target.link] + [links[target.link.address] for links in self.node_links.values()]
+        return [(link, link.refuse()) for link in links if link.is_listening()]
+
+    @staticmethod
+    def _listen(refused):
+        for link, address in refused:
+            link.listen(address)
+
+    def take_away(self, targets):
+        """The targets end. Returns what brings them back."""
+        refused = [item for target in targets for item in self._refuse(target)]
+        for link, _ in refused:
+            link.set("reset")
+
+        def bring_back():
+            for link, _ in refused:
+                link.set("pass")
+            self._listen(refused)
+        return bring_back
+
+    def cut(self, number, how):
+        """The node loses its links to all targets: connections are reset, hang, or live on while new ones are refused.
+        Returns what ends the cut."""
+        links = list(self.node_links[number].values())
+        if how == "hung":
+            hung = [(link, link.hang()) for link in links]
+            return lambda: [link.unhang(address) for link, address in hung]
+        refused = [(link, link.refuse()) for link in links]
+        if how == "reset":
+            for link in links:
+                link.set("reset")
+
+        def end():
+            for link in links:
+                link.set("pass")
+            self._listen(refused)
+        return end
+
     def start(self, number):
-        self.nodes[number] = Node(self.folder, number, 0, store=self.store_link.address)
+        self.nodes[number] = Node(self.folder, number, 0, store=self.store_links[number - 1].address)
 
     def targets_of_service(self, service):
         return [target for target in self.targets.values() if target.entry["info"]["service"] == service]
@@ -178,7 +236,10 @@
             connection[1].close()
             with self.observations.lock:
                 self.observations.closed_connections.append((time.monotonic(), number, request))
+                self.observations.tries.append((time.monotonic(), number, False))
             return
+        with self.observations.lock:
+            self.observations.tries.append((time.monotonic(), number, answer.status == 200))
         self.check_response(request, path, body or b"", is_order, answer, text)
 
     def check_response(self, request, path, body, is_order, answer, text):
@@ -207,6 +268,7 @@
         self.crash_count = 0
         self.limit_random = random.Random(f"limits of {seed}")
         self.notice_random = random.Random(f"notices of {seed}")
+        self.cut_random = random.Random(f"cuts of {seed}")
         self.log = []
 
     def round(self, index):
@@ -237,6 +299,9 @@
             notice = self.notice_random.choice([self.ask_for_rest, self.leave_in_answers])
             self.log.append(f"round {index}: {notice.__name__}")
             notice()
+        if self.cut_random.random() < 0.4:
+            self.log.append(f"round {index}: cut")
+            self.cut_off_nodes()
 
     def kill_node(self):
         number = self.random.randint(1, NODES)
@@ -251,15 +316,21 @@
         return lambda: process.send_signal(signal.SIGCONT)
 
     def degrade_store(self):
-        return self._degrade(self.deployment.store_link)
+        return self._degrade(*self.deployment.store_links)
 
     def degrade_target(self):
         name = self.random.choice(sorted(self.deployment.targets))
         return self._degrade(self.deployment.targets[name].link)
 
-    def _degrade(self, link):
-        link.set(self.random.choice(["late", "reset", "silent", "one_way"]))
-        return lambda: link.set("pass")
+    def _degrade(self, *links):
+        mode = self.random.choice(["late", "reset", "silent", "one_way"])
+        for link in links:
+            link.set(mode)
+
+        def end():
+            for link in links:
+                link.set("pass")
+        return end
 
     def reject_store_calls(self):
         self.deployment.store.error_status = self.random.choice([429, 503])
@@ -368,6 +439,59 @@
         self.deployment.removed_targets.append(self.deployment.targets.pop(leaving.base_name))
         self.deployment.store.remove("servers", leaving.name)
 
+    def cut_off_nodes(self):
+        """One or two nodes lose their links to all targets, and a second later something else fails as well."""
+        time.sleep(DRAIN_LIMIT_S)
+        numbers = self.cut_random.sample(sorted(self.deployment.nodes), self.cut_random.randint(1, 2))
+        how = self.cut_random.choice(["reset", "hung", "refused"])
+        other = self.cut_random.choice([self._nothing_else, self._take_targets_away, self._lose_store, self._restart_cut_node])
+        self.log.append(f"nodes {numbers}: {how}, {other.__name__}")
+        started = time.monotonic()
+        ends = [self.deployment.cut(number, how) for number in numbers]
+        time.sleep(1.0)
+        end_other = other(numbers)
+        time.sleep(CUT_S - 1.0)
+        ended = time.monotonic()
+        end_other()
+        for end in ends:
+            end()
+        self._check_served_in_cut(numbers, started + CUT_SETTLE_S, ended)
+        for node in self.deployment.nodes.values():
+            wait_for(node.is_ready)
+
+    def _check_served_in_cut(self, numbers, begin, end):
+        with self.observations.lock:
+            tries = [(number in numbers, served) for at, number, served in self.observations.tries if begin <= at < end]
+        cut = [served for is_cut, served in tries if is_cut]
+        others = [served for is_cut, served in tries if not is_cut]
+        if min(len(cut), len(others)) < MIN_TRIES_IN_CUT:
+            self.log.append(f"cut of {numbers}: too few tries, {len(cut)} and {len(others)}")
+        elif sum(cut) / len(cut) < SERVED_IN_CUT * sum(others) / len(others):
+            self.observations.add_violation(f"nodes {numbers}, cut off from all targets, served {sum(cut)} of {len(cut)}, "
+                                            f"the others {sum(others)} of {len(others)}")
+
+    @staticmethod
+    def _nothing_else(_):
+        return lambda: None
+
+    def _take_targets_away(self, _):
+        gone = [self.cut_random.choice(self.deployment.targets_of_service(service)) for service in ("desk", "ledger")]
+        return self.deployment.take_away(gone)
+
+    def _lose_store(self, _):
+        self.deployment.store.error_status = 503
+
+        def end():
+            self.deployment.store.error_status = None
+        return end
+
+    def _restart_cut_node(self, numbers):
+        node = self.deployment.nodes[numbers[0]]
+        node.process.kill()
+        node.process.wait()
+        self.deployment.start(numbers[0])
+        return lambda: None
+
     def stop_node(self):
         """Stops a node as planned, without other faults: requests that reached a target must be answered."""
         time.sleep(DRAIN_LIMIT_S)
--- a/tests/system/platform_standins.py
+++ b/tests/system/platform_standins.py
@@ -120,7 +120,7 @@
         return True
 
     def serve_view(self, address, target_addresses):
-        """Serves the rows on another address, with other addresses of targets: {target's name: address}."""
+        """Serves the rows on another address, with other addresses of targets: {target's name or address: address}."""
         store = self
 
         class Handler(_Handler):
@@ -136,10 +136,10 @@
 
     @staticmethod
     def _with_other_address(row, addresses):
-        if row["key"] not in addresses or "value" not in row:
+        if "value" not in row:
             return row
         entry = json.loads(base64.b64decode(row["value"]))
-        entry["address"] = addresses[row["key"]]
+        entry["address"] = addresses.get(row["key"], addresses.get(entry["address"], entry["address"]))
         return {**row, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
 
     def _get(self, handler, target_addresses=None):
