--- a/lib/libmedlarcroft/source/emulation/emulation.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numbers>
 #include <utility>
 #include <variant>
 
@@ -32,15 +31,9 @@
 // Time after which a connection to an unreachable target fails.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 
-// Hosts have run for longer than any window of a limit when a run begins.
-constexpr Duration kKnownBefore = std::chrono::minutes(10);
 // A cut counts from when hosts can know of it.
 constexpr Duration kCutNoticeTime = std::chrono::seconds(1);
 
-double Phase(Duration at, Duration period) {
-  return ToSeconds(at) / std::max(ToSeconds(period), 1e-3);
-}
-
 }  // namespace
 
 Emulation::Emulation(const EmulatedDeployment& deployment,
@@ -82,93 +75,6 @@
   }
 }
 
-void Emulation::MakeHosts() {
-  std::vector<request_path::TargetRecord> records;
-  for (const TargetInstance& instance : targets_) {
-    records.push_back(instance.record);
-  }
-  for (std::size_t region = 0; region < deployment_.regions.size(); ++region) {
-    const EmulatedRegion& region_settings = deployment_.regions[region];
-    for (std::uint32_t number = 0; number < region_settings.hosts; ++number) {
-      hosts_by_region_[region].push_back(hosts_.size());
-      hosts_.push_back(std::make_unique<EmulatedHost>(
-          deployment_, region_settings.name, path_options_, random_.Next(),
-          events_.Now() - kKnownBefore));
-      hosts_.back()->Register(records, events_.Now());
-    }
-  }
-  is_partitioned_.resize(hosts_.size());
-  cut_off_since_.resize(hosts_.size());
-  listings_.resize(hosts_.size());
-  active_by_host_.resize(hosts_.size());
-  UpdateHostLists();
-}
-
-double Emulation::DemandShare(std::size_t region) const {
-  double all = 0;
-  for (const EmulatedRegion& other : deployment_.regions) {
-    all += other.demand_weight;
-  }
-  return deployment_.regions[region].demand_weight / all;
-}
-
-double Emulation::RateAt(std::size_t class_index,
-                         std::size_t region,
-                         Duration at) const {
-  const double phase = Phase(at, deployment_.wave_period) +
-                       deployment_.regions[region].wave_phase;
-  const double wave_factor = 1.0 + deployment_.wave_amplitude *
-                                       std::sin(2.0 * std::numbers::pi * phase);
-  return deployment_.request_classes[class_index].requests_per_second *
-         DemandShare(region) * wave_factor * demand_factor_;
-}
-
-double Emulation::Exponential() {
-  return -std::log(1.0 - random_.NextUnit());
-}
-
-double Emulation::Normal() {
-  const double radius = std::sqrt(2.0 * Exponential());
-  return radius * std::cos(2.0 * std::numbers::pi * random_.NextUnit());
-}
-
-// Draws the next arrival of a Poisson process of varying rate by thinning:
-// candidates arrive at the peak rate, and each is accepted with the probability
-// of the current rate over the peak rate.
-void Emulation::ScheduleNextArrival(std::size_t class_index,
-                                    std::size_t region) {
-  const double highest =
-      deployment_.request_classes[class_index].requests_per_second *
-      DemandShare(region) * demand_factor_ * (1.0 + deployment_.wave_amplitude);
-  events_.After(FromSeconds(Exponential() / highest), [=, this] {
-    const Duration at = Elapsed();
-    if (at > deployment_.duration) {
-      return;
-    }
-    if (random_.NextUnit() * highest < RateAt(class_index, region, at)) {
-      SendToHost(MakeCaller(class_index, region));
-    }
-    ScheduleNextArrival(class_index, region);
-  });
-}
-
-Emulation::Caller Emulation::MakeCaller(std::size_t class_index,
-                                        std::size_t region) {
-  const EmulatedRequestClass& request_class =
-      deployment_.request_classes[class_index];
-  const double factor =
-      std::max(0.05, 1.0 + request_class.work_spread * Normal());
-  return {.request_class = &request_class,
-          .region = region,
-          .object = deployment_.regions[region].name + "/" +
-                    std::to_string(random_.NextBelow(request_class.objects)),
-          .work = FromSeconds(ToSeconds(request_class.work) * factor),
-          .arrived = events_.Now(),
-          .retries_left = request_class.caller_retries,
-          .fingerprint =
-              request_path::RequestFingerprint::FromValue(++last_fingerprint_)};
-}
-
 EmulationMetrics Emulation::Run() {
   for (std::size_t class_index = 0;
        class_index < deployment_.request_classes.size(); ++class_index) {
--- a/lib/libmedlarcroft/source/emulation/emulation_hosts.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_hosts.cc
@@ -14,6 +14,8 @@
 using request_path::HelperSign;
 using request_path::RelayHelper;
 
+// Hosts have run for longer than any window of a limit when a run begins.
+constexpr Duration kKnownBefore = std::chrono::minutes(10);
 constexpr Duration kProbePeriod = std::chrono::milliseconds(100);
 constexpr Duration kListPeriod = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxHelpers = 4;
@@ -32,6 +34,28 @@
 
 }  // namespace
 
+void Emulation::MakeHosts() {
+  std::vector<request_path::TargetRecord> records;
+  for (const TargetInstance& instance : targets_) {
+    records.push_back(instance.record);
+  }
+  for (std::size_t region = 0; region < deployment_.regions.size(); ++region) {
+    const EmulatedRegion& region_settings = deployment_.regions[region];
+    for (std::uint32_t number = 0; number < region_settings.hosts; ++number) {
+      hosts_by_region_[region].push_back(hosts_.size());
+      hosts_.push_back(std::make_unique<EmulatedHost>(
+          deployment_, region_settings.name, path_options_, random_.Next(),
+          events_.Now() - kKnownBefore));
+      hosts_.back()->Register(records, events_.Now());
+    }
+  }
+  is_partitioned_.resize(hosts_.size());
+  cut_off_since_.resize(hosts_.size());
+  listings_.resize(hosts_.size());
+  active_by_host_.resize(hosts_.size());
+  UpdateHostLists();
+}
+
 void Emulation::SetCutOffHosts(const EmulatedFault& fault, bool is_on) {
   refusal_delay_ = FromSeconds(fault.strength);
   double accumulated = 0;
--- a/tests/soak/faulty_link.py
+++ b/tests/soak/faulty_link.py
@@ -112,3 +112,21 @@
         finally:
             with self.lock:
                 self.open -= {source}
+
+
+def cut_links(links, how):
+    """Cuts the links: connections are `reset`, `hung`, or live on while new ones are `refused`. Returns what ends the
+    cut."""
+    if how == "hung":
+        hung = [(link, link.hang()) for link in links]
+        return lambda: [link.unhang(address) for link, address in hung]
+    refused = [(link, link.refuse()) for link in links]
+    if how == "reset":
+        for link in links:
+            link.set("reset")
+
+    def end():
+        for link, address in refused:
+            link.listen(address)
+            link.set("pass")
+    return end
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -30,7 +30,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "tests/system"))
 
-from faulty_link import FaultyLink  # noqa: E402
+from faulty_link import FaultyLink, cut_links  # noqa: E402
 from platform_standins import Store, Target  # noqa: E402
 import platform_test  # noqa: E402
 from platform_test import WAIT_LIMIT_S, ROUTES, Node, make_configuration, make_route, wait_for  # noqa: E402
@@ -143,20 +143,7 @@
     def cut(self, number, how):
         """The node loses its links to all targets: connections are reset, hang, or live on while new ones are refused.
         Returns what ends the cut."""
-        links = list(self.node_links[number].values())
-        if how == "hung":
-            hung = [(link, link.hang()) for link in links]
-            return lambda: [link.unhang(address) for link, address in hung]
-        refused = [(link, link.refuse()) for link in links]
-        if how == "reset":
-            for link in links:
-                link.set("reset")
-
-        def end():
-            for link in links:
-                link.set("pass")
-            self._listen(refused)
-        return end
+        return cut_links(list(self.node_links[number].values()), how)
 
     def start(self, number):
         self.nodes[number] = Node(self.folder, number, 0, store=self.store_links[number - 1].address)
--- a/tests/system/cut_off_host_test.py
+++ b/tests/system/cut_off_host_test.py
@@ -6,7 +6,7 @@
 import unittest
 
 import platform_test
-from cut_off_hosts import NODES, STABLE_WINDOW_S, CutOffHosts
+from cut_off_hosts import STABLE_WINDOW_S, CutOffHosts
 from platform_test import wait_for
 
 
@@ -71,11 +71,7 @@
 
     # As above, for all hosts of a region: a host of another region sends.
     def test_all_hosts_of_a_region(self):
-        self._start_node(NODES + 1, region="r2")
-        self.results[NODES + 1] = []
-        for node in self.nodes.values():
-            wait_for(node.is_ready)
-            wait_for(lambda node=node: node.metric("medlar_known_hosts") == NODES + 1)
+        self.start_node_of_other_region()
         self._check_cut("reset", (1, 2, 3))
 
 
--- a/tests/system/cut_off_host_troubles_test.py
+++ b/tests/system/cut_off_host_troubles_test.py
@@ -5,8 +5,7 @@
 import time
 import unittest
 
-from cut_off_hosts import NODES, CutOffHosts
-from platform_test import wait_for
+from cut_off_hosts import CutOffHosts
 
 TWO_OF_SIX = (0, 1)  # One target of each service.
 # A slow helper runs for the first part of each period only.
@@ -123,11 +122,7 @@
 
     # Guards against helpers of another region that are taken for cut off when targets crash.
     def test_all_hosts_of_a_region_while_targets_crash(self):
-        self._start_node(NODES + 1, region="r2")
-        self.results[NODES + 1] = []
-        for node in self.nodes.values():
-            wait_for(node.is_ready)
-            wait_for(lambda node=node: node.metric("medlar_known_hosts") == NODES + 1)
+        self.start_node_of_other_region()
         self._check("reset", (1, 2, 3), self._crash_targets)
 
 
--- a/tests/system/cut_off_hosts.py
+++ b/tests/system/cut_off_hosts.py
@@ -13,7 +13,7 @@
 from platform_test import ROUTES, Node, make_configuration, wait_for
 
 sys.path.insert(0, str(platform_test.ROOT / "tests/soak"))
-from faulty_link import FaultyLink  # noqa: E402
+from faulty_link import FaultyLink, cut_links  # noqa: E402
 
 NET = platform_test.NET
 NODES = 3
@@ -64,6 +64,13 @@
         for link in self.links[number]:
             self.addCleanup(link.close)
 
+    def start_node_of_other_region(self):
+        self._start_node(NODES + 1, region="r2")
+        self.results[NODES + 1] = []
+        for node in self.nodes.values():
+            wait_for(node.is_ready)
+            wait_for(lambda node=node: node.metric("medlar_known_hosts") == NODES + 1)
+
     def _run_node(self, number, region="r1"):
         node = Node(self.folder, number, 0, store=self.stores[number], region=region)
         self.nodes[number] = node
@@ -93,20 +100,7 @@
 
     def _cut(self, numbers, how):
         """Returns a function that ends the cut."""
-        links = [link for number in numbers for link in self.links[number]]
-        if how == "hung":
-            addresses = [(link, link.hang()) for link in links]
-            return lambda: [link.unhang(address) for link, address in addresses]
-        addresses = [(link, link.refuse()) for link in links]
-        if how == "reset":
-            for link in links:
-                link.set("reset")
-
-        def end():
-            for link, address in addresses:
-                link.listen(address)
-                link.set("pass")
-        return end
+        return cut_links([link for number in numbers for link in self.links[number]], how)
 
     def _run_cut(self, how, numbers, trouble=None):
         """Returns when the cut began and ended. `trouble` is called during the cut and returns what ends it, if it must
