--- a/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
@@ -49,9 +49,9 @@
                                 std::string_view name) {
   const auto found =
       std::ranges::find(kEndNames, headers.Find(name).value_or(""));
-  return found == kEndNames.end() ? std::nullopt
-                                  : std::optional(static_cast<RelayEnd>(
-                                        found - kEndNames.begin()));
+  return found == kEndNames.end()
+             ? std::nullopt
+             : std::optional(static_cast<RelayEnd>(found - kEndNames.begin()));
 }
 
 void AddNotice(HttpHeaders& headers, const request_path::TargetNotice& notice) {
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
@@ -24,7 +24,7 @@
 /// @brief The end of a relayed send.
 struct RelayResult {
   RelayEnd end = RelayEnd::kRefused;
-  HostName helper;        ///< Empty: no helper was found.
+  HostName helper;  ///< Empty: no helper was found.
   /// Whether `end` is the helper's word. Otherwise it did not answer, which
   /// says nothing of the target.
   bool is_stated = false;
