--- a/lib/libmedlarcroft/include/medlarcroft/request_path/helper_selector.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/helper_selector.h
@@ -1,10 +1,12 @@
 #ifndef MEDLARCROFT_REQUEST_PATH_HELPER_SELECTOR_H_
 #define MEDLARCROFT_REQUEST_PATH_HELPER_SELECTOR_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/time.h"
@@ -36,31 +38,43 @@
 /// held against its helper, a few targets that are down would use up all
 /// helpers, and callers would be refused although other targets serve. So a
 /// helper is avoided for what it says about itself, or for its silence. One
-/// that misses a target is only asked after others for a moment: it may have
-/// lost its links without knowing it yet.
+/// that misses a target may have lost its links without knowing it yet, with
+/// all hosts of its region, so it is asked after those of other regions for a
+/// moment.
 class HelperSelector {
  public:
+  /// @return the hosts of a region, without this one.
+  using FindHelpers =
+      std::function<std::vector<RelayHelper>(const RegionName&)>;
+
   explicit HelperSelector(ports::RandomSource& random) : random_(random) {}
 
   void OnEnd(const RelayHelper& helper, HelperSign sign, MonotonicTime now);
-  /// @brief Chooses at random, in proportion to the bandwidth of the hosts'
-  /// links.
-  /// @return null when none of the helpers is worth asking.
-  [[nodiscard]] const RelayHelper* Choose(std::span<const RelayHelper> helpers,
-                                          MonotonicTime now);
+  /// @brief Chooses a host of the first of the regions that has one worth
+  /// asking, at random, in proportion to the bandwidth of the hosts' links.
+  /// @return nullopt when there is none.
+  [[nodiscard]] std::optional<RelayHelper> Choose(
+      std::span<const RegionName> regions,
+      const FindHelpers& find,
+      MonotonicTime now);
 
  private:
   struct Record {
     FailureDomainName failure_domain;
     MonotonicTime avoided_until{};
     MonotonicTime cut_off_until{};  ///< Together with its failure domain.
-    MonotonicTime asked_last_until{};
+    MonotonicTime suspected_until{};
   };
 
   void ForgetExpired(MonotonicTime now);
-  /// @return 0: to be asked first; nullopt: not to be asked.
-  [[nodiscard]] std::optional<int> RankOf(const RelayHelper& helper,
-                                          MonotonicTime now) const;
+  [[nodiscard]] const Record* Find(const RelayHelper& helper) const;
+  [[nodiscard]] bool IsDomainCutOff(const FailureDomainName& domain,
+                                    MonotonicTime now) const;
+  /// @return null when there is none.
+  [[nodiscard]] const RelayHelper* ChooseOf(
+      std::span<const RelayHelper> helpers,
+      bool is_suspected,
+      MonotonicTime now);
 
   ports::RandomSource& random_;
   std::map<HostName, Record> records_;
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -127,13 +127,7 @@
     reach_.OnConnectFailed(NumberOf(target), now);
   }
   /// @brief Another host sent for this one.
-  void OnRelayed(MonotonicTime now) { reach_.OnRelayed(now); }
-  /// @brief Another host could not reach the target for this one.
-  void OnRelayMissed(const HostName& helper,
-                     const TargetIdentity& target,
-                     MonotonicTime now) {
-    reach_.OnRelayMissed(helper, NumberOf(target), now);
-  }
+  void OnRelayed() { reach_.OnRelayed(); }
   /// @return targets to which connections must be tried now, each of which
   /// `OnReachProbed` must follow.
   [[nodiscard]] std::vector<ReachCandidate> StartReachProbes(
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_reach.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_reach.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -31,9 +30,11 @@
 /// failed, and then refuses all callers, although the targets serve other
 /// hosts. Failures of single targets are common and must not cause that belief,
 /// so connections to targets of several failure domains are tried first. The
-/// belief ends when several targets accept connections again, or when other
-/// hosts reach none of many targets either: then the targets are down. Where no
-/// other host can help, one target that accepts is better than none.
+/// belief ends when several targets accept connections again. Where no other
+/// host can help, all hosts may hold it since the targets are down; then one
+/// target that accepts ends it. That helpers miss targets does not: they may
+/// be cut off too, and this host, which would send in vain by itself, would
+/// refuse its callers until it notices the cut again.
 class TargetReach {
  public:
   struct Options {
@@ -65,11 +66,7 @@
   /// @brief A target answered on this host's own connection.
   void OnAnswered(MonotonicTime now) { last_answer_at_ = now; }
   /// @brief Another host sent for this one.
-  void OnRelayed(MonotonicTime now);
-  /// @brief Another host could not reach the target for this one.
-  void OnRelayMissed(const HostName& helper,
-                     TargetNumber target,
-                     MonotonicTime now);
+  void OnRelayed() { no_helper_at_.reset(); }
   /// @brief No other host could be found that reaches targets.
   void OnNoHelper(MonotonicTime now) { no_helper_at_ = now; }
 
@@ -93,7 +90,6 @@
       const FailureDomainName& first_domain,
       std::size_t count);
   [[nodiscard]] std::size_t TargetsForReturn(MonotonicTime now) const;
-  [[nodiscard]] bool AreTargetsDown() const;
   [[nodiscard]] std::size_t CutOffProbes() const;
   void CutOff(MonotonicTime now);
   void Return(MonotonicTime now);
@@ -110,11 +106,6 @@
   std::size_t round_size_ = 0;
   std::size_t known_targets_ = 0;
   std::map<TargetNumber, MonotonicTime> reached_;  ///< While cut off.
-  struct Miss {
-    MonotonicTime at{};
-    std::set<HostName> helpers;
-  };
-  std::map<TargetNumber, Miss> missed_;  ///< By helpers, since one reached any.
   std::optional<MonotonicTime> no_helper_at_;
   std::size_t targets_for_return_;
   std::optional<MonotonicTime> returned_at_;
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
@@ -81,7 +81,8 @@
   const Duration time_left = relay.deadline - parts_.loop.Now();
   std::optional<RelayHelper> helper;
   if (relay.helpers_tried < kMaxHelpers && time_left > Duration(0)) {
-    helper = ChooseHelper(relay.regions);
+    helper =
+        selector_.Choose(relay.regions, parts_.find_helpers, parts_.loop.Now());
   }
   if (!helper) {
     parts_.loop.After(Duration(0), [alive = std::weak_ptr(alive_), number] {
@@ -117,19 +118,6 @@
       });
 }
 
-std::optional<RelayHelper> RelaySender::ChooseHelper(
-    std::span<const RegionName> regions) {
-  for (const RegionName& region : regions) {
-    const std::vector<RelayHelper> helpers = parts_.find_helpers(region);
-    const RelayHelper* const chosen =
-        selector_.Choose(helpers, parts_.loop.Now());
-    if (chosen != nullptr) {
-      return *chosen;
-    }
-  }
-  return std::nullopt;
-}
-
 void RelaySender::OnResult(std::uint64_t number,
                            const RelayHelper& helper,
                            ExchangeResult result) {
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
@@ -4,8 +4,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
-#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -56,7 +54,7 @@
     telemetry::MetricsRegistry& metrics;
     /// @return the live hosts of a region, or with an empty name all hosts of
     /// other regions, without this one.
-    std::function<std::vector<RelayHelper>(const RegionName&)> find_helpers;
+    request_path::HelperSelector::FindHelpers find_helpers;
   };
 
   explicit RelaySender(Parts parts)
@@ -88,8 +86,6 @@
   };
 
   void SendToNextHelper(std::uint64_t number);
-  [[nodiscard]] std::optional<RelayHelper> ChooseHelper(
-      std::span<const RegionName> regions);
   void OnResult(std::uint64_t number,
                 const RelayHelper& helper,
                 ExchangeResult result);
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -256,17 +256,13 @@
     return;
   }
   ActiveRequest& active = *found->second;
-  const MonotonicTime now = parts_.loop.Now();
   if (result.end == RelayEnd::kAnswered) {
-    parts_.path.OnRelayed(now);
+    parts_.path.OnRelayed();
     EndAttempt(
         ticket, active, attempt,
         AcceptAnswer(ticket, active, attempt, std::move(result.response)));
     return;
   }
-  if (result.end == RelayEnd::kNotSent) {
-    parts_.path.OnRelayMissed(result.helper, attempt.target, now);
-  }
   EndAttempt(ticket, active, attempt, AttemptEndOf(result));
 }
 
--- a/lib/libmedlarcroft/source/emulation/emulation_hosts.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_hosts.cc
@@ -147,15 +147,12 @@
                                   const request_path::SendAttempt& attempt,
                                   std::size_t tried) {
   EmulatedHost& host = *hosts_[active->host];
-  std::optional<RelayHelper> chosen;
-  for (const RegionName& region : attempt.helper_regions) {
-    const auto helpers = HelpersOf(active->host, region);
-    const RelayHelper* const found =
-        host.Helpers().Choose(helpers, events_.Now());
-    if (found != nullptr && !chosen) {
-      chosen = *found;
-    }
-  }
+  const std::optional<RelayHelper> chosen = host.Helpers().Choose(
+      attempt.helper_regions,
+      [this, &active](const RegionName& region) {
+        return HelpersOf(active->host, region);
+      },
+      events_.Now());
   if (!chosen || tried >= kMaxHelpers) {
     events_.After(Duration(0), [this, active, number = attempt.attempt] {
       EndAttempt(active, number, AttemptEnd::kNoHelper);
@@ -178,7 +175,7 @@
     const HelperSign sign = AskHelper(helper, target);
     sender.Helpers().OnEnd(chosen, sign, events_.Now());
     if (sign == HelperSign::kWorks) {
-      sender.Path().OnRelayed(events_.Now());
+      sender.Path().OnRelayed();
       events_.After(latency,
                     [this, active, number = attempt.attempt,
                      way = hop + latency] { Deliver(active, number, way); });
@@ -188,8 +185,6 @@
       SendThroughHelper(active, attempt, tried + 1);
       return;
     }
-    sender.Path().OnRelayMissed(chosen.host, targets_[target].record.Identity(),
-                                events_.Now());
     events_.After(hop, [this, active, number = attempt.attempt, sign] {
       EndAttempt(active, number, EndOf(sign));
     });
--- a/lib/libmedlarcroft/source/request_path/helper_selector.cc
+++ b/lib/libmedlarcroft/source/request_path/helper_selector.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
+#include <tuple>
 
 namespace medlarcroft::request_path {
 
@@ -32,7 +32,7 @@
     case HelperSign::kWorks:
       break;
     case HelperSign::kMissedTarget:
-      record.asked_last_until = now + kUnnoticedCutTime;
+      record.suspected_until = now + kUnnoticedCutTime;
       break;
     case HelperSign::kBusy:
       record.avoided_until = std::max(record.avoided_until, now + kBusyTime);
@@ -49,49 +49,69 @@
   std::erase_if(records_, [now](const auto& entry) {
     const Record& record = entry.second;
     return now >= record.avoided_until && now >= record.cut_off_until &&
-           now >= record.asked_last_until;
+           now >= record.suspected_until;
   });
 }
 
-std::optional<int> HelperSelector::RankOf(const RelayHelper& helper,
-                                          MonotonicTime now) const {
-  const auto own = records_.find(helper.host);
-  if (own != records_.end() && now < own->second.avoided_until) {
-    return std::nullopt;
-  }
-  const bool is_asked_last =
-      own != records_.end() && now < own->second.asked_last_until;
-  // Hosts are often cut off with others of their failure domain.
-  const bool is_domain_cut_off =
-      std::ranges::any_of(records_, [&](const auto& entry) {
-        return now < entry.second.cut_off_until &&
-               entry.second.failure_domain == helper.failure_domain;
-      });
-  return (is_asked_last ? 2 : 0) + (is_domain_cut_off ? 1 : 0);
+const HelperSelector::Record* HelperSelector::Find(
+    const RelayHelper& helper) const {
+  const auto found = records_.find(helper.host);
+  return found == records_.end() ? nullptr : &found->second;
 }
 
-const RelayHelper* HelperSelector::Choose(std::span<const RelayHelper> helpers,
-                                          MonotonicTime now) {
-  ForgetExpired(now);
+// Hosts are often cut off with others of their failure domain.
+bool HelperSelector::IsDomainCutOff(const FailureDomainName& domain,
+                                    MonotonicTime now) const {
+  return std::ranges::any_of(records_, [&](const auto& entry) {
+    return now < entry.second.cut_off_until &&
+           entry.second.failure_domain == domain;
+  });
+}
+
+const RelayHelper* HelperSelector::ChooseOf(
+    std::span<const RelayHelper> helpers,
+    bool is_suspected,
+    MonotonicTime now) {
   const RelayHelper* chosen = nullptr;
-  int best_rank = std::numeric_limits<int>::max();
+  bool is_chosen_cut_off = false;
   double lowest_cost = 0;
   for (const RelayHelper& helper : helpers) {
-    const std::optional<int> rank = RankOf(helper, now);
-    if (!rank || *rank > best_rank) {
+    const Record* const record = Find(helper);
+    const bool is_avoided = record != nullptr && now < record->avoided_until;
+    const bool is_suspect = record != nullptr && now < record->suspected_until;
+    if (is_avoided || is_suspect != is_suspected) {
       continue;
     }
+    const bool is_cut_off = IsDomainCutOff(helper.failure_domain, now);
     // The lowest of such costs belongs to a helper drawn in proportion to its
     // bandwidth.
     const double cost = -std::log(1.0 - random_.NextUnit()) /
                         std::max(helper.link_mbps, kMinLinkMbps);
-    if (chosen == nullptr || *rank < best_rank || cost < lowest_cost) {
+    if (chosen == nullptr ||
+        std::tie(is_cut_off, cost) < std::tie(is_chosen_cut_off, lowest_cost)) {
       chosen = &helper;
-      best_rank = *rank;
+      is_chosen_cut_off = is_cut_off;
       lowest_cost = cost;
     }
   }
   return chosen;
 }
 
+std::optional<RelayHelper> HelperSelector::Choose(
+    std::span<const RegionName> regions,
+    const FindHelpers& find,
+    MonotonicTime now) {
+  ForgetExpired(now);
+  for (const bool is_suspected : {false, true}) {
+    for (const RegionName& region : regions) {
+      const std::vector<RelayHelper> helpers = find(region);
+      const RelayHelper* const chosen = ChooseOf(helpers, is_suspected, now);
+      if (chosen != nullptr) {
+        return *chosen;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace medlarcroft::request_path
--- a/lib/libmedlarcroft/source/request_path/target_reach.cc
+++ b/lib/libmedlarcroft/source/request_path/target_reach.cc
@@ -1,6 +1,7 @@
 #include "medlarcroft/request_path/target_reach.h"
 
 #include <algorithm>
+#include <set>
 
 namespace medlarcroft::request_path {
 
@@ -19,13 +20,8 @@
 // requests would fail each time that some connections pass.
 constexpr Duration kRelapseTime = std::chrono::seconds(5);
 constexpr std::size_t kMaxTargetsForReturn = 12;
-// This many other hosts that miss targets show that the targets are down.
-constexpr std::size_t kHelpersWithoutReach = 2;
-// Of few targets, more than half must be missed: some of them may be down.
-constexpr std::size_t kMaxTargetsToMiss = 12;
 // Without any helper for this long, there may be one by now.
 constexpr Duration kNoHelperMemory = std::chrono::seconds(1);
-constexpr Duration kPauseAfterTargetsDown = std::chrono::seconds(2);
 
 void ForgetBefore(std::map<TargetNumber, MonotonicTime>& events,
                   MonotonicTime oldest) {
@@ -45,38 +41,6 @@
   failed_[target] = now;
 }
 
-void TargetReach::OnRelayed(MonotonicTime /*now*/) {
-  missed_.clear();
-  no_helper_at_.reset();
-}
-
-void TargetReach::OnRelayMissed(const HostName& helper,
-                                TargetNumber target,
-                                MonotonicTime now) {
-  std::erase_if(missed_, [now](const auto& entry) {
-    return now - entry.second.at > kReachMemory;
-  });
-  Miss& miss = missed_[target];
-  miss.at = now;
-  miss.helpers.insert(helper);
-  if (is_cut_off_ && AreTargetsDown()) {
-    Return(now);
-    next_round_at_ = now + kPauseAfterTargetsDown;
-  }
-}
-
-// Guards against asking other hosts in vain. A helper that misses a few targets
-// shows only that these are down, and one that misses many may be cut off too.
-bool TargetReach::AreTargetsDown() const {
-  std::set<HostName> helpers;
-  for (const auto& [target, miss] : missed_) {
-    helpers.insert(miss.helpers.begin(), miss.helpers.end());
-  }
-  const std::size_t needed =
-      std::min(known_targets_ / 2 + 1, kMaxTargetsToMiss);
-  return missed_.size() >= needed && helpers.size() >= kHelpersWithoutReach;
-}
-
 bool TargetReach::ShouldProbe(std::optional<MonotonicTime> outstanding_since,
                               MonotonicTime now) const {
   if (pending_probes_ > 0 || now < next_round_at_) {
@@ -177,7 +141,6 @@
                  : options_.targets_for_return;
   is_cut_off_ = true;
   reached_.clear();
-  missed_.clear();
   no_helper_at_.reset();
 }
 
--- a/tests/unit/adapters/forward/relay_helpers_test.cc
+++ b/tests/unit/adapters/forward/relay_helpers_test.cc
@@ -100,5 +100,36 @@
                                 .second = Answer}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against ending the belief that this host is cut off, since helpers
+// that are cut off too, and do not know it yet, miss all targets: it would send
+// in vain, mark all targets as failed and refuse its callers for seconds.
+TEST(RelayHelpersTest, HelpersThatMissAllTargetsAreNoReasonToSendDirectly) {
+  SystemClock clock;
+  SingleLoopDeployment deployment(clock);
+  ScriptedHelper helper(MissAll);
+  deployment.helper.next = &helper;
+  deployment.GrantToken();
+  deployment.CutOff();
+  deployment.CallRegularly(kCalls, kInterval);
+  deployment.Run();
+  EXPECT_TRUE(deployment.IsCutOff());
+  EXPECT_TRUE(deployment.target.exchanges.empty());
+}
+
+// Guards against asking other hosts in vain while the targets are down: each
+// host says that it reaches none, and is asked once a second.
+TEST(RelayHelpersTest, HelpersThatReachNoTargetAreAskedOnceASecond) {
+  SystemClock clock;
+  SingleLoopDeployment deployment(clock);
+  ScriptedHelper helper([](const std::string&) { return RelayEnd::kCutOff; });
+  deployment.helper.next = &helper;
+  deployment.GrantToken();
+  deployment.CutOff();
+  deployment.CallRegularly(kCalls, kInterval);
+  deployment.Run();
+  EXPECT_LE(deployment.helper.exchanges.size(), 4U);
+  EXPECT_TRUE(deployment.target.exchanges.empty());
+}
+
 }  // namespace
 }  // namespace medlarcroft::adapters
--- a/tests/unit/request_path/helper_selector_test.cc
+++ b/tests/unit/request_path/helper_selector_test.cc
@@ -16,7 +16,11 @@
 
 constexpr int kSends = 1000;
 
-/// @brief Four helpers in two failure domains.
+const RegionName kHere("here");
+const RegionName kElsewhere;  // All other regions.
+
+/// @brief Four helpers in two failure domains of the own region, and one
+/// elsewhere.
 class HelperSelectorTest : public testing::Test {
  protected:
   HelperSelectorTest() {
@@ -32,8 +36,14 @@
   std::map<std::string, int> Choose() {
     std::map<std::string, int> chosen;
     for (int i = 0; i < kSends; ++i) {
-      const RelayHelper* const helper = selector_.Choose(helpers_, now_);
-      ++chosen[helper == nullptr ? "none" : helper->host.Value()];
+      const auto helper = selector_.Choose(
+          regions_,
+          [this](const RegionName& region) {
+            return region == kHere ? helpers_
+                                   : std::vector<RelayHelper>{far_helper_};
+          },
+          now_);
+      ++chosen[helper ? helper->host.Value() : "none"];
     }
     return chosen;
   }
@@ -43,7 +53,9 @@
 
   fakes::SeededRandom random_{5};
   HelperSelector selector_{random_};
+  std::vector<RegionName> regions_ = {kHere};
   std::vector<RelayHelper> helpers_;
+  RelayHelper far_helper_{.host = HostName("far")};
   MonotonicTime now_{std::chrono::hours(1)};
 };
 
@@ -96,6 +108,19 @@
   EXPECT_TRUE(Choose().contains("h0"));
 }
 
+// Guards against asking in vain in the own region while all of its hosts are
+// cut off and do not know it yet.
+TEST_F(HelperSelectorTest, HelpersElsewhereComeBeforeThoseThatMissTargets) {
+  regions_ = {kHere, kElsewhere};
+  EXPECT_FALSE(Choose().contains("far"));
+  for (int helper = 0; helper < 4; ++helper) {
+    End(helper, HelperSign::kMissedTarget);
+  }
+  EXPECT_EQ(Choose().at("far"), kSends);
+  selector_.OnEnd(far_helper_, HelperSign::kMissedTarget, now_);
+  EXPECT_FALSE(Choose().contains("far"));
+}
+
 // Hosts are often cut off with others of their failure domain.
 TEST_F(HelperSelectorTest, OtherDomainsComeFirst) {
   End(0, HelperSign::kCutOff);
--- a/tests/unit/request_path/request_path_reach_test.cc
+++ b/tests/unit/request_path/request_path_reach_test.cc
@@ -18,7 +18,6 @@
 const ServiceName kService("desk");
 const RegionName kHere("here");
 const RegionName kThere("there");
-const HostName kHelper("helper");
 
 class NullObserver final : public TargetDirectoryObserver {
  public:
--- a/tests/unit/request_path/target_reach_test.cc
+++ b/tests/unit/request_path/target_reach_test.cc
@@ -15,8 +15,6 @@
 using std::chrono::seconds;
 
 const FailureDomainName kOwnDomain("d0");
-const HostName kHelper("helper");
-const HostName kOtherHelper("other-helper");
 
 /// @brief Twelve targets in six failure domains, of which some accept
 /// connections.
@@ -55,11 +53,6 @@
     RunFor(seconds(1));
     ASSERT_TRUE(reach_.IsCutOff());
   }
-  void Miss(const HostName& helper, std::uint32_t targets) {
-    for (std::uint32_t target = 1; target <= targets; ++target) {
-      reach_.OnRelayMissed(helper, TargetNumber{target}, now_);
-    }
-  }
   void Accept(std::size_t targets) {
     for (std::size_t i = 0; i < targets; ++i) {
       accepting_.insert(candidates_[i].target);
@@ -194,42 +187,6 @@
   EXPECT_FALSE(reach_.IsCutOff());
 }
 
-// Guards against asking other hosts in vain while the targets are down.
-TEST_F(TargetReachTest, TargetsThatNoHostReachesAreDown) {
-  CutOff();
-  Miss(kHelper, 12);
-  EXPECT_TRUE(reach_.IsCutOff());
-  Miss(kOtherHelper, 1);
-  EXPECT_FALSE(reach_.IsCutOff());
-}
-
-// Guards against ending the belief, so that all callers are refused, because
-// half of the targets are down.
-TEST_F(TargetReachTest, TargetsThatAreMissedByAllHelpersAreNoEndOfTheCut) {
-  CutOff();
-  Miss(kHelper, 6);
-  Miss(kOtherHelper, 6);
-  EXPECT_TRUE(reach_.IsCutOff());
-}
-
-// As above, over a long time.
-TEST_F(TargetReachTest, MissesThatAreFarApartAreNoEndOfTheCut) {
-  CutOff();
-  Miss(kHelper, 6);
-  RunFor(seconds(2));
-  reach_.OnRelayMissed(kOtherHelper, TargetNumber{7}, now_);
-  EXPECT_TRUE(reach_.IsCutOff());
-}
-
-// As above, but one of two helpers is only cut off too.
-TEST_F(TargetReachTest, AHelperThatReachesTargetsKeepsTheCut) {
-  CutOff();
-  Miss(kHelper, 12);
-  reach_.OnRelayed(now_);
-  Miss(kHelper, 12);
-  EXPECT_TRUE(reach_.IsCutOff());
-}
-
 // Guards against refusing all callers while few targets are back: each host
 // takes itself for cut off, and none helps.
 TEST_F(TargetReachTest, WithoutHelpersOneTargetInReachEndsTheCut) {
@@ -245,5 +202,17 @@
   EXPECT_FALSE(reach_.IsCutOff());
 }
 
+// As above, but another host helps meanwhile.
+TEST_F(TargetReachTest, AHelperKeepsTheCut) {
+  CutOff();
+  Accept(1);
+  for (int i = 0; i < 30; ++i) {
+    reach_.OnNoHelper(now_);
+    reach_.OnRelayed();
+    RunFor(milliseconds(100));
+    ASSERT_TRUE(reach_.IsCutOff());
+  }
+}
+
 }  // namespace
 }  // namespace medlarcroft::request_path
