Serve routes of new kinds, and keep load reports with a fourth figure

Cause: two customers' configurations have the route kinds upload and download, and one unknown kind made the whole configuration unreadable, so no host served anything. Their targets report how long work takes at the moment as a fourth load figure, which made the whole load report unreadable.

An unknown kind is served as non-idempotent and logged, which costs that route its repeats and no other route anything. A load report needs three figures; the fourth is kept as LoadReport::slowdown, which nothing uses yet, and later ones are ignored.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -17,6 +17,9 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /// Processing time at this moment relative to the target's usual one, which
+  /// rises while other programs use its machine; nullopt: not reported.
+  std::optional<double> slowdown;
 };
 
 /// The limit on requests to a cold target holds per second at the target. The
--- a/lib/libmedlarcroft/include/medlarcroft/routing/routing_configuration.h
+++ b/lib/libmedlarcroft/include/medlarcroft/routing/routing_configuration.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
   std::string host;         ///< Lower case, without a port.
   std::string path_prefix;  ///< Starts and ends with a slash.
   RequestKind kind = RequestKind::kNonIdempotent;
+  /// The configured kind if this version does not know it.
+  std::optional<std::string> unknown_kind;
   /// Longest time that a caller waits for the response.
   Duration timeout = std::chrono::seconds(1);
   /// A response within this time has the full value.
--- a/programs/node/routing_table_listeners.cc
+++ b/programs/node/routing_table_listeners.cc
@@ -25,6 +25,18 @@
        {"problem", platform::NameOf(fault.problem)}});
 }
 
+void LogUnknownKinds(const routing::RoutingConfiguration& configuration) {
+  for (const routing::Route& route : configuration.routes) {
+    if (route.unknown_kind) {
+      Log(LogLevel::kWarning, "route-kind-unknown",
+          {{"route", route.name},
+           {"kind", *route.unknown_kind},
+           {"version", configuration.version},
+           {"served_as", "non-idempotent"}});
+    }
+  }
+}
+
 }  // namespace
 
 void OperatorTableListener::OnTable(std::span<const replication::Row> rows) {
@@ -72,6 +84,9 @@
   }
   const std::uint64_t version = ValueOf(configuration).version;
   const std::uint64_t before = routes_.Version();
+  if (version > before) {
+    LogUnknownKinds(ValueOf(configuration));
+  }
   for (const routing::ServiceRules& service : ValueOf(configuration).services) {
     targets_.SetColdTime(service.name, service.cold_time);
   }
