Balance regions by utilization, admit by priority, learn work times by route

The plan of regions moves 0.75% of the requests a second, and only for requests whose cheapest target is in another region, which a full warm target in the own region prevents. Besides, a route's priority decided nothing: the least urgent route, with the longest objective, was served best.

Change: - RegionPlan::Balance moves requests from a region whose targets have more requests than slots to the least utilized one, at the rate that the limit on shifts leaves after the random changes of that many requests.

--- a/lib/libmedlarcroft/include/medlarcroft/decision/retry_after_pacer.h
+++ b/lib/libmedlarcroft/include/medlarcroft/admission/retry_after_pacer.h
@@ -1,10 +1,10 @@
-#ifndef MEDLARCROFT_DECISION_RETRY_AFTER_PACER_H_
-#define MEDLARCROFT_DECISION_RETRY_AFTER_PACER_H_
+#ifndef MEDLARCROFT_ADMISSION_RETRY_AFTER_PACER_H_
+#define MEDLARCROFT_ADMISSION_RETRY_AFTER_PACER_H_
 
 #include "medlarcroft/core/time.h"
 #include "medlarcroft/ports/random_source.h"
 
-namespace medlarcroft::decision {
+namespace medlarcroft::admission {
 
 /// @brief Computes the Retry-After of refused requests.
 ///
@@ -30,6 +30,6 @@
   MonotonicTime next_return_time_{};
 };
 
-}  // namespace medlarcroft::decision
+}  // namespace medlarcroft::admission
 
-#endif  // MEDLARCROFT_DECISION_RETRY_AFTER_PACER_H_
+#endif  // MEDLARCROFT_ADMISSION_RETRY_AFTER_PACER_H_
--- a/lib/libmedlarcroft/include/medlarcroft/decision/service_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/service_state.h
@@ -3,11 +3,11 @@
 
 #include <cstdint>
 
+#include "medlarcroft/admission/retry_after_pacer.h"
 #include "medlarcroft/core/rate_meter.h"
 #include "medlarcroft/core/time.h"
 #include "medlarcroft/decision/fair_queue.h"
 #include "medlarcroft/decision/latency_estimate.h"
-#include "medlarcroft/decision/retry_after_pacer.h"
 #include "medlarcroft/decision/retry_budget.h"
 #include "medlarcroft/decision/service_config.h"
 
@@ -35,7 +35,7 @@
   FairQueue queue;
   LatencyEstimate latency;
   RetryBudget budget;
-  RetryAfterPacer pacer;
+  admission::RetryAfterPacer pacer;
   RateMeter demand{kRateWindow};
   RateMeter refused{kRateWindow};
   RateMeter shifted_in{kRateWindow};
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/placement_policy.h
@@ -50,7 +50,9 @@
 struct PlacementQuery {
   ObjectKey object;
   bool is_sticky = false;
-  const ServiceTimes& times;
+  const ServiceTimes& times;  ///< Of the request's route.
+  /// Over the requests of all routes, which wait in the same queues.
+  Duration mean_work{0};
   const RegionDistances& distances;
   const RegionLoad& loads;
   /// Requests per second that this host may send to one cold target; 0: none.
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/region_load.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/region_load.h
@@ -26,6 +26,9 @@
 
   /// @return nullopt before the first report of the region.
   [[nodiscard]] std::optional<double> MeanOf(const RegionName& region) const;
+  /// @return whether a report of the region arrived within the last seconds.
+  [[nodiscard]] bool IsRecent(const RegionName& region,
+                              MonotonicTime now) const;
 
  private:
   struct Mean {
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/region_plan.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/region_plan.h
@@ -8,6 +8,7 @@
 
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/request_path/region_balance.h"
 
 namespace medlarcroft::request_path {
 
@@ -24,6 +25,8 @@
 struct RegionPlanOptions {
   /// Fraction of the requests that may change region, per second.
   double max_shift_per_second = 0.0075;
+  /// For requests that move because of the regions' utilization.
+  ShiftLimit balancing;
 };
 
 /// @brief Divides one service's requests from this host's callers among
@@ -54,6 +57,13 @@
     Advance(slots, slots, now);
   }
 
+  /// @brief Moves requests from a full region to a less utilized one. Until the
+  /// next call, `Advance` then doesn't move the plan back.
+  /// @param requests_per_second of the callers of the own region.
+  void Balance(const RegionUtilization& utilization,
+               double requests_per_second,
+               MonotonicTime now);
+
   /// @brief Records whether the planned region had capacity for a request.
   /// @param region_with_capacity another region with capacity when `planned`
   /// has none; nullopt: `planned` has capacity, or no region has.
@@ -65,6 +75,8 @@
   [[nodiscard]] RegionName Choose(std::uint64_t key) const;
 
   [[nodiscard]] const RegionShares& Shares() const { return shares_; }
+  /// @return whether requests move because of the regions' utilization.
+  [[nodiscard]] bool IsBalancing() const { return transfer_.has_value(); }
 
  private:
   /// @brief Exponentially decayed request counts of a planned region.
@@ -88,6 +100,8 @@
   RegionShares shares_;
   std::map<RegionName, Overflow> overflows_;
   MonotonicTime advanced_at_{};
+  std::optional<RegionTransfer> transfer_;
+  MonotonicTime balanced_at_{};
 };
 
 }  // namespace medlarcroft::request_path
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -13,6 +13,8 @@
 #include <variant>
 #include <vector>
 
+#include "medlarcroft/admission/returning_callers.h"
+#include "medlarcroft/admission/service_admission.h"
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/time.h"
 #include "medlarcroft/membership/host_share.h"
@@ -170,6 +172,8 @@
   }
   [[nodiscard]] double RemainingRetries(const ServiceName& service,
                                         MonotonicTime now);
+  /// @return services of which requests move from full regions to others.
+  [[nodiscard]] std::size_t BalancedServices() const;
 
  private:
   struct Attempt {
@@ -179,6 +183,7 @@
     Duration round_trip{0};
     Duration expected_wait{0};
     double load_at_send = 0;
+    double slowdown_at_send = 1.0;
     bool is_warm = false;
     bool is_relayed = false;
     bool is_open = true;
@@ -196,6 +201,9 @@
     ObjectKey object;
     RequestFingerprint fingerprint;
     MonotonicTime deadline;
+    admission::AdmissionRequest admission;
+    /// Longest Retry-After for which the caller would wait.
+    Duration longest_retry_after{0};
     std::vector<Attempt> attempts;
     std::uint32_t delivered_attempts = 0;  ///< Sends that reached a target.
     bool may_have_run = false;
@@ -214,8 +222,11 @@
       FailureReason final_reason,
       FailureReason temporary_reason);
   [[nodiscard]] RetryBudgetShare& RetryBudgetOf(const ServiceName& service);
-  [[nodiscard]] ServiceTimes& TimesOf(const ServiceName& service,
-                                      Duration latency_objective);
+  /// @return the processing times of the request's service, over all routes.
+  [[nodiscard]] ServiceTimes& ServiceTimesOf(const Request& request);
+  /// @return the processing times of the request's route at its service. They
+  /// start as those of the service.
+  [[nodiscard]] ServiceTimes& TimesOf(const Request& request);
   [[nodiscard]] std::uint32_t ColdSendLimit(const ServiceName& service,
                                             MonotonicTime now) const;
   /// @param regions that are allowed; empty: all.
@@ -228,6 +239,19 @@
       const Request& request,
       MonotonicTime now);
   [[nodiscard]] Duration MaxQueueWait(const Request& request) const;
+  [[nodiscard]] admission::AdmissionRequest DescribeForAdmission(
+      const Request& request,
+      Duration caller_time_left);
+  /// @return the longest wait at `placement` after which the response is not
+  /// late.
+  [[nodiscard]] Duration UsefulWait(const Request& request,
+                                    const Placement& placement);
+  /// @return the refusal of a request whose wait at `placement` is too long;
+  /// nullopt: it is admitted.
+  [[nodiscard]] std::optional<RequestFailure> CheckAdmission(
+      Request& request,
+      const Placement& placement,
+      MonotonicTime now);
   /// @return the slots per region; a resting target has none.
   [[nodiscard]] RegionSlots SlotsOf(const ServiceName& service,
                                     MonotonicTime now);
@@ -239,6 +263,13 @@
   [[nodiscard]] RequestFailure RefuseWithoutTarget(const Request& request,
                                                    FailureReason reason,
                                                    MonotonicTime now);
+  /// @return the utilization of the regions of which load reports are recent.
+  [[nodiscard]] RegionUtilization UtilizationOf(const ServiceName& service,
+                                                MonotonicTime now);
+  /// @brief Moves the plan by the regions' utilization, a few times per second.
+  void BalanceRegions(const ServiceName& service,
+                      RegionPlan& plan,
+                      MonotonicTime now);
   /// @return the demand that the configuration in force binds to regions.
   [[nodiscard]] std::span<const BoundDemand> BoundDemands();
   [[nodiscard]] Step Send(Request& request,
@@ -257,6 +288,11 @@
                                             MonotonicTime now);
   [[nodiscard]] Step SendFirst(Request& request, MonotonicTime now);
   [[nodiscard]] Step Retry(Request& request, MonotonicTime now);
+  /// @param placement where the next send would go.
+  [[nodiscard]] RequestFailure RefuseRetry(
+      const Request& request,
+      const std::optional<Placement>& placement,
+      MonotonicTime now);
   [[nodiscard]] Step Finish(RequestTicket ticket,
                             Request& request,
                             const RequestFailure& failure,
@@ -298,7 +334,12 @@
   std::unordered_map<RequestTicket, Request> requests_;
   std::map<ServiceName, RetryBudgetShare> retry_budgets_;
   std::map<ServiceName, ServiceTimes> times_;
+  std::map<std::pair<ServiceName, std::string>, ServiceTimes> route_times_;
+  std::map<ServiceName, admission::ServiceAdmission> admissions_;
+  admission::ReturningCallers returning_callers_;
   std::map<ServiceName, RegionPlan> plans_;
+  std::map<ServiceName, MonotonicTime> balanced_at_;
+  DecayedRate arrivals_;  ///< At this host.
   std::vector<BoundDemand> bound_demands_;
   std::uint64_t bound_demands_version_ = 0;  ///< Of the configuration.
   std::map<ServiceName, RegionLoad> loads_;
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
@@ -65,6 +65,13 @@
   kTargetsResting,       ///< All targets that may run it asked for rest.
 };
 
+/// @brief The limit by which a request was refused.
+struct AdmissionLimit {
+  int priority = 0;  ///< 0 is the highest.
+  Duration longest_wait{0};
+  bool is_returning = false;
+};
+
 /// @brief A final response that this host generates itself.
 struct RequestFailure {
   FailureReason reason = FailureReason::kNoTarget;
@@ -74,6 +81,7 @@
   std::optional<Duration> retry_after;
   /// The best available placement, for the log; nullopt: none.
   std::optional<Placement> best;
+  std::optional<AdmissionLimit> limit;  ///< For `kOverloaded`.
 };
 
 /// @brief Send the request to `target` now.
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -95,8 +95,11 @@
   /// object to the target recently.
   [[nodiscard]] bool HasHandled(ObjectKey object) const;
 
+  /// @return the processing time on the target's machine relative to its usual
+  /// one, by the latest report. As the report ages, it approaches 1.
+  [[nodiscard]] double SlowdownAt(MonotonicTime now) const;
   /// @return the target's processing time relative to what is usual for its
-  /// service.
+  /// service, without the reported slowdown.
   [[nodiscard]] double RelativeTime() const { return relative_time_; }
 
   /// @return whether the target gets no requests because of consecutive
@@ -132,6 +135,7 @@
 
  private:
   void BackOff(MonotonicTime now);
+  void LearnRelativeTime(double relative_time);
   void RecordObject(ObjectKey object);
 
   TargetRecord record_;
@@ -148,6 +152,9 @@
   };
   std::vector<HandledObject> objects_;  ///< Most recent first.
   double relative_time_ = 1.0;
+  bool was_last_time_long_ = false;
+  double slowdown_ = 1.0;
+  MonotonicTime slowdown_reported_at_{};
   std::uint32_t consecutive_failures_ = 0;
   std::uint32_t consecutive_error_responses_ = 0;
   Duration backoff_{0};
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -1,5 +1,6 @@
 #include "adapters/forward/request_telemetry.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -18,6 +19,12 @@
 constexpr MetricDescription kLocallyEndedRequests = {
     "medlar_requests_ended_total",
     "Requests that this host answered itself, by reason."};
+constexpr MetricDescription kOverloadRefusals = {
+    "medlar_overload_refusals_total",
+    "Requests refused for the wait in the targets' queues, by priority."};
+// Less urgent priorities share the last label, which bounds their number.
+constexpr std::array<std::string_view, 6> kPriorityLabels = {"0", "1", "2",
+                                                             "3", "4", "5+"};
 constexpr MetricDescription kCallersGone = {
     "medlar_callers_gone_total", "Callers that left before their answer."};
 constexpr MetricDescription kAttempts = {"medlar_attempts_total",
@@ -103,6 +110,12 @@
        {"since_arrival_ms", ToMilliseconds(since_arrival)}});
 }
 
+std::string_view PriorityLabel(int priority) {
+  const int last = static_cast<int>(kPriorityLabels.size()) - 1;
+  return kPriorityLabels.at(
+      static_cast<std::size_t>(std::clamp(priority, 0, last)));
+}
+
 }  // namespace
 
 std::string_view NameOf(FailureReason reason) {
@@ -230,6 +243,13 @@
   const auto& best = failure.best;
   metrics_.CounterOf(kLocallyEndedRequests, {Label::OfConstant("reason", name)})
       .Add();
+  if (failure.limit) {
+    metrics_
+        .CounterOf(kOverloadRefusals,
+                   {Label::OfConstant("priority",
+                                      PriorityLabel(failure.limit->priority))})
+        .Add();
+  }
   if (!SampleAtEnd(lines, call.id, route, OutcomeOf(route))) {
     return;
   }
@@ -249,6 +269,10 @@
        {"expected_ms", best ? ToMilliseconds(best->expected) : -1},
        {"expected_wait_ms", best ? ToMilliseconds(best->expected_wait) : -1},
        {"estimated_load", best ? best->estimated_load : -1.0},
+       {"priority", failure.limit ? failure.limit->priority : -1},
+       {"longest_wait_ms",
+        failure.limit ? ToMilliseconds(failure.limit->longest_wait) : -1},
+       {"is_returning", failure.limit && failure.limit->is_returning},
        {"retry_after_ms",
         failure.retry_after ? ToMilliseconds(*failure.retry_after) : -1},
        {"since_arrival_ms", ToMilliseconds(since_arrival)}});
--- a/lib/libmedlarcroft/source/decision/retry_after_pacer.cc
+++ b/lib/libmedlarcroft/source/admission/retry_after_pacer.cc
@@ -1,8 +1,8 @@
-#include "medlarcroft/decision/retry_after_pacer.h"
+#include "medlarcroft/admission/retry_after_pacer.h"
 
 #include <algorithm>
 
-namespace medlarcroft::decision {
+namespace medlarcroft::admission {
 namespace {
 
 constexpr double kReturningRateFraction = 0.5;
@@ -33,4 +33,4 @@
                      (1.0 + kJitterFraction * random.NextUnit()));
 }
 
-}  // namespace medlarcroft::decision
+}  // namespace medlarcroft::admission
--- a/lib/libmedlarcroft/source/request_path/placement_policy.cc
+++ b/lib/libmedlarcroft/source/request_path/placement_policy.cc
@@ -121,7 +121,8 @@
 Placement EstimateCost(const Candidate& candidate,
                        Duration round_trip,
                        const PlacementQuery& query,
-                       double utilization) {
+                       double utilization,
+                       MonotonicTime now) {
   TargetState& target = *candidate.target;
   Placement placement{.target = &target,
                       .estimated_load = candidate.load,
@@ -132,8 +133,8 @@
   const double queue_length =
       std::max(0.0, placement.estimated_load + 1.0 -
                         query.options.queueing_threshold * slots);
-  const double mean_work =
-      ToSeconds(query.times.MeanWork()) * target.RelativeTime();
+  const double slowness = target.RelativeTime() * target.SlowdownAt(now);
+  const double mean_work = ToSeconds(query.mean_work) * slowness;
   const double wait = queue_length / slots * mean_work;
 
   double warm_probability = WarmProbability(placement, query);
@@ -144,9 +145,8 @@
   const double work =
       (warm_probability * ToSeconds(query.times.Work(true)) +
        (1.0 - warm_probability) * ToSeconds(query.times.Work(false))) *
-      target.RelativeTime();
-  const double warm_work =
-      ToSeconds(query.times.Work(true)) * target.RelativeTime();
+      slowness;
+  const double warm_work = ToSeconds(query.times.Work(true)) * slowness;
   placement.best_case = round_trip + FromSeconds(wait + warm_work);
   placement.expected_wait = FromSeconds(wait);
   const double time = ToSeconds(round_trip) + wait + work;
@@ -177,7 +177,7 @@
   for (const RegionCandidates& region : collected) {
     for (const Candidate& candidate : region.candidates) {
       placements.push_back(
-          EstimateCost(candidate, region.round_trip, query, utilization));
+          EstimateCost(candidate, region.round_trip, query, utilization, now));
     }
   }
   if (placements.empty()) {
--- a/lib/libmedlarcroft/source/request_path/region_load.cc
+++ b/lib/libmedlarcroft/source/request_path/region_load.cc
@@ -11,6 +11,7 @@
 constexpr double kReportTimeConstantSeconds = 1.0;
 // Smallest weight of one report, however soon it follows the previous one.
 constexpr double kMinGain = 0.05;
+constexpr Duration kMaxReportAge = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -36,4 +37,10 @@
                                : std::optional(found->second.value);
 }
 
+bool RegionLoad::IsRecent(const RegionName& region, MonotonicTime now) const {
+  const auto found = means_.find(region);
+  return found != means_.end() &&
+         now - found->second.updated_at <= kMaxReportAge;
+}
+
 }  // namespace medlarcroft::request_path
--- a/lib/libmedlarcroft/source/request_path/region_plan.cc
+++ b/lib/libmedlarcroft/source/request_path/region_plan.cc
@@ -20,6 +20,8 @@
 // When a smaller fraction of a region's requests finds no capacity there,
 // single objects are popular, and moving other objects would not help them.
 constexpr double kMinOverflowFraction = 0.1;
+// After a pause, requests must not move all at once.
+constexpr Duration kMaxBalancingStep = std::chrono::milliseconds(500);
 
 /// Uniform in (0, 1), the same on every host.
 double UniformHash(std::uint64_t key, const RegionName& region) {
@@ -49,14 +51,44 @@
     advanced_at_ = now;
   }
   DropEmptyRegions(slots, free_slots);
+  for (const auto& [region, count] : free_slots) {
+    if (count > 0) {
+      shares_.try_emplace(region, 0.0);
+    }
+  }
   const Duration elapsed = std::max(now - advanced_at_, Duration(0));
   advanced_at_ = now;
   Decay(elapsed);
+  if (transfer_) {
+    return;
+  }
   const std::optional<RegionShares> adjusted = SharesAfterOverflow();
   MoveTowards(adjusted ? *adjusted : SharesBySlots(free_slots),
               options_.max_shift_per_second * ToSeconds(elapsed));
 }
 
+void RegionPlan::Balance(const RegionUtilization& utilization,
+                         double requests_per_second,
+                         MonotonicTime now) {
+  const Duration elapsed =
+      std::clamp(now - balanced_at_, Duration(0), kMaxBalancingStep);
+  balanced_at_ = now;
+  const double rate = MaxBalancingShift(
+      options_.balancing,
+      requests_per_second * ToSeconds(options_.balancing.window));
+  transfer_ = rate > options_.max_shift_per_second
+                  ? FindTransfer(shares_, utilization)
+                  : std::nullopt;
+  if (!transfer_) {
+    return;
+  }
+  double& from = shares_[transfer_->from];
+  const double moved =
+      std::min(from, transfer_->urgency * rate * ToSeconds(elapsed));
+  from -= moved;
+  shares_[transfer_->to] += moved;
+}
+
 void RegionPlan::Observe(
     const RegionName& planned,
     const std::optional<RegionName>& region_with_capacity) {
@@ -130,12 +162,12 @@
 void RegionPlan::DropEmptyRegions(const RegionSlots& slots,
                                   const RegionSlots& free_slots) {
   double dropped = 0;
-  for (auto& [region, share] : shares_) {
-    const auto found = slots.find(region);
-    if (found == slots.end() || found->second <= 0) {
-      dropped += std::exchange(share, 0.0);
-    }
-  }
+  std::erase_if(shares_, [&](const auto& item) {
+    const auto found = slots.find(item.first);
+    const bool is_empty = found == slots.end() || found->second <= 0;
+    dropped += is_empty ? item.second : 0.0;
+    return is_empty;
+  });
   if (dropped <= 0) {
     return;
   }
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -19,8 +19,15 @@
 // Random extra time of Retry-After, so that callers do not all retry at once.
 constexpr double kRetryAfterSpreadSeconds = 0.4;
 constexpr double kMinRetryAfterSeconds = 0.2;
+// Expected wait up to which targets have room, and the longest Retry-After
+// then.
+constexpr Duration kMaxWaitWithRoom = std::chrono::milliseconds(50);
+constexpr Duration kMaxRetryAfterWithRoom = std::chrono::milliseconds(100);
 // Longest Retry-After: available capacity changes sooner than that.
-constexpr double kMaxRetryAfterSeconds = 2.0;
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
+constexpr double kMaxRetryAfterSeconds = ToSeconds(kMaxRetryAfter);
+// A caller that waits for a larger part of its time has too little left.
+constexpr int kTimeLeftPerRetryAfter = 3;
 
 bool MayHaveRun(AttemptEnd end) {
   return end == AttemptEnd::kLost || end == AttemptEnd::kTimedOut ||
@@ -86,6 +93,7 @@
   start.time_left = std::min(request.time_left.value_or(start.route->timeout),
                              start.route->timeout);
   RetryBudgetOf(start.service).OnRequest(now);
+  arrivals_.OnEvent(now);
   if (const auto blocked = crashes_.BlockedFor(request.fingerprint, now)) {
     start.step = RequestFailure{.reason = FailureReason::kRequestBlocked,
                                 .retry_after = blocked};
@@ -100,6 +108,10 @@
       .object = ObjectKey(request.object),
       .fingerprint = request.fingerprint,
       .deadline = now + start.time_left};
+  const Duration caller_time_left = request.time_left.value_or(start.time_left);
+  state.admission = DescribeForAdmission(state, caller_time_left);
+  state.longest_retry_after =
+      std::min(caller_time_left / kTimeLeftPerRetryAfter, kMaxRetryAfter);
   start.step = AdmitAndSend(state, now);
   if (!std::holds_alternative<RequestFailure>(start.step)) {
     start.ticket = ++last_ticket_;
@@ -166,12 +178,8 @@
                           .retry_after = RetryAfter(placement->expected_wait),
                           .best = placement};
   }
-  const Duration max_queue_wait = MaxQueueWait(request);
-  if (placement->expected_wait > max_queue_wait) {
-    return RequestFailure{
-        .reason = FailureReason::kOverloaded,
-        .retry_after = RetryAfter(placement->expected_wait - max_queue_wait),
-        .best = placement};
+  if (const auto refusal = CheckAdmission(request, *placement, now)) {
+    return *refusal;
   }
   return Send(request, *placement, now);
 }
@@ -213,6 +221,7 @@
        .round_trip = distances_.RoundTrip(target.Region()),
        .expected_wait = placement.expected_wait,
        .load_at_send = placement.estimated_load,
+       .slowdown_at_send = target.SlowdownAt(now),
        .is_warm = placement.is_warm,
        .is_relayed = !send.helper_regions.empty()});
   target.OnSent(request.object, now);
@@ -226,27 +235,35 @@
                           .is_not_run = !request.may_have_run,
                           .retry_after = blocked};
   }
-  const auto exhausted = [&] {
-    RequestFailure failure =
-        RefuseWithoutTarget(request, FailureReason::kRetriesExhausted, now);
-    failure.is_not_run = !request.may_have_run;
-    return failure;
-  };
-  if (request.delivered_attempts >= request.route->max_attempts) {
-    return exhausted();
-  }
   const std::optional<Placement> placement =
       Place(request, request.allowed_regions, now);
-  if (!placement || placement->expected > request.deadline - now) {
-    return exhausted();
-  }
   // A send that never reached a target does not use the retry limit that all
   // hosts share.
-  if (request.delivered_attempts > 0 &&
-      !RetryBudgetOf(request.service).TryTake(share_, now)) {
-    return exhausted();
-  }
-  return Send(request, *placement, now);
+  const bool may_send =
+      request.delivered_attempts < request.route->max_attempts && placement &&
+      placement->expected <= request.deadline - now &&
+      (request.delivered_attempts == 0 ||
+       RetryBudgetOf(request.service).TryTake(share_, now));
+  return may_send ? Send(request, *placement, now)
+                  : Step(RefuseRetry(request, placement, now));
+}
+
+// A target that rejects part of its requests although it has free slots must
+// not delay the caller, whose next request gets a send of its own.
+RequestFailure RequestPath::RefuseRetry(
+    const Request& request,
+    const std::optional<Placement>& placement,
+    MonotonicTime now) {
+  RequestFailure failure =
+      RefuseWithoutTarget(request, FailureReason::kRetriesExhausted, now);
+  failure.is_not_run = !request.may_have_run;
+  const bool has_room =
+      placement && placement->expected_wait <= kMaxWaitWithRoom;
+  if (has_room && failure.reason == FailureReason::kRetriesExhausted) {
+    failure.retry_after =
+        FromSeconds(ToSeconds(kMaxRetryAfterWithRoom) * random_.NextUnit());
+  }
+  return failure;
 }
 
 Step RequestPath::OnAttemptEnd(RequestTicket ticket,
--- a/lib/libmedlarcroft/source/request_path/request_path_placement.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_placement.cc
@@ -1,4 +1,5 @@
 // RequestPath: chooses the region and the target of a request.
+#include <algorithm>
 #include <optional>
 #include <span>
 #include <vector>
@@ -7,6 +8,13 @@
 
 namespace medlarcroft::request_path {
 
+namespace {
+
+// Each time costs one pass over all targets of the service.
+constexpr Duration kBalancingPeriod = std::chrono::milliseconds(200);
+
+}  // namespace
+
 std::optional<Placement> RequestPath::Place(const Request& request,
                                             std::span<const RegionName> regions,
                                             MonotonicTime now) {
@@ -14,19 +22,20 @@
   for (const Attempt& attempt : request.attempts) {
     excluded.push_back(attempt.target);
   }
-  return ChooseTarget(
-      targets_.Usable(request.service),
-      {.object = request.object,
-       .is_sticky = request.route->is_sticky,
-       .times = TimesOf(request.service, request.route->latency_objective),
-       .distances = distances_,
-       .loads = loads_[request.service],
-       .cold_send_limit = ColdSendLimit(request.service, now),
-       .limits = &limits_,
-       .excluded = excluded,
-       .allowed_regions = regions,
-       .options = options_.placement},
-      now, options_.rule == nullptr ? lowest_cost_ : *options_.rule);
+  return ChooseTarget(targets_.Usable(request.service),
+                      {.object = request.object,
+                       .is_sticky = request.route->is_sticky,
+                       .times = TimesOf(request),
+                       .mean_work = ServiceTimesOf(request).MeanWork(),
+                       .distances = distances_,
+                       .loads = loads_[request.service],
+                       .cold_send_limit = ColdSendLimit(request.service, now),
+                       .limits = &limits_,
+                       .excluded = excluded,
+                       .allowed_regions = regions,
+                       .options = options_.placement},
+                      now,
+                      options_.rule == nullptr ? lowest_cost_ : *options_.rule);
 }
 
 Duration RequestPath::MaxQueueWait(const Request& request) const {
@@ -58,6 +67,44 @@
   return slots;
 }
 
+RegionUtilization RequestPath::UtilizationOf(const ServiceName& service,
+                                             MonotonicTime now) {
+  const RegionLoad& loads = loads_[service];
+  RegionUtilization utilization;
+  for (const RegionTargets& region : targets_.Usable(service)) {
+    if (!loads.IsRecent(region.region, now) || region.slots <= 0) {
+      continue;
+    }
+    const std::optional<double> mean = loads.MeanOf(region.region);
+    double requests = 0;
+    for (const TargetState* const target : region.targets) {
+      requests += target->EstimatedLoad(
+          mean, options_.placement.region_load_weight, now);
+    }
+    utilization[region.region] = requests / region.slots;
+  }
+  return utilization;
+}
+
+void RequestPath::BalanceRegions(const ServiceName& service,
+                                 RegionPlan& plan,
+                                 MonotonicTime now) {
+  const auto [balanced_at, is_new] = balanced_at_.try_emplace(service, now);
+  if (is_new || now - balanced_at->second < kBalancingPeriod) {
+    return;
+  }
+  balanced_at->second = now;
+  const auto regions = static_cast<double>(targets_.Usable(service).size());
+  const double requests_per_second =
+      arrivals_.PerSecond(now) * share_.hosts / std::max(regions, 1.0);
+  plan.Balance(UtilizationOf(service, now), requests_per_second, now);
+}
+
+std::size_t RequestPath::BalancedServices() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      plans_, [](const auto& plan) { return plan.second.IsBalancing(); }));
+}
+
 std::optional<Placement> RequestPath::PlaceByRegionPlan(const Request& request,
                                                         MonotonicTime now) {
   const auto& allowed = request.allowed_regions;
@@ -73,6 +120,7 @@
                          .first->second;
   const RegionSlots slots = SlotsOf(request.service, now);
   plan.Advance(slots, FreeSlots(slots, BoundDemands()), now);
+  BalanceRegions(request.service, plan, now);
   const std::uint64_t key =
       request.object.IsEmpty() ? random_.Next() : request.object.Value();
   const RegionName region = plan.Choose(key);
@@ -92,9 +140,16 @@
   return planned ? planned : best;
 }
 
-ServiceTimes& RequestPath::TimesOf(const ServiceName& service,
-                                   Duration latency_objective) {
-  return times_.try_emplace(service, latency_objective).first->second;
+ServiceTimes& RequestPath::ServiceTimesOf(const Request& request) {
+  return times_.try_emplace(request.service, request.route->latency_objective)
+      .first->second;
+}
+
+ServiceTimes& RequestPath::TimesOf(const Request& request) {
+  return route_times_
+      .try_emplace({request.service, request.route->name},
+                   ServiceTimesOf(request))
+      .first->second;
 }
 
 std::uint32_t RequestPath::ColdSendLimit(const ServiceName& service,
--- a/lib/libmedlarcroft/source/request_path/request_path_reports.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_reports.cc
@@ -15,8 +15,7 @@
                                 const Attempt& attempt,
                                 AttemptEnd end,
                                 MonotonicTime now) {
-  ServiceTimes& times =
-      TimesOf(request.service, request.route->latency_objective);
+  ServiceTimes& times = TimesOf(request);
   TargetState* const target = targets_.Find(attempt.target);
   if (target == nullptr) {
     return;
@@ -45,12 +44,18 @@
         now - attempt.sent_at - attempt.round_trip - attempt.expected_wait);
     const double work = std::max(seconds, 0.0);
     const bool was_warm = attempt.is_warm || times.LooksWarm(FromSeconds(work));
-    relative =
-        work / std::max(ToSeconds(times.Work(was_warm)), kMinWorkSeconds);
+    // What the target reports of its machine is no property of the target.
+    const double slowdown =
+        (attempt.slowdown_at_send + target->SlowdownAt(now)) / 2;
+    relative = work / slowdown /
+               std::max(ToSeconds(times.Work(was_warm)), kMinWorkSeconds);
     const bool had_free_slot =
         attempt.load_at_send < std::max(target->Record().slots, 1U);
     if (end == AttemptEnd::kAnswered && had_free_slot) {
-      times.OnWork(was_warm, FromSeconds(work / target->RelativeTime()));
+      const Duration usual_work =
+          FromSeconds(work / slowdown / target->RelativeTime());
+      times.OnWork(was_warm, usual_work);
+      ServiceTimesOf(request).OnWork(was_warm, usual_work);
     }
   }
   target->OnEnded(end, relative, now);
--- a/lib/libmedlarcroft/source/request_path/target_state.cc
+++ b/lib/libmedlarcroft/source/request_path/target_state.cc
@@ -24,8 +24,15 @@
 constexpr double kReportDecaySeconds = 0.5;
 constexpr double kMeanGain = 0.2;
 constexpr double kRelativeTimeGain = 0.15;
+// Multiple of the usual time beyond which one request is no evidence.
+constexpr double kLongTimeFactor = 3.0;
 constexpr double kMaxRelativeTime = 12.0;
 constexpr double kMinRelativeTime = 0.4;
+// The load on a target's machine changes several times per second, so a report
+// says nothing about it any more after this time.
+constexpr double kSlowdownLifetimeSeconds = 0.5;
+constexpr double kMinSlowdown = 0.2;
+constexpr double kMaxSlowdown = 10.0;
 // A single connection failure may be a restart or a lost packet; after a crash
 // at least two occur.
 constexpr std::uint32_t kFailuresBeforeBackoff = 2;
@@ -98,9 +105,7 @@
                           MonotonicTime now) {
   outstanding_ -= std::min(outstanding_, 1U);
   if (relative_time) {
-    const double bounded =
-        std::clamp(*relative_time, kMinRelativeTime, kMaxRelativeTime);
-    relative_time_ += kRelativeTimeGain * (bounded - relative_time_);
+    LearnRelativeTime(*relative_time);
   }
   const bool is_failure = IsFailure(end) || IsErrorResponse(end);
   if (IsResting(now)) {
@@ -130,6 +135,25 @@
   backoff_ = Duration(0);
 }
 
+// A few requests take many times as long as others on any target. One of them
+// must not make its target look slow, which would move its objects to targets
+// that have to process them anew. A slow target's requests are long in a row.
+void TargetState::LearnRelativeTime(double relative_time) {
+  const bool is_long = relative_time > kLongTimeFactor * relative_time_;
+  const double largest =
+      is_long && !was_last_time_long_ ? relative_time_ : kMaxRelativeTime;
+  was_last_time_long_ = is_long;
+  const double bounded =
+      std::clamp(relative_time, kMinRelativeTime, std::max(largest, 1.0));
+  relative_time_ += kRelativeTimeGain * (bounded - relative_time_);
+}
+
+double TargetState::SlowdownAt(MonotonicTime now) const {
+  const double age = ToSeconds(now - slowdown_reported_at_);
+  const double weight = std::max(0.0, 1.0 - age / kSlowdownLifetimeSeconds);
+  return 1.0 + weight * (slowdown_ - 1.0);
+}
+
 void TargetState::BackOff(MonotonicTime now) {
   backoff_ = backoff_ == Duration(0) ? kInitialBackoff
                                      : std::min(backoff_ * 2, kMaxBackoff);
@@ -153,6 +177,10 @@
   other_hosts_mean_load_ +=
       kMeanGain * (other_hosts_load_ - other_hosts_mean_load_);
   reported_at_ = now;
+  if (report.slowdown) {
+    slowdown_ = std::clamp(*report.slowdown, kMinSlowdown, kMaxSlowdown);
+    slowdown_reported_at_ = now;
+  }
 }
 
 double TargetState::EstimatedLoad(std::optional<double> region_mean,
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -85,7 +85,9 @@
           .cold_extra = static_cast<double>(bounds.cold_extra),
           .region_plan = {.max_shift_per_second = kPlannedShiftFraction *
                                                   bounds.shift_most /
-                                                  ToSeconds(kShiftWindow)}};
+                                                  ToSeconds(kShiftWindow),
+                          .balancing = {.fraction = bounds.shift_most,
+                                        .window = kShiftWindow}}};
 }
 
 std::size_t MaxRelays(const adapters::NodeSettings& settings) {
--- a/programs/node/node_gauges.cc
+++ b/programs/node/node_gauges.cc
@@ -31,6 +31,9 @@
       [this] { return static_cast<double>(targets_.Size()); });
   add({"medlar_resting_targets", "Targets that this host lets rest."},
       [this] { return static_cast<double>(targets_.RestingCount()); });
+  add({"medlar_balanced_services",
+       "Services of which requests move from full regions to others."},
+      [this] { return static_cast<double>(path_.BalancedServices()); });
   add({"medlar_operator_news_age_seconds",
        "Since the store last answered about the operator's rows."},
       [this] {
--- a/tests/unit/decision/retry_after_pacer_test.cc
+++ b/tests/unit/admission/retry_after_pacer_test.cc
@@ -1,4 +1,4 @@
-#include "medlarcroft/decision/retry_after_pacer.h"
+#include "medlarcroft/admission/retry_after_pacer.h"
 
 #include <gtest/gtest.h>
 
@@ -7,7 +7,7 @@
 
 #include "fakes/seeded_random.h"
 
-namespace medlarcroft::decision {
+namespace medlarcroft::admission {
 namespace {
 
 // A thousand callers are refused at the same moment by a service that completes
@@ -49,4 +49,4 @@
 }
 
 }  // namespace
-}  // namespace medlarcroft::decision
+}  // namespace medlarcroft::admission
--- a/tests/unit/request_path/placement_policy_test.cc
+++ b/tests/unit/request_path/placement_policy_test.cc
@@ -39,6 +39,7 @@
                         {.object = ObjectKey(object),
                          .is_sticky = true,
                          .times = times_,
+                         .mean_work = times_.MeanWork(),
                          .distances = distances_,
                          .loads = loads_,
                          .cold_send_limit = 1,
