Let a level of priority compete only with a considerable part of the demand

Each service there has one priority, but a few requests of rarely used routes have another, and one of them in five seconds counted as a second level: all requests then waited by the slack of their objective, and returned at the paced times.

Change: a level competes when it has a twentieth of the demand.

--- a/lib/libmedlarcroft/include/medlarcroft/admission/service_admission.h
+++ b/lib/libmedlarcroft/include/medlarcroft/admission/service_admission.h
@@ -52,7 +52,7 @@
                                     ports::RandomSource& random,
                                     MonotonicTime now);
 
-  /// @return whether requests of more than one level arrived lately.
+  /// @return whether more than one level has a considerable part of the demand.
   [[nodiscard]] bool HasSeveralLevels(MonotonicTime now) const;
 
  private:
--- a/lib/libmedlarcroft/source/admission/service_admission.cc
+++ b/lib/libmedlarcroft/source/admission/service_admission.cc
@@ -23,7 +23,9 @@
 constexpr double kExcessiveDemand = 1.5;
 // Fewer requests are no evidence.
 constexpr double kMinRequests = 5.0;
-constexpr double kMinLevelRequests = 1.0;
+// Part of the demand below which a level competes with no other: a few requests
+// of a rarely used route change nothing for the rest.
+constexpr double kMinLevelShare = 0.05;
 constexpr double kIdleRequests = 0.1;
 constexpr double kUsefulWaitGain = 0.1;
 constexpr Duration kCleanUpPeriod = std::chrono::seconds(5);
@@ -122,9 +124,11 @@
 }
 
 bool ServiceAdmission::HasSeveralLevels(MonotonicTime now) const {
-  return std::count_if(levels_.begin(), levels_.end(), [now](const auto& item) {
-           return item.second.demand.Offered(now) >= kMinLevelRequests;
-         }) > 1;
+  const double least = kMinLevelShare * total_.Offered(now);
+  const auto competes = [&](const auto& item) {
+    return item.second.demand.Offered(now) >= least;
+  };
+  return std::ranges::count_if(levels_, competes) > 1;
 }
 
 Duration ServiceAdmission::RetryAfter(const AdmissionRequest& request,
--- a/tests/unit/admission/service_admission_test.cc
+++ b/tests/unit/admission/service_admission_test.cc
@@ -189,6 +189,22 @@
   EXPECT_FALSE(host.HasSeveralLevels(queue.Now()));
 }
 
+// Guards against a rarely used route that changes how long all other requests
+// may wait.
+TEST(ServiceAdmissionTest, FewRequestsOfAnotherLevelChangeNothing) {
+  SharedQueue queue(1);
+  const AdmissionRequest request = RequestOf(2, milliseconds(300));
+  std::vector<Stream> streams = {
+      queue.Asking(2.0, request),
+      queue.Asking(0.02, RequestOf(0, milliseconds(300)))};
+  queue.Run(streams, seconds(20));
+
+  const ServiceAdmission& host = queue.Hosts().front();
+  EXPECT_FALSE(host.HasSeveralLevels(queue.Now()));
+  EXPECT_EQ(host.LongestWait(request, kSlotTime, queue.Now()),
+            milliseconds(300));
+}
+
 // Guards against a host that has just started and admits, or refuses, all.
 TEST(ServiceAdmissionTest, HostWithoutHistoryAppliesTheRequestsOwnLimits) {
   const ServiceAdmission host;
