--- a/tests/unit/admission/service_admission_test.cc
+++ b/tests/unit/admission/service_admission_test.cc
@@ -206,7 +206,7 @@
 // Guards against levels that are no longer used and shorten the limits of all
 // less urgent ones.
 TEST(ServiceAdmissionTest, RareLevelsBetweenOthersCostNoStep) {
-  const auto limit_with = [](std::vector<int> rare_priorities) {
+  const auto limit_with = [](const std::vector<int>& rare_priorities) {
     SharedQueue queue(1);
     const AdmissionRequest last = RequestOf(9, milliseconds(900));
     std::vector<Stream> streams = {
