--- a/tests/unit/request_path/request_path_admission_test.cc
+++ b/tests/unit/request_path/request_path_admission_test.cc
@@ -140,8 +140,10 @@
        RejectedRequestMayReturnAtOnceWhereRoomIsFree) {
   routes_.Apply(
       {.version = 1, .routes = {RouteOf("urgent", 0, milliseconds(800))}});
+  constexpr int kTargets = 6;
   std::vector<TargetRecord> records;
-  for (int i = 0; i < 6; ++i) {
+  records.reserve(kTargets);
+  for (int i = 0; i < kTargets; ++i) {
     records.push_back({.id = TargetName("t" + std::to_string(i)),
                        .service = kService,
                        .address = "127.0.0.1:" + std::to_string(8000 + i),
