Let earned retries expire, so that no restart or move earns them twice

Cause: a host could spend a fifth of ten seconds of requests at once, and nothing that followed knew of it: its next process began to earn anew, and so did the hosts to which its callers moved.

Change: requests earn whole retries that expire after two seconds; a process begins without any. In any window all hosts together then grant at most what was earned in it and in two seconds before, the fixed part, and less than one each by rounding, whatever restarts, ends, is cut off or moves. 0.8 of the limit is used instead of 0.85: 12.5 s of requests in a window of 10 s, two of them saved, half a second for sends that arrive later than they are counted. The budget is a module of its own (retries/); gauges tell what it granted, of which part, and refused.

Conclusion: the bound holds by construction.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -26,11 +26,11 @@
 #include "medlarcroft/request_path/rate_limits.h"
 #include "medlarcroft/request_path/region_plan.h"
 #include "medlarcroft/request_path/request_step.h"
-#include "medlarcroft/request_path/retry_budget_share.h"
 #include "medlarcroft/request_path/service_times.h"
 #include "medlarcroft/request_path/target_directory.h"
 #include "medlarcroft/request_path/target_notice.h"
 #include "medlarcroft/request_path/target_reach.h"
+#include "medlarcroft/retries/retry_budget.h"
 #include "medlarcroft/routing/route_table.h"
 
 namespace medlarcroft::request_path {
@@ -48,7 +48,7 @@
  public:
   struct Options {
     RegionName own_region;
-    RetryLimit retry_limit;
+    retries::RetryLimit retry_limit;
     /// A cold target gets its configured rate times `cold_over` plus
     /// `cold_extra` requests per second, from all hosts together.
     double cold_over = 1.0;
@@ -170,8 +170,8 @@
   [[nodiscard]] std::uint64_t ConfigurationVersion() const {
     return routes_.Version();
   }
-  [[nodiscard]] double RemainingRetries(const ServiceName& service,
-                                        MonotonicTime now);
+  /// @return what the retry budgets of all services granted and refused.
+  [[nodiscard]] retries::RetryCounts RetryCounts() const;
   /// @return services of which requests move from full regions to others.
   [[nodiscard]] std::size_t BalancedServices() const;
 
@@ -220,7 +220,7 @@
   [[nodiscard]] RequestFailure RefuseByConfiguration(
       FailureReason final_reason,
       FailureReason temporary_reason);
-  [[nodiscard]] RetryBudgetShare& RetryBudgetOf(const ServiceName& service);
+  [[nodiscard]] retries::RetryBudget& RetryBudgetOf(const ServiceName& service);
   /// @return the processing times of the request's service, over all routes.
   [[nodiscard]] ServiceTimes& ServiceTimesOf(const Request& request);
   /// @return the processing times of the request's route at its service; those
@@ -332,7 +332,7 @@
   std::unordered_map<ClientAccountName, std::deque<RequestTicket>> waiting_;
   RequestTicket last_ticket_ = 0;
   std::unordered_map<RequestTicket, Request> requests_;
-  std::map<ServiceName, RetryBudgetShare> retry_budgets_;
+  std::map<ServiceName, retries::RetryBudget> retry_budgets_;
   std::map<ServiceName, ServiceTimes> times_;
   std::map<std::pair<ServiceName, std::string>, ServiceTimes> route_times_;
   std::map<ServiceName, admission::ServiceAdmission> admissions_;
--- a/lib/libmedlarcroft/source/emulation/emulation_hosts.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_hosts.cc
@@ -279,7 +279,7 @@
   if (++active->arrivals == 1) {
     return;
   }
-  const request_path::RetryLimit& limit = path_options_.retry_limit;
+  const retries::RetryLimit& limit = path_options_.retry_limit;
   RepeatWindow& window = repeat_windows_[instance.service];
   window.repeats.push_back(now);
   ForgetBefore(window.requests, now - limit.window);
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -93,7 +93,7 @@
   start.service = routes_.ChooseService(*start.route);
   start.time_left = std::min(request.time_left.value_or(start.route->timeout),
                              start.route->timeout);
-  RetryBudgetOf(start.service).OnRequest(now);
+  RetryBudgetOf(start.service).OnEarned(now);
   arrivals_.OnEvent(now);
   if (const auto blocked = crashes_.BlockedFor(request.fingerprint, now)) {
     start.step = RequestFailure{.reason = FailureReason::kRequestBlocked,
@@ -422,14 +422,19 @@
   return abandoned;
 }
 
-RetryBudgetShare& RequestPath::RetryBudgetOf(const ServiceName& service) {
-  return retry_budgets_.try_emplace(service, options_.retry_limit)
+retries::RetryBudget& RequestPath::RetryBudgetOf(const ServiceName& service) {
+  return retry_budgets_
+      .try_emplace(service,
+                   retries::RetryBudget::Options{.limit = options_.retry_limit})
       .first->second;
 }
 
-double RequestPath::RemainingRetries(const ServiceName& service,
-                                     MonotonicTime now) {
-  return RetryBudgetOf(service).Remaining(share_, now);
+retries::RetryCounts RequestPath::RetryCounts() const {
+  retries::RetryCounts counts;
+  for (const auto& [service, budget] : retry_budgets_) {
+    counts += budget.Counts();
+  }
+  return counts;
 }
 
 Duration RequestPath::SpreadRetryAfter(Duration wait) {
--- a/programs/node/node_gauges.cc
+++ b/programs/node/node_gauges.cc
@@ -34,6 +34,14 @@
   add({"medlar_balanced_services",
        "Services of which requests move from full regions to others."},
       [this] { return static_cast<double>(path_.BalancedServices()); });
+  add({"medlar_retries_earned",
+       "Sends granted since the start of what requests had earned."},
+      [this] { return static_cast<double>(path_.RetryCounts().earned); });
+  add({"medlar_retries_fixed",
+       "Sends granted since the start of this host's fixed share."},
+      [this] { return static_cast<double>(path_.RetryCounts().fixed); });
+  add({"medlar_retries_refused", "Sends that the retry limit refused."},
+      [this] { return static_cast<double>(path_.RetryCounts().refused); });
   add({"medlar_operator_news_age_seconds",
        "Since the store last answered about the operator's rows."},
       [this] {
--- a/tests/property/limit_shares_property_test.cc
+++ b/tests/property/limit_shares_property_test.cc
@@ -10,9 +10,9 @@
 
 #include "fakes/seeded_random.h"
 #include "medlarcroft/membership/sharing_hosts.h"
-#include "medlarcroft/request_path/retry_budget_share.h"
+#include "medlarcroft/retries/retry_budget.h"
 
-namespace medlarcroft::request_path {
+namespace medlarcroft::retries {
 namespace {
 
 using std::chrono::milliseconds;
@@ -28,7 +28,7 @@
 
 struct Host {
   membership::SharingHosts sharing;
-  RetryBudgetShare retries{kRetries};
+  RetryBudget retries{{.limit = kRetries}};
   std::deque<MonotonicTime> cold_sends;
   membership::HostListView view{};
   bool has_row = false;
@@ -176,7 +176,7 @@
   }
   void Serve(Host& host) {
     const membership::HostShare& share = host.sharing.Share();
-    host.retries.OnRequest(now_);
+    host.retries.OnEarned(now_);
     requests_.push_back(now_);
     ++steps_.back().requests;
     if (failing_ >= 1.0 || random_.NextUnit() < failing_) {
@@ -417,4 +417,4 @@
                          kNameOfCase);
 
 }  // namespace
-}  // namespace medlarcroft::request_path
+}  // namespace medlarcroft::retries
