Use one retry budget in both programs, and grant a new process nothing

Cause: its own token bucket began full. Change: the scheduler uses retries::RetryBudget; a process earns from its successes from the start on, and has its ten retries in 10 s once it has run that long.

--- a/lib/libmedlarcroft/include/medlarcroft/decision/request_scheduler.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/request_scheduler.h
@@ -19,6 +19,7 @@
 #include "medlarcroft/decision/service_config.h"
 #include "medlarcroft/decision/service_state.h"
 #include "medlarcroft/decision/target_table.h"
+#include "medlarcroft/membership/host_share.h"
 #include "medlarcroft/ports/random_source.h"
 #include "medlarcroft/ports/slot_source.h"
 
@@ -187,6 +188,8 @@
   TargetTable targets_;
   RequestTable requests_;
   double service_virtual_time_ = 0;
+  /// The retry limits are those of this host alone.
+  membership::HostShare retry_share_;
 };
 
 }  // namespace medlarcroft::decision
--- a/lib/libmedlarcroft/include/medlarcroft/decision/service_config.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/service_config.h
@@ -1,6 +1,7 @@
 #ifndef MEDLARCROFT_DECISION_SERVICE_CONFIG_H_
 #define MEDLARCROFT_DECISION_SERVICE_CONFIG_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -9,6 +10,7 @@
 #include "medlarcroft/catalogue/entry.h"
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/retries/retry_budget.h"
 
 namespace medlarcroft::decision {
 
@@ -66,10 +68,13 @@
   /// Time over which a target that joins a running service ramps up to its full
   /// share.
   Duration cold_ramp = std::chrono::seconds(10);
-  /// Retries and hedges allowed per successful request, and how many of them a
-  /// service with little demand may accumulate.
-  double retry_ratio = 0.1;
-  double retry_burst = 10.0;
+  /// Retries and hedges of this host, per successful request. They stop with
+  /// the successes, but for the fixed amount, which lets a service with little
+  /// demand retry.
+  retries::RetryBudget::Options retries{
+      .limit = {.ratio = 0.1, .fixed = 10, .window = std::chrono::seconds(10)},
+      .usable_fraction = 1.0,
+      .saved_for = std::chrono::seconds(1)};
   std::uint32_t max_attempts = 3;
   /// Requests are hedged only while the fraction of usable slots in use is
   /// below this.
--- a/lib/libmedlarcroft/include/medlarcroft/decision/service_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/service_state.h
@@ -8,8 +8,8 @@
 #include "medlarcroft/core/time.h"
 #include "medlarcroft/decision/fair_queue.h"
 #include "medlarcroft/decision/latency_estimate.h"
-#include "medlarcroft/decision/retry_budget.h"
 #include "medlarcroft/decision/service_config.h"
+#include "medlarcroft/retries/retry_budget.h"
 
 namespace medlarcroft::decision {
 
@@ -34,7 +34,7 @@
   bool is_configured = true;
   FairQueue queue;
   LatencyEstimate latency;
-  RetryBudget budget;
+  retries::RetryBudget budget;
   admission::RetryAfterPacer pacer;
   RateMeter demand{kRateWindow};
   RateMeter refused{kRateWindow};
--- a/lib/libmedlarcroft/source/decision/request_scheduler.cc
+++ b/lib/libmedlarcroft/source/decision/request_scheduler.cc
@@ -27,6 +27,8 @@
 
 void RequestScheduler::Configure(std::span<const ServiceConfig> services,
                                  MonotonicTime now) {
+  if (retry_share_.hosts == 0)
+    retry_share_ = {.hosts = 1, .known_since = now};
   for (ServiceState& state : services_)
     state.is_configured = false;
 
--- a/lib/libmedlarcroft/source/decision/request_scheduler_attempts.cc
+++ b/lib/libmedlarcroft/source/decision/request_scheduler_attempts.cc
@@ -78,7 +78,7 @@
   if (outcome == AttemptOutcome::kAnswered) {
     target.health.OnAnswer(service.RelativeServiceTime(elapsed), elapsed);
     service.OnServiceTime(elapsed, members);
-    service.budget.OnSuccess(service.demand.PerSecond(now));
+    service.budget.OnEarned(now);
   }
   if (outcome == AttemptOutcome::kTimedOut) {
     service.OnServiceTime(elapsed, members);
@@ -147,7 +147,8 @@
   if (request.deadline - now < service.latency.Mean()) {
     return RefusalReason::kDeadlineTooShort;
   }
-  if (!rules.is_retry_budget_exempt && !service.budget.TryTake())
+  if (!rules.is_retry_budget_exempt &&
+      !service.budget.TryTake(retry_share_, now))
     return RefusalReason::kRetryBudgetSpent;
   return std::nullopt;
 }
@@ -188,13 +189,13 @@
     return;
   if (request.deadline - now < service.latency.Median())
     return;
-  if (service.budget.Tokens() < 1.0)
+  if (service.budget.Remaining(retry_share_, now) == 0)
     return;
 
   const auto dispatch = TryDispatch(request, DispatchKind::kHedge, now);
   if (!dispatch)
     return;
-  static_cast<void>(service.budget.TryTake());
+  static_cast<void>(service.budget.TryTake(retry_share_, now));
   actions.emplace_back(*dispatch);
 }
 
--- a/lib/libmedlarcroft/source/decision/request_scheduler_reports.cc
+++ b/lib/libmedlarcroft/source/decision/request_scheduler_reports.cc
@@ -149,7 +149,8 @@
       .service_time_p95 = state.latency.Percentile95(),
       .predicted_wait = result.predicted_wait,
       .wait_limit = result.wait_limit,
-      .retry_tokens = state.budget.Tokens(),
+      .retry_tokens =
+          static_cast<double>(state.budget.Remaining(retry_share_, now)),
       .may_hedge_now = MayHedge(*index)};
   for (const TargetIndex target : targets_.Members(*index)) {
     explanation.targets.push_back(ExplainTarget(target, now));
--- a/lib/libmedlarcroft/source/decision/service_state.cc
+++ b/lib/libmedlarcroft/source/decision/service_state.cc
@@ -14,7 +14,7 @@
     : config(service_config),
       queue(options.is_fair_between_brands),
       latency(service_config.request_class.expected_service_time),
-      budget(options.retry_ratio, options.retry_burst) {
+      budget(options.retries) {
   queue.Configure(config.brands);
 }
 
--- a/tests/scenarios/simulator.cc
+++ b/tests/scenarios/simulator.cc
@@ -65,6 +65,9 @@
         std::make_unique<fakes::SeededRandom>(scenario_.seed * 1000 + host);
     entry.scheduler = std::make_unique<decision::RequestScheduler>(
         variant_.options, *entry.random);
+    // The hosts have run for long enough to use their fixed amount of retries.
+    entry.scheduler->Configure({},
+                               Now() - variant_.options.retries.limit.window);
     hosts_.push_back(std::move(entry));
   }
   for (const ServiceModel& model : deployment_.services) {
--- a/tests/unit/decision/request_scheduler_test.cc
+++ b/tests/unit/decision/request_scheduler_test.cc
@@ -148,6 +148,24 @@
   EXPECT_EQ(retries, 10);
 }
 
+// Guards against hosts that restart in series and retry without any success.
+TEST_F(RequestSchedulerTest, NewProcessRetriesNothingBeforeASuccess) {
+  for (int process = 0; process < 20; ++process) {
+    RequestScheduler scheduler({}, random_);
+    scheduler.Configure(std::vector{MakeService(MakeTargets(8, 8))},
+                        clock_.Now());
+    const Dispatch dispatch = std::get<Dispatch>(scheduler.Submit(
+        {.service = ServiceName("lookup-desk"), .brand = BrandName("a")},
+        clock_.Now()));
+
+    const NextStep step = scheduler.OnAttemptEnd(
+        dispatch.attempt, AttemptOutcome::kNeverSent, clock_.Now());
+
+    EXPECT_EQ(std::get<Refusal>(step).reason, RefusalReason::kRetryBudgetSpent);
+    clock_.Advance(seconds(3));
+  }
+}
+
 // Hedges and lost connections have spent the retry budget when a target with
 // requests in flight reports that it is leaving and refuses them. Each request
 // must be retried on another target instead of ending with "not run", because a
