Emulate targets that reject and hosts that end, and draw them after quiet time

Emulated targets can reject a part of their requests, and hosts can end for a while, so that their callers use the others. The run counts repeats as the limit is stated: against the requests of the window, of the one before, or of the one half a window before, whichever has most.

--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_deployment.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulated_deployment.h
@@ -89,6 +89,12 @@
   kLostHostList,
   /// Affected targets crash once and return cold.
   kCrash,
+  /// Each affected target rejects the fraction `strength` of its requests at
+  /// once.
+  kRejecting,
+  /// Affected hosts end, and start again at the end of the fault. Meanwhile
+  /// their callers use the other hosts.
+  kEndedHosts,
 };
 
 /// @brief A fault that is injected for a limited time.
--- a/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
+++ b/lib/libmedlarcroft/include/medlarcroft/emulation/emulation.h
@@ -93,6 +93,11 @@
   /// ends.
   void RestartNextHost(const EmulatedFault& fault, std::size_t count);
   void RestartHost(std::size_t host);
+  void SetEndedHosts(double fraction, bool is_on);
+  /// @brief Ends the requests that the host serves, unanswered.
+  void EndRequestsOf(std::size_t host);
+  /// @return a host that the callers of the region can use; nullopt: none runs.
+  [[nodiscard]] std::optional<std::size_t> ChooseHost(std::size_t region);
   void SetHostListLost(bool is_lost);
   void UpdateHostLists();
   void RecordArrival(const ActiveRequestPointer& active, std::size_t target);
@@ -165,6 +170,7 @@
     bool is_unreachable = false;  ///< By a fault.
     bool has_crashed = false;     ///< And has not restarted.
     double loss_probability = 0;
+    double rejection_probability = 0;
     std::optional<double> limit;
     MonotonicTime limit_changed_at;
     /// Requests within the rate limit window, while a limit is declared.
@@ -184,11 +190,16 @@
     membership::HostListView view;
     bool has_row = true;
   };
-  /// @brief Requests and repeats of a service within the retry window.
+  /// @brief Requests of a service within two retry windows, and repeats within
+  /// one.
   struct RepeatWindow {
     std::deque<MonotonicTime> requests;
     std::deque<MonotonicTime> repeats;
   };
+  /// @return the requests of the window that ends now, or of the one that ended
+  /// half a window or a window before, whichever has most.
+  [[nodiscard]] std::size_t CountedRequests(
+      const std::deque<MonotonicTime>& requests) const;
 
   const EmulatedDeployment& deployment_;
   request_path::RequestPath::Options path_options_;
@@ -202,6 +213,7 @@
   std::vector<std::unique_ptr<EmulatedHost>> hosts_;
   std::vector<std::vector<std::size_t>> hosts_by_region_;
   std::vector<bool> is_partitioned_;  ///< By host index.
+  std::vector<bool> has_ended_;       ///< By host index.
   /// When the host was cut off from all targets, by host index; nullopt: it is
   /// not.
   std::vector<std::optional<MonotonicTime>> cut_off_since_;
--- a/lib/libmedlarcroft/source/adapters/emulation/deployment_schema.cc
+++ b/lib/libmedlarcroft/source/adapters/emulation/deployment_schema.cc
@@ -20,7 +20,7 @@
 constexpr double kMaxValue = 1e6;
 constexpr std::array<std::string_view, 2> kRequestKinds = {"idempotent",
                                                            "non-idempotent"};
-constexpr std::array<std::string_view, 13> kFaultTypes = {"slow",
+constexpr std::array<std::string_view, 15> kFaultTypes = {"slow",
                                                           "lost-answers",
                                                           "gone",
                                                           "more-callers",
@@ -32,7 +32,9 @@
                                                           "cut-off-hosts",
                                                           "restarting-hosts",
                                                           "lost-host-list",
-                                                          "crash"};
+                                                          "crash",
+                                                          "rejecting",
+                                                          "ended-hosts"};
 
 SettingsSchema<EmulatedRegion> MakeRegionSchema() {
   SettingsSchema<EmulatedRegion> schema;
@@ -135,7 +137,8 @@
             {.description =
                  "affected fraction of the service's targets or of the hosts"})
       .Real("strength", &EmulatedFault::strength, {0, 1000},
-            {.description = "slowdown factor, fraction of responses lost, "
+            {.description = "slowdown factor, fraction of responses lost or "
+                            "requests rejected, "
                             "demand factor, requests per second, seconds of "
                             "rest or until a connection is refused, or "
                             "restarts per second"})
--- a/lib/libmedlarcroft/source/emulation/emulation.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation.cc
@@ -10,6 +10,7 @@
 namespace {
 
 using request_path::AttemptEnd;
+using request_path::FailureReason;
 using request_path::PassOn;
 using request_path::RequestFailure;
 using request_path::RequestTicket;
@@ -92,8 +93,14 @@
 
 void Emulation::SendToHost(const Caller& caller) {
   events_.After(deployment_.caller_latency, [this, caller] {
-    const std::vector<std::size_t>& hosts = hosts_by_region_[caller.region];
-    const std::size_t host = hosts[random_.NextBelow(hosts.size())];
+    repeat_windows_[caller.request_class->service].requests.push_back(
+        events_.Now());
+    const std::optional<std::size_t> chosen = ChooseHost(caller.region);
+    if (!chosen) {
+      OnRefused(caller, {.reason = FailureReason::kNotConfigured});
+      return;
+    }
+    const std::size_t host = *chosen;
     const Duration spent = events_.Now() - caller.arrived;
     const request_path::CallerRequest request{
         .host = std::string(EmulatedHttpHost()),
@@ -101,8 +108,6 @@
         .object = caller.object,
         .time_left = caller.request_class->deadline - spent,
         .fingerprint = caller.fingerprint};
-    repeat_windows_[caller.request_class->service].requests.push_back(
-        events_.Now());
     const request_path::RequestStart begun =
         hosts_[host]->Path().Begin(request, events_.Now());
     if (begun.ticket == 0) {
@@ -218,6 +223,13 @@
     TurnAway(active, attempt, latency);
     return;
   }
+  if (instance.rejection_probability > 0 &&
+      random_.NextUnit() < instance.rejection_probability) {
+    events_.After(latency, [this, active, attempt] {
+      EndAttempt(active, attempt, AttemptEnd::kNotRun);
+    });
+    return;
+  }
   const bool is_lost = random_.NextUnit() < instance.loss_probability;
   const auto done = [this, active, attempt, latency,
                      is_lost](const request_path::LoadReport& report) {
--- a/lib/libmedlarcroft/source/emulation/emulation_faults.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_faults.cc
@@ -31,6 +31,9 @@
         RestartNextHost(fault, 0);
       }
       break;
+    case EmulatedFaultType::kEndedHosts:
+      SetEndedHosts(fault.fraction, is_on);
+      break;
     case EmulatedFaultType::kLostHostList:
       SetHostListLost(is_on);
       break;
@@ -75,6 +78,9 @@
       case EmulatedFaultType::kLostResponses:
         instance.loss_probability = is_on ? fault.strength : 0.0;
         break;
+      case EmulatedFaultType::kRejecting:
+        instance.rejection_probability = is_on ? fault.strength : 0.0;
+        break;
       case EmulatedFaultType::kUnreachable:
         instance.is_unreachable = is_on;
         break;
--- a/lib/libmedlarcroft/source/emulation/emulation_hosts.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_hosts.cc
@@ -1,6 +1,7 @@
 // Emulation: hosts that are cut off from all targets or restart, and the list
 // of hosts.
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -50,6 +51,7 @@
     }
   }
   is_partitioned_.resize(hosts_.size());
+  has_ended_.resize(hosts_.size());
   cut_off_since_.resize(hosts_.size());
   listings_.resize(hosts_.size());
   active_by_host_.resize(hosts_.size());
@@ -121,7 +123,7 @@
     const bool is_in_region = region.IsEmpty()
                                   ? of_other != hosts_[host]->Region()
                                   : of_other == region.Value();
-    if (other != host && is_in_region) {
+    if (other != host && is_in_region && !has_ended_[other]) {
       helpers.push_back({.host = HostName(std::to_string(other)),
                          .failure_domain = FailureDomainName(of_other)});
     }
@@ -204,13 +206,52 @@
                 [this, &fault, count] { RestartNextHost(fault, count + 1); });
 }
 
-void Emulation::RestartHost(std::size_t host) {
+void Emulation::SetEndedHosts(double fraction, bool is_on) {
+  double accumulated = 0;
+  for (std::size_t host = 0; host < hosts_.size(); ++host) {
+    accumulated += fraction;
+    if (accumulated < 1.0) {
+      continue;
+    }
+    accumulated -= 1.0;
+    has_ended_[host] = is_on;
+    if (is_on) {
+      EndRequestsOf(host);
+    } else {
+      RestartHost(host);
+    }
+  }
+}
+
+std::optional<std::size_t> Emulation::ChooseHost(std::size_t region) {
+  std::vector<std::size_t> running;
+  const auto is_running = [this](std::size_t host) {
+    return !has_ended_[host];
+  };
+  std::ranges::copy_if(hosts_by_region_[region], std::back_inserter(running),
+                       is_running);
+  if (running.empty()) {
+    for (const std::vector<std::size_t>& hosts : hosts_by_region_) {
+      std::ranges::copy_if(hosts, std::back_inserter(running), is_running);
+    }
+  }
+  if (running.empty()) {
+    return std::nullopt;
+  }
+  return running[random_.NextBelow(running.size())];
+}
+
+void Emulation::EndRequestsOf(std::size_t host) {
   for (const auto& pointer : std::exchange(active_by_host_[host], {})) {
     if (const auto active = pointer.lock(); active && !active->is_over) {
       Finish(active);
       RecordOutcome(active->caller, false, false);
     }
   }
+}
+
+void Emulation::RestartHost(std::size_t host) {
+  EndRequestsOf(host);
   const std::string region = hosts_[host]->Region();
   hosts_[host] = std::make_unique<EmulatedHost>(
       deployment_, region, path_options_, random_.Next(), events_.Now());
@@ -282,12 +323,25 @@
   const retries::RetryLimit& limit = path_options_.retry_limit;
   RepeatWindow& window = repeat_windows_[instance.service];
   window.repeats.push_back(now);
-  ForgetBefore(window.requests, now - limit.window);
+  ForgetBefore(window.requests, now - 2 * limit.window);
   ForgetBefore(window.repeats, now - limit.window);
   metrics_.OnRepeatUse(
       static_cast<double>(window.repeats.size()) /
-      (limit.ratio * static_cast<double>(window.requests.size()) +
+      (limit.ratio * static_cast<double>(CountedRequests(window.requests)) +
        limit.fixed));
 }
 
+std::size_t Emulation::CountedRequests(
+    const std::deque<MonotonicTime>& requests) const {
+  const Duration window = path_options_.retry_limit.window;
+  std::size_t most = 0;
+  for (const Duration back : {Duration(0), window / 2, window}) {
+    const MonotonicTime end = events_.Now() - back;
+    const auto first = std::ranges::upper_bound(requests, end - window);
+    const auto last = std::ranges::upper_bound(requests, end);
+    most = std::max(most, static_cast<std::size_t>(last - first));
+  }
+  return most;
+}
+
 }  // namespace medlarcroft::emulation
--- a/lib/libmedlarcroft/source/emulation/emulation_reports.cc
+++ b/lib/libmedlarcroft/source/emulation/emulation_reports.cc
@@ -88,7 +88,8 @@
     std::size_t host,
     const std::function<void(EmulatedHost&)>& deliver) {
   for (std::size_t other = 0; other < hosts_.size(); ++other) {
-    if (other == host || is_partitioned_[host] || is_partitioned_[other]) {
+    if (other == host || is_partitioned_[host] || is_partitioned_[other] ||
+        has_ended_[other]) {
       continue;
     }
     const bool is_same_region =
--- a/tests/unit/emulation/emulation_test.cc
+++ b/tests/unit/emulation/emulation_test.cc
@@ -7,6 +7,7 @@
 
 #include "adapters/emulation/deployment_schema.h"
 #include "adapters/process/settings_document.h"
+#include "fakes/seeded_random.h"
 #include "medlarcroft/emulation/experiment.h"
 
 namespace medlarcroft::emulation {
@@ -349,6 +350,68 @@
                                 .is_list_lost = true}),
     [](const auto& tested) { return tested.param.name; });
 
+constexpr double Between(double from, double to, double unit) {
+  return from + (to - from) * unit;
+}
+
+/// @return targets that reject requests after a quiet time, with more callers,
+/// and hosts that then end for a moment or for long, once or in series.
+std::vector<EmulatedFault> DrawFaultsAfterQuietTime(
+    const EmulatedDeployment& deployment,
+    fakes::SeededRandom& random) {
+  const auto draw = [&random](double from, double to) {
+    return Between(from, to, random.NextUnit());
+  };
+  const double begin = draw(10, 12);
+  std::vector<EmulatedFault> faults = {
+      {.type = EmulatedFaultType::kIncreasedDemand,
+       .strength = draw(1, 2.5),
+       .from = FromSeconds(begin - draw(0.5, 3)),
+       .until = FromSeconds(begin + draw(0.5, 2))},
+      {.type = EmulatedFaultType::kRejecting,
+       .service =
+           deployment.services[random.NextBelow(deployment.services.size())]
+               .name,
+       .fraction = draw(0.8, 1),
+       .strength = draw(0.6, 0.95),
+       .from = FromSeconds(begin),
+       .until = FromSeconds(begin + draw(6, 9))}};
+  const bool is_restart = random.NextBelow(2) == 0;
+  double end = begin + draw(1, 3.5);
+  for (std::uint64_t left = 1 + random.NextBelow(3); left > 0; --left) {
+    const double length = is_restart ? 0.2 : draw(2, 9);
+    faults.push_back({.type = EmulatedFaultType::kEndedHosts,
+                      .fraction = is_restart ? 1 : draw(0.3, 0.6),
+                      .from = FromSeconds(end),
+                      .until = FromSeconds(end + length)});
+    end += length + draw(1, 3);
+  }
+  return faults;
+}
+
+class RetriesAfterQuietTime : public testing::TestWithParam<std::uint64_t> {};
+
+// Guards against repeats that are earned anew after hosts restart or end and
+// their callers use others.
+TEST_P(RetriesAfterQuietTime, AllHostsKeepTheLimitTogether) {
+  fakes::SeededRandom random(GetParam());
+  EmulatedDeployment deployment = Load("campos");
+  deployment.duration = seconds(24);
+  for (EmulatedRequestClass& request_class : deployment.request_classes) {
+    request_class.kind = routing::RequestKind::kIdempotent;
+  }
+  deployment.faults = DrawFaultsAfterQuietTime(deployment, random);
+
+  const EmulationMetrics metrics = RunOnce(deployment, GetParam());
+
+  EXPECT_LE(metrics.LargestRepeatUse(), 1.0);
+  EXPECT_GT(metrics.LargestRepeatUse(), 0.5);
+}
+
+INSTANTIATE_TEST_SUITE_P(Drawn,
+                         RetriesAfterQuietTime,
+                         testing::Range<std::uint64_t>(1, 21));
+
 struct UnwillingCase {
   std::string name;
   std::string deployment;
