Move no more than two seconds' shifts after a pause

A host that got none of a service for a minute made a minute's shifts with the next one: 0.45 of the requests at 0.0075 a second.

Change: two seconds at most. PauseDoesNotSaveUpShifts asks for at most two seconds' shifts after a pause of 60 s; the code before moves by the whole pause (by reading, the test was not run on it).

--- a/lib/libmedlarcroft/source/request_path/region_plan.cc
+++ b/lib/libmedlarcroft/source/request_path/region_plan.cc
@@ -20,8 +20,9 @@
 // When a smaller fraction of a region's requests finds no capacity there,
 // single objects are popular, and moving other objects would not help them.
 constexpr double kMinOverflowFraction = 0.1;
-// After a pause, requests must not move all at once.
+// After a pause in which no request came, requests must not move all at once.
 constexpr Duration kMaxBalancingStep = std::chrono::milliseconds(500);
+constexpr Duration kMaxStep = std::chrono::seconds(2);
 
 /// Uniform in (0, 1), the same on every host.
 double UniformHash(std::uint64_t key, const RegionName& region) {
@@ -63,8 +64,9 @@
     return;
   }
   const std::optional<RegionShares> adjusted = SharesAfterOverflow();
-  MoveTowards(adjusted ? *adjusted : SharesBySlots(free_slots),
-              options_.max_shift_per_second * ToSeconds(elapsed));
+  MoveTowards(
+      adjusted ? *adjusted : SharesBySlots(free_slots),
+      options_.max_shift_per_second * ToSeconds(std::min(elapsed, kMaxStep)));
 }
 
 void RegionPlan::Balance(const RegionUtilization& utilization,
--- a/tests/unit/request_path/region_plan_test.cc
+++ b/tests/unit/request_path/region_plan_test.cc
@@ -80,6 +80,20 @@
   EXPECT_NEAR(ShareOf(plan, kNorth), 1.0, 0.01);
 }
 
+// Guards against a host that saves up shifts while no request comes, and moves
+// them all at once.
+TEST(RegionPlanTest, PauseDoesNotSaveUpShifts) {
+  RegionPlan plan(kOwn, kOptions);
+  plan.Advance({{kOwn, 10}, {kNorth, 10}}, kStart);
+  const RegionShares before = plan.Shares();
+
+  plan.Advance({{kOwn, 10}, {kNorth, 40}}, kStart + seconds(60));
+
+  EXPECT_GT(Distance(plan.Shares(), before), 0.0);
+  EXPECT_LE(Distance(plan.Shares(), before),
+            2 * kOptions.max_shift_per_second + 1e-9);
+}
+
 TEST(RegionPlanTest, OnlyTheShiftedFractionOfObjectsChangesRegion) {
   const RegionSlots slots = {{kOwn, 10}, {kNorth, 10}, {kSouth, 10}};
   RegionPlan plan(kOwn, kOptions);
