Bound the header lines of a response in medlar-entryd

The client kept every line of a response until its timeout. Change: 64 KB of header lines, those of interim responses included; then the transfer fails. EndlessHeadTest: lines, one line, interim responses. The first two may also end by a limit of the library.

--- a/lib/libmedlarcroft/source/adapters/http/http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.cc
@@ -19,6 +19,10 @@
 /// missed one.
 constexpr int kMaxPollMilliseconds = 1000;
 
+/// Header bytes of a response, interim ones included. More of them are no
+/// response, and would be kept until memory is used up.
+constexpr std::size_t kMaxHeaderBytes = std::size_t{64} * 1024;
+
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 /// @brief A request in progress.
@@ -29,6 +33,7 @@
   CURL* easy = nullptr;
   curl_slist* header_list = nullptr;
   ClientResponse response;
+  std::size_t header_bytes = 0;
   bool is_framed = false;
   bool is_too_large = false;
   bool is_withheld = false;
@@ -83,6 +88,11 @@
                      void* self) {
   auto& transfer = *static_cast<Transfer*>(self);
   const std::string_view line(data, size * count);
+  transfer.header_bytes += line.size();
+  if (transfer.header_bytes > kMaxHeaderBytes) {
+    transfer.is_too_large = true;
+    return 0;
+  }
   if (line.starts_with("HTTP/")) {
     // Headers of an interim response (1xx) are discarded; only the last block
     // counts.
--- a/tests/unit/adapters/http_test.cc
+++ b/tests/unit/adapters/http_test.cc
@@ -5,6 +5,7 @@
 
 #include "adapters/http/http_client.h"
 #include "adapters/http/http_server.h"
+#include "fakes/scripted_server.h"
 
 namespace medlarcroft::adapters {
 namespace {
@@ -97,6 +98,47 @@
   EXPECT_FALSE(ErrorOf(result).is_proved_unsent);
 }
 
+struct EndlessHeadCase {
+  std::string name;
+  std::string begin;
+  std::string repeated;
+};
+
+class EndlessHeadTest : public testing::TestWithParam<EndlessHeadCase> {};
+
+// Guards against header lines without end, which are kept until memory is used
+// up.
+TEST_P(EndlessHeadTest, Fails) {
+  constexpr std::size_t kSent = std::size_t{16} << 20;
+  fakes::ScriptedServer server([](fakes::ScriptedConnection& connection, int) {
+    connection.ReadHead();
+    connection.Write(GetParam().begin);
+    for (std::size_t sent = 0; sent < kSent;
+         sent += GetParam().repeated.size()) {
+      connection.Write(GetParam().repeated);
+    }
+  });
+  HttpClient client({});
+  const auto result =
+      client.SendAndWait({.url = "http://" + server.Address() + "/",
+                          .timeout = std::chrono::seconds(30)});
+
+  ASSERT_FALSE(IsOk(result));
+  EXPECT_NE(ErrorOf(result).failure, TransportFailure::kTimedOut);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    EndlessHeadTest,
+    testing::Values(EndlessHeadCase{"Lines", "HTTP/1.1 200 OK\r\n",
+                                    "X-More: " + std::string(1000, 'a') +
+                                        "\r\n"},
+                    EndlessHeadCase{"OneLine", "HTTP/1.1 200 OK\r\nX-More: ",
+                                    std::string(1000, 'a')},
+                    EndlessHeadCase{"InterimResponses", "",
+                                    "HTTP/1.1 100 Continue\r\nX: y\r\n\r\n"}),
+    [](const auto& tested) { return tested.param.name; });
+
 TEST(HttpClientTest, RefusedConnectionIsProvedUnsent) {
   HttpClient client({});
   const auto result =
