Back off silent targets that hedges hide, and try slow ones again

Seen by a test of real processes, 60 requests a second, one of four targets accepts requests and never answers: it kept its share, 38 requests in 6 s, as 31 of them were overtaken by hedges and counted for nothing. Afterwards it was not used again within 20 s: it counted as twelve times as slow for good, since only an answer could show that it had recovered, and others had room.

Change: four attempts overtaken in a row, without any answer in between, back a target off; a slow target answers some. What is known of a slow target is forgotten between 4 and 10 s after the latest evidence.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -306,6 +306,11 @@
   /// rate.
   [[nodiscard]] Duration SpreadRetryAfter(Duration wait);
   std::vector<AttemptNumber> AbandonOpenAttempts(Request& request);
+  /// @brief Abandons the open attempts; those sent before `answered` count as
+  /// overtaken by it.
+  std::vector<AttemptNumber> AbandonOvertakenAttempts(Request& request,
+                                                      AttemptNumber answered,
+                                                      MonotonicTime now);
   /// @return the regions of the hosts of which one must send for this one.
   [[nodiscard]] std::vector<RegionName> HelperRegions(
       const Request& request) const;
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -69,6 +69,9 @@
                MonotonicTime now);
   /// This host cancelled the attempt, which is no evidence about the target.
   void OnAbandoned();
+  /// This host cancelled the attempt, since one that was sent later to another
+  /// target has been answered.
+  void OnOvertaken(MonotonicTime now);
   /// @brief Ends the backoff: the failures were not the target's.
   void ForgetFailures();
   void OnReport(const LoadReport& report, MonotonicTime now);
@@ -99,8 +102,9 @@
   /// one, by the latest report. As the report ages, it approaches 1.
   [[nodiscard]] double SlowdownAt(MonotonicTime now) const;
   /// @return the target's processing time relative to what is usual for its
-  /// service, without the reported slowdown.
-  [[nodiscard]] double RelativeTime() const { return relative_time_; }
+  /// service, without the reported slowdown. As the latest evidence ages, that
+  /// of a slow target approaches 1.
+  [[nodiscard]] double RelativeTime(MonotonicTime now) const;
 
   /// @return whether the target gets no requests because of consecutive
   /// failures. After the backoff it gets one request at a time until one
@@ -135,7 +139,7 @@
 
  private:
   void BackOff(MonotonicTime now);
-  void LearnRelativeTime(double relative_time);
+  void LearnRelativeTime(double relative_time, MonotonicTime now);
   void RecordObject(ObjectKey object);
 
   TargetRecord record_;
@@ -152,11 +156,13 @@
   };
   std::vector<HandledObject> objects_;  ///< Most recent first.
   double relative_time_ = 1.0;
+  MonotonicTime relative_time_learned_at_{};
   bool was_last_time_long_ = false;
   double slowdown_ = 1.0;
   MonotonicTime slowdown_reported_at_{};
   std::uint32_t consecutive_failures_ = 0;
   std::uint32_t consecutive_error_responses_ = 0;
+  std::uint32_t consecutive_overtaken_ = 0;
   Duration backoff_{0};
   MonotonicTime backed_off_until_{};
   MonotonicTime rest_until_{};
--- a/lib/libmedlarcroft/source/request_path/placement_policy.cc
+++ b/lib/libmedlarcroft/source/request_path/placement_policy.cc
@@ -133,7 +133,7 @@
   const double queue_length =
       std::max(0.0, placement.estimated_load + 1.0 -
                         query.options.queueing_threshold * slots);
-  const double slowness = target.RelativeTime() * target.SlowdownAt(now);
+  const double slowness = target.RelativeTime(now) * target.SlowdownAt(now);
   const double mean_work = ToSeconds(query.mean_work) * slowness;
   const double wait = queue_length / slots * mean_work;
 
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -293,8 +293,9 @@
     // Server errors are excluded: a target may send one without running the
     // request.
     crashes_.OnAnswered(request.fingerprint, now);
-    const PassOn pass_on{.attempt = attempt_number,
-                         .abandoned = AbandonOpenAttempts(request)};
+    const PassOn pass_on{
+        .attempt = attempt_number,
+        .abandoned = AbandonOvertakenAttempts(request, attempt_number, now)};
     requests_.erase(found);
     return pass_on;
   }
@@ -407,6 +408,27 @@
   requests_.erase(found);
 }
 
+std::vector<AttemptNumber> RequestPath::AbandonOvertakenAttempts(
+    Request& request,
+    AttemptNumber answered,
+    MonotonicTime now) {
+  std::vector<AttemptNumber> overtaken;
+  for (Attempt& attempt : request.attempts) {
+    TargetState* const target = targets_.Find(attempt.target);
+    // A host that is cut off, or its helper, may be the reason.
+    const bool is_evidence = attempt.is_open && attempt.number < answered &&
+                             !attempt.is_relayed && !reach_.IsCutOff();
+    if (is_evidence && target != nullptr) {
+      attempt.is_open = false;
+      overtaken.push_back(attempt.number);
+      target->OnOvertaken(now);
+    }
+  }
+  const std::vector<AttemptNumber> others = AbandonOpenAttempts(request);
+  overtaken.insert(overtaken.end(), others.begin(), others.end());
+  return overtaken;
+}
+
 std::vector<AttemptNumber> RequestPath::AbandonOpenAttempts(Request& request) {
   std::vector<AttemptNumber> abandoned;
   for (Attempt& attempt : request.attempts) {
--- a/lib/libmedlarcroft/source/request_path/request_path_admission.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_admission.cc
@@ -50,7 +50,7 @@
   const double slots = std::max(target.Record().slots, 1U);
   const Duration slot_time =
       FromSeconds(ToSeconds(ServiceTimesOf(request).MeanWork()) *
-                  target.RelativeTime() * target.SlowdownAt(now) / slots);
+                  target.RelativeTime(now) * target.SlowdownAt(now) / slots);
   const bool has_several_levels = admission.HasSeveralLevels(now);
   admission::AdmissionRequest described = request.admission;
   if (has_several_levels) {
--- a/lib/libmedlarcroft/source/request_path/request_path_reports.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_reports.cc
@@ -52,7 +52,7 @@
         attempt.load_at_send < std::max(target->Record().slots, 1U);
     if (end == AttemptEnd::kAnswered && had_free_slot) {
       const Duration usual_work =
-          FromSeconds(work / slowdown / target->RelativeTime());
+          FromSeconds(work / slowdown / target->RelativeTime(now));
       RecordWork(request, was_warm, usual_work);
     }
   }
--- a/lib/libmedlarcroft/source/request_path/target_state.cc
+++ b/lib/libmedlarcroft/source/request_path/target_state.cc
@@ -28,6 +28,9 @@
 constexpr double kLongTimeFactor = 3.0;
 constexpr double kMaxRelativeTime = 12.0;
 constexpr double kMinRelativeTime = 0.4;
+// Ages between which what is known of a slow target is forgotten.
+constexpr double kSlowTimeKeptSeconds = 4.0;
+constexpr double kSlowTimeLifetimeSeconds = 10.0;
 // The load on a target's machine changes several times per second, so a report
 // says nothing about it any more after this time.
 constexpr double kSlowdownLifetimeSeconds = 0.5;
@@ -42,6 +45,9 @@
 // half of its requests reaches eight consecutive failures only once in 256
 // times.
 constexpr std::uint32_t kErrorResponsesBeforeBackoff = 8;
+// Attempts overtaken by hedged ones, without any answer in between, before
+// backoff. A slow target answers some.
+constexpr std::uint32_t kOvertakenBeforeBackoff = 4;
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(800);
 constexpr Duration kMaxBackoff = std::chrono::seconds(6);
 // After a rest, a request whose answer takes longer than this does not hold up
@@ -105,7 +111,7 @@
                           MonotonicTime now) {
   outstanding_ -= std::min(outstanding_, 1U);
   if (relative_time) {
-    LearnRelativeTime(*relative_time);
+    LearnRelativeTime(*relative_time, now);
   }
   const bool is_failure = IsFailure(end) || IsErrorResponse(end);
   if (IsResting(now)) {
@@ -124,6 +130,7 @@
     return;
   }
   consecutive_failures_ = 0;
+  consecutive_overtaken_ = 0;
   if (IsErrorResponse(end) &&
       ++consecutive_error_responses_ >= kErrorResponsesBeforeBackoff) {
     BackOff(now);
@@ -138,7 +145,9 @@
 // A few requests take many times as long as others on any target. One of them
 // must not make its target look slow, which would move its objects to targets
 // that have to process them anew. A slow target's requests are long in a row.
-void TargetState::LearnRelativeTime(double relative_time) {
+void TargetState::LearnRelativeTime(double relative_time, MonotonicTime now) {
+  relative_time_ = RelativeTime(now);
+  relative_time_learned_at_ = now;
   const bool is_long = relative_time > kLongTimeFactor * relative_time_;
   const double largest =
       is_long && !was_last_time_long_ ? relative_time_ : kMaxRelativeTime;
@@ -148,6 +157,20 @@
   relative_time_ += kRelativeTimeGain * (bounded - relative_time_);
 }
 
+// Guards against a target that was slow once and gets no more requests, which
+// alone could show that it has recovered, as long as others have room.
+double TargetState::RelativeTime(MonotonicTime now) const {
+  if (relative_time_ <= 1.0) {
+    return relative_time_;
+  }
+  const double age = ToSeconds(now - relative_time_learned_at_);
+  const double weight =
+      std::clamp((kSlowTimeLifetimeSeconds - age) /
+                     (kSlowTimeLifetimeSeconds - kSlowTimeKeptSeconds),
+                 0.0, 1.0);
+  return 1.0 + weight * (relative_time_ - 1.0);
+}
+
 double TargetState::SlowdownAt(MonotonicTime now) const {
   const double age = std::max(0.0, ToSeconds(now - slowdown_reported_at_));
   const double weight = std::max(0.0, 1.0 - age / kSlowdownLifetimeSeconds);
@@ -164,8 +187,18 @@
   outstanding_ -= std::min(outstanding_, 1U);
 }
 
+// Guards against a target that accepts requests and never answers: hedged
+// attempts hide its failures, and it would keep its share of the requests.
+void TargetState::OnOvertaken(MonotonicTime now) {
+  OnAbandoned();
+  if (++consecutive_overtaken_ >= kOvertakenBeforeBackoff) {
+    BackOff(now);
+  }
+}
+
 void TargetState::ForgetFailures() {
   consecutive_failures_ = 0;
+  consecutive_overtaken_ = 0;
   consecutive_error_responses_ = 0;
   backoff_ = Duration(0);
 }
--- a/tests/unit/request_path/target_state_test.cc
+++ b/tests/unit/request_path/target_state_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr MonotonicTime kStart{std::chrono::hours(1)};
 
@@ -24,7 +25,7 @@
 TEST_F(TargetStateTest, SingleLongRequestIsNoEvidenceOfASlowTarget) {
   for (int request = 0; request < 300; ++request) {
     Answer(request % 33 == 20 ? 7.0 : 1.0);
-    EXPECT_LE(target_.RelativeTime(), 1.05);
+    EXPECT_LE(target_.RelativeTime(kStart), 1.05);
   }
 }
 
@@ -34,7 +35,40 @@
   for (int request = 0; request < 10; ++request) {
     Answer(5.0);
   }
-  EXPECT_GT(target_.RelativeTime(), 3.0);
+  EXPECT_GT(target_.RelativeTime(kStart), 3.0);
+}
+
+// Guards against a target that recovered while others had room, and that never
+// gets a request which would show it.
+TEST_F(TargetStateTest, SlownessIsForgottenWithoutEvidence) {
+  for (int request = 0; request < 30; ++request) {
+    Answer(12.0);
+  }
+  EXPECT_GT(target_.RelativeTime(kStart + seconds(4)), 10.0);
+  EXPECT_EQ(target_.RelativeTime(kStart + seconds(10)), 1.0);
+}
+
+// Guards against a silent target whose failures are hidden by hedged attempts.
+TEST_F(TargetStateTest, OvertakenAttemptsWithoutAnyAnswerBackOff) {
+  for (int request = 0; request < 4; ++request) {
+    EXPECT_FALSE(target_.IsBackedOff(kStart));
+    target_.OnSent(ObjectKey("o"), kStart);
+    target_.OnOvertaken(kStart);
+  }
+  EXPECT_TRUE(target_.IsBackedOff(kStart));
+  EXPECT_FALSE(target_.IsBackedOff(kStart + seconds(1)));
+}
+
+// Guards against a slow target that answers and is taken for a silent one.
+TEST_F(TargetStateTest, OvertakenAttemptsAmongAnswersDoNotBackOff) {
+  for (int request = 0; request < 20; ++request) {
+    target_.OnSent(ObjectKey("o"), kStart);
+    target_.OnOvertaken(kStart);
+    if (request % 3 == 2) {
+      Answer(5.0);
+    }
+  }
+  EXPECT_FALSE(target_.IsBackedOff(kStart));
 }
 
 struct SlowdownCase {
