Give up answers that have no end in sight

Seen on the code before: a body ended by close takes a node to 222 MB (hosts have 64 to 160), an endless chunk size too; each answer could take 64 MB, and what the parser left, a line that does not end, was not bounded.

Change: the incomplete answers of targets together take a sixteenth of the memory; beyond that the largest fails, so that one without end fails first and others complete. The same for hosts, relays (a sixteenth) and the store (an eighth). A line that the parser leaves may have 64 KB; 32 interim answers, or answers to others, may come before one. The connection is closed at once, the caller gets another target's answer or 502, and the target is backed off. Gauge medlar_endless_answers.

--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
@@ -105,6 +105,23 @@
   connections.push_back(connection);
 }
 
+// Guards against a host that runs out of memory because responses never end.
+void EventHttpClient::OnBuffered(std::size_t before, std::size_t now) {
+  buffered_bytes_ += now;
+  buffered_bytes_ -= before;
+  while (buffered_bytes_ > options_.max_buffered_bytes) {
+    const auto largest = std::ranges::max_element(
+        active_, {},
+        [](const auto& exchange) { return exchange.second->BufferedBytes(); });
+    if (largest == active_.end() || largest->second->BufferedBytes() == 0) {
+      return;
+    }
+    const auto connection = largest->second;
+    ++counters_.endless_responses;
+    connection->Fail(ExchangeFailure::kTooLarge);
+  }
+}
+
 void EventHttpClient::RemoveIdle(HttpClientConnection& connection) {
   const auto found = idle_.find(connection.Address());
   if (found != idle_.end()) {
--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.h
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.h
@@ -23,7 +23,8 @@
   kClosed,         ///< The connection ended before any byte of a response.
   kTruncated,      ///< The connection ended within the response.
   kMalformed,      ///< Not a valid response, or none to this request.
-  kTooLarge,       ///< The response exceeds `max_answer_bytes`.
+  kTooLarge,       ///< The response exceeds `max_answer_bytes`, or what all
+                   ///< responses together may take.
 };
 
 /// @brief Describes a failed exchange.
@@ -70,6 +71,8 @@
   std::uint64_t connections_reused = 0;
   std::uint64_t connect_failures = 0;
   std::uint64_t mismatched_responses = 0;  ///< Belong to another request.
+  /// Given up since they took too much, with no end in sight.
+  std::uint64_t endless_responses = 0;
 };
 
 class HttpClientConnection;
@@ -87,6 +90,9 @@
     std::size_t max_idle_per_address = 6;
     /// Closes connections whose peer acknowledges nothing for this long.
     Duration unacknowledged_timeout = std::chrono::seconds(3);
+    /// What responses that are not complete yet may take together. Beyond that
+    /// the largest of them fails, so that one that never ends fails first.
+    std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
   };
 
   EventHttpClient(EventLoop& loop, const Options& options);
@@ -114,10 +120,13 @@
                                                  Duration max_idle);
   void AddIdle(const std::shared_ptr<HttpClientConnection>& connection);
   void RemoveIdle(HttpClientConnection& connection);
+  /// @brief Counts what a connection buffers in place of what it did before.
+  void OnBuffered(std::size_t before, std::size_t now);
 
   EventLoop& loop_;
   const Options options_;
   EventHttpClientCounters counters_;
+  std::size_t buffered_bytes_ = 0;
   ExchangeId last_exchange_ = 0;
   std::unordered_map<ExchangeId, std::shared_ptr<HttpClientConnection>> active_;
   std::unordered_map<std::string,
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -17,6 +17,13 @@
 // expire this much earlier.
 constexpr Duration kIdleExpiryMargin = std::chrono::milliseconds(700);
 
+// The parser takes a body as it comes. What it leaves is a line that has not
+// ended: a head, the size of a chunk, or trailers.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} * 1024;
+// Interim responses and late responses to other requests that may precede the
+// response. A server that sends them without end never answers.
+constexpr int kMaxSkippedResponses = 32;
+
 std::optional<std::chrono::seconds> ParseKeepAliveTimeout(
     const HttpHeaders& headers) {
   const auto value = headers.Find("Keep-Alive");
@@ -52,6 +59,7 @@
 
 HttpClientConnection::~HttpClientConnection() {
   StopTimer();
+  ClearBuffers();
 }
 
 void HttpClientConnection::Start(ExchangeId exchange,
@@ -64,6 +72,7 @@
   started_at_ = client_.loop_.Now();
   has_response_bytes_ = false;
   has_started_sending_ = false;
+  skipped_responses_ = 0;
   ResetParser();
   if (is_reused_) {
     ++client_.counters_.connections_reused;
@@ -112,7 +121,8 @@
   parser_.emplace();
   parser_->eager(true);
   parser_->skip(request_.is_head_request);
-  parser_->body_limit(request_.max_answer_bytes);
+  parser_->body_limit(
+      std::min(request_.max_answer_bytes, client_.options_.max_buffered_bytes));
 }
 
 void HttpClientConnection::Parse() {
@@ -123,17 +133,48 @@
     input_.erase(0, used);
     ReportHead();
     if (error && error != http::error::need_more) {
-      Fail(error == http::error::body_limit ? ExchangeFailure::kTooLarge
-                                            : ExchangeFailure::kMalformed);
+      const bool is_too_large = error == http::error::body_limit;
+      client_.counters_.endless_responses +=
+          is_too_large || error == http::error::header_limit ? 1 : 0;
+      Fail(is_too_large ? ExchangeFailure::kTooLarge
+                        : ExchangeFailure::kMalformed);
       return;
     }
-    if (!parser_->is_done()) {
+    if (exchange_ == 0) {
       return;
     }
+    if (!parser_->is_done()) {
+      break;
+    }
     if (!HandleResponse()) {
       return;
     }
   }
+  if (exchange_ == 0) {
+    return;
+  }
+  if (input_.size() > kMaxUnparsedBytes ||
+      skipped_responses_ > kMaxSkippedResponses) {
+    ++client_.counters_.endless_responses;
+    Fail(ExchangeFailure::kMalformed);
+    return;
+  }
+  CountBuffered();
+}
+
+void HttpClientConnection::CountBuffered() {
+  const std::size_t before = buffered_bytes_;
+  buffered_bytes_ =
+      input_.size() + (parser_ ? parser_->get().body().size() : 0);
+  client_.OnBuffered(before, buffered_bytes_);
+}
+
+void HttpClientConnection::ClearBuffers() {
+  parser_.reset();
+  std::string().swap(input_);
+  if (buffered_bytes_ > 0) {
+    client_.OnBuffered(std::exchange(buffered_bytes_, 0), 0);
+  }
 }
 
 // Before the body: it may break off, and what the head says holds all the same.
@@ -161,6 +202,7 @@
   const bool keeps_alive = parser_->keep_alive();
   auto message = parser_->release();
   if (message.result_int() / 100 == 1) {
+    ++skipped_responses_;
     ResetParser();
     return true;
   }
@@ -171,6 +213,7 @@
   if (request_.is_matching_response &&
       !request_.is_matching_response(response)) {
     ++client_.counters_.mismatched_responses;
+    ++skipped_responses_;
     is_reusable_ = false;
     if (!keeps_alive) {
       Fail(ExchangeFailure::kMalformed);
@@ -200,8 +243,7 @@
   if (!input_.empty()) {
     ReportExtraHead(input_);
   }
-  parser_.reset();
-  std::string().swap(input_);
+  ClearBuffers();
   client_.active_.erase(exchange_);
   exchange_ = 0;
   request_ = {.on_head = std::move(request_.on_head)};
@@ -267,6 +309,7 @@
   StopTimer();
   exchange_ = 0;
   callback_ = nullptr;
+  ClearBuffers();
   stream_.Close();
 }
 
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
@@ -33,6 +33,9 @@
   [[nodiscard]] ExchangeId Exchange() const { return exchange_; }
   [[nodiscard]] MonotonicTime IdleSince() const { return idle_since_; }
   [[nodiscard]] MonotonicTime IdleUntil() const { return idle_until_; }
+  /// @return what the response takes so far.
+  [[nodiscard]] std::size_t BufferedBytes() const { return buffered_bytes_; }
+  void Fail(ExchangeFailure failure);
 
   void OnConnected() override;
   void OnBytes(std::string_view bytes) override;
@@ -52,7 +55,9 @@
   bool HandleResponse();
   void UpdateIdleLimit(const HttpHeaders& headers);
   void Succeed(HttpResponse response);
-  void Fail(ExchangeFailure failure);
+  /// @brief Tells the client how many bytes the response takes now.
+  void CountBuffered();
+  void ClearBuffers();
   void StopTimer();
 
   EventHttpClient& client_;
@@ -61,7 +66,9 @@
   OutboundRequest request_;
   ExchangeCallback callback_;
   std::optional<Parser> parser_;
-  std::string input_;
+  std::string input_;  ///< Not parsed yet.
+  std::size_t buffered_bytes_ = 0;
+  int skipped_responses_ = 0;  ///< Interim, or to other requests.
   bool is_head_reported_ = false;
   bool is_reused_ = false;
   bool is_reusable_ = true;
--- a/lib/libmedlarcroft/source/adapters/process/node_settings.cc
+++ b/lib/libmedlarcroft/source/adapters/process/node_settings.cc
@@ -108,8 +108,9 @@
   schema
       .Integer(
           "memory_mb", &NodeSettings::memory_mb, {16, 1'000'000},
-          {.description = "memory limit of the process, MB; request bodies "
-                          "use at most a quarter of it"})
+          {.description = "memory limit of the process, MB; a request's body "
+                          "uses at most a sixteenth of it, as do the targets' "
+                          "incomplete answers together"})
       .Real("link_mbps", &NodeSettings::link_mbps, {0.001, 1e6},
             {.description =
                  "bandwidth of the host's network link, Mbit/s; hosts with "
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -33,6 +33,11 @@
 constexpr Duration kReaderDiscoveryPollPeriod = std::chrono::milliseconds(20);
 // A request body may take at most the host's memory divided by this.
 constexpr std::size_t kBodyMemoryDivisor = 16;
+// Responses of targets that are not complete yet may take at most the host's
+// memory divided by this, together. Buffers grow to twice what they hold.
+constexpr std::size_t kAnswerMemoryDivisor = 16;
+// The same for those of the store, which may be whole tables.
+constexpr std::size_t kStoreAnswerMemoryDivisor = 8;
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 
 // Memory that relays for other hosts may use, and what one of them holds: the
@@ -90,8 +95,13 @@
                                         .window = kShiftWindow}}};
 }
 
+std::size_t MemoryPart(const adapters::NodeSettings& settings,
+                       std::size_t divisor) {
+  return settings.memory_mb * kMegabyte / divisor;
+}
+
 std::size_t MaxRelays(const adapters::NodeSettings& settings) {
-  return settings.memory_mb * kMegabyte / kRelayMemoryDivisor / kBytesPerRelay;
+  return MemoryPart(settings, kRelayMemoryDivisor) / kBytesPerRelay;
 }
 
 process::StopSequence::Options StopOptions(
@@ -113,7 +123,9 @@
       regions_(RegionsOf(settings)),
       targets_(regions_, *this),
       path_(PathOptions(settings), routes_, targets_, random_),
-      caller_(loop, {}),
+      caller_(
+          loop,
+          {.max_buffered_bytes = MemoryPart(settings_, kAnswerMemoryDivisor)}),
       telemetry_(metrics_, loop.Clock()),
       spans_(settings_.telemetry,
              {.program = "medlar-node",
@@ -123,7 +135,10 @@
               random_,
               spans_.Exporter(),
               settings_.telemetry.trace_sampling),
-      relay_caller_(loop, {.max_idle_per_address = kIdleRelayConnections}),
+      relay_caller_(
+          loop,
+          {.max_idle_per_address = kIdleRelayConnections,
+           .max_buffered_bytes = MemoryPart(settings_, kAnswerMemoryDivisor)}),
       relay_sender_({.loop = loop,
                      .caller = relay_caller_,
                      .random = random_,
@@ -157,9 +172,14 @@
                         crash_sharing_.OnCrash(interrupted);
                       },
                   .relays = relay_sender_}),
-      store_(loop, {.address = settings.store_address}, metrics_),
+      store_(loop,
+             {.address = settings.store_address,
+              .max_buffered_bytes =
+                  MemoryPart(settings_, kStoreAnswerMemoryDivisor)},
+             metrics_),
       peers_(settings_,
              {.loop = loop,
+              .max_buffered_bytes = MemoryPart(settings_, kAnswerMemoryDivisor),
               .store = store_,
               .random = random_,
               .regions = regions_,
@@ -425,8 +445,7 @@
 void Node::OnConfiguration() {
   quota_sharing_.SetAccounts(routes_.Accounts().Accounts());
   const routing::CallerLimits& limits = routes_.Limits();
-  const std::size_t memory_limit =
-      settings_.memory_mb * kMegabyte / kBodyMemoryDivisor;
+  const std::size_t memory_limit = MemoryPart(settings_, kBodyMemoryDivisor);
   caller_listener_->SetLimits(
       {.max_header_bytes = limits.max_header_bytes,
        .max_body_bytes = std::min(limits.max_body_bytes, memory_limit),
--- a/programs/node/node_gauges.cc
+++ b/programs/node/node_gauges.cc
@@ -59,6 +59,11 @@
       [this] {
         return static_cast<double>(caller_.Counters().connections_opened);
       });
+  add({"medlar_endless_answers",
+       "Answers of targets that were given up since they took too much."},
+      [this] {
+        return static_cast<double>(caller_.Counters().endless_responses);
+      });
 }
 
 }  // namespace medlarcroft::node
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -68,7 +68,9 @@
               .forget_after = kHostLostTimeout},
              MakeOwnState(settings, parts.loop.Clock()),
              parts.loop.Clock()),
-      caller_(parts.loop, {.max_idle_per_address = 1}),
+      caller_(parts.loop,
+              {.max_idle_per_address = 1,
+               .max_buffered_bytes = parts.max_buffered_bytes}),
       readers_({.host = HostName(settings.host),
                 .failure_domain = FailureDomainName(settings.failure_domain),
                 .other_readers_asked = replication::OtherReadersAsked(
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -35,6 +35,8 @@
  public:
   struct Parts {
     adapters::EventLoop& loop;
+    /// What answers of other hosts that are not complete yet may take together.
+    std::size_t max_buffered_bytes;
     platform::StoreClient& store;
     ports::RandomSource& random;
     const request_path::DomainRegions& regions;
--- a/tests/system/platform_standins.py
+++ b/tests/system/platform_standins.py
@@ -64,10 +64,12 @@
 class Store:
     """A store with rows, preconditions and a change feed. While `error_status` is set, all responses have this status.
     While `is_hung`, connections stay open and calls are accepted: calls that arrive in this time are never answered, and
-    calls held since before are answered afterwards."""
+    calls held since before are answered afterwards. While `endless` is set to (begin, repeated, pause), responses are these
+    bytes, until the caller closes the connection."""
 
     def __init__(self, address):
         self.error_status = None
+        self.endless = None
         self.is_hung = False
         self.version = 0
         self.rows = {}  # (table, key) -> (value, version)
@@ -142,6 +144,20 @@
         entry["address"] = addresses.get(row["key"], addresses.get(entry["address"], entry["address"]))
         return {**row, "value": base64.b64encode(json.dumps(entry).encode()).decode()}
 
+    def _is_answered_without_end(self, handler):
+        if not self.endless:
+            return False
+        begin, repeated, pause_s = self.endless
+        handler.close_connection = True
+        try:
+            handler.wfile.write(begin)
+            while self.endless:
+                handler.wfile.write(repeated)
+                time.sleep(pause_s)
+        except OSError:
+            pass
+        return True
+
     def _get(self, handler, target_addresses=None):
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -166,6 +182,8 @@
                 rows = [self._with_other_address(row, target_addresses) for row in rows]
             now = "%dms" % (time.monotonic() * 1000)
             body = {"rows": rows, "has_more": False, "schema_version": self.version, "now": now}
+        if self._is_answered_without_end(handler):
+            return
         if self.error_status:
             handler.answer(self.error_status)
             return
@@ -173,7 +191,7 @@
 
     def _post(self, handler):
         transaction = json.loads(handler.body())
-        if self._is_call_dropped(handler):
+        if self._is_call_dropped(handler) or self._is_answered_without_end(handler):
             return
         if self.error_status:
             handler.answer(self.error_status)
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -50,7 +50,7 @@
 class Node:
     """A medlar-node process with its log file."""
 
-    def __init__(self, folder, number, store_port, store=None, telemetry=None, region="r1"):
+    def __init__(self, folder, number, store_port, store=None, telemetry=None, region="r1", memory_mb=256):
         ip = f"{NET}.1.{number}"
         self.name, self.caller, self.lookup = f"edge-{number}", (ip, 18100), (ip, 18102)
         self.readiness, self.metrics = (ip, 18101), (ip, 18104)
@@ -61,7 +61,7 @@
             "domains": [{"domain": "z1", "region": "r1"}, {"domain": "z2", "region": "r2"}],
             "caller_listen": f"{ip}:18100", "readiness_listen": f"{ip}:18101", "lookup_listen": f"{ip}:18102",
             "peer_listen": f"{ip}:18103", "metrics_listen": f"{ip}:18104", "store_address": store or f"{NET}.0.1:{store_port}",
-            "telemetry": telemetry or {}}))
+            "memory_mb": memory_mb, "telemetry": telemetry or {}}))
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen([NODE, "--settings", settings], stdout=log)
 
--- a/tests/unit/adapters/event/event_http_client_test.cc
+++ b/tests/unit/adapters/event/event_http_client_test.cc
@@ -368,5 +368,107 @@
   EXPECT_EQ(client_.IdleConnections(), 0U);
 }
 
+struct EndlessCase {
+  std::string name;
+  std::string begin;
+  std::string repeated;
+  ExchangeFailure failure;
+};
+
+class EndlessResponseTest : public EventHttpClientTest,
+                            public testing::WithParamInterface<EndlessCase> {};
+
+// Guards against a response without end, which is kept until memory is used up.
+TEST_P(EndlessResponseTest, FailsBeforeItTakesMuch) {
+  constexpr std::size_t kMaxBuffered = std::size_t{1} << 20;
+  constexpr std::size_t kSent = std::size_t{64} << 20;
+  ScriptedServer server([](ScriptedConnection& connection, int) {
+    connection.ReadHead();
+    connection.Write(GetParam().begin);
+    for (std::size_t sent = 0; sent < kSent;
+         sent += GetParam().repeated.size()) {
+      connection.Write(GetParam().repeated);
+    }
+  });
+  EventHttpClient client(loop_, {.max_buffered_bytes = kMaxBuffered});
+  std::optional<ExchangeResult> result;
+  client.Send(MakeRequest(server), [&](ExchangeResult completed) {
+    result = std::move(completed);
+    loop_.Finish(0);
+  });
+  loop_.Run();
+
+  ASSERT_FALSE(IsOk(*result));
+  EXPECT_EQ(ErrorOf(*result).failure, GetParam().failure);
+}
+
+const std::string kHead = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string kPiece(16'384, '0');
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    EndlessResponseTest,
+    testing::Values(
+        EndlessCase{"HeadLines", kHead, "X-More: " + kPiece + "\r\n",
+                    ExchangeFailure::kMalformed},
+        EndlessCase{"OneHeadLine", kHead + "X-More: ", kPiece,
+                    ExchangeFailure::kMalformed},
+        EndlessCase{"InterimResponses", "", "HTTP/1.1 100 Continue\r\n\r\n",
+                    ExchangeFailure::kMalformed},
+        EndlessCase{"ResponsesToOthers", "",
+                    "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 0\r\n\r\n",
+                    ExchangeFailure::kMalformed},
+        EndlessCase{"ChunkSize", kChunkedHead, kPiece,
+                    ExchangeFailure::kMalformed},
+        EndlessCase{"Chunks", kChunkedHead, "4000\r\n" + kPiece + "\r\n",
+                    ExchangeFailure::kTooLarge},
+        EndlessCase{"Trailers", kChunkedHead + "0\r\n",
+                    "X-More: " + kPiece + "\r\n", ExchangeFailure::kMalformed},
+        EndlessCase{"UntilClose", kHead + "\r\n", kPiece,
+                    ExchangeFailure::kTooLarge},
+        EndlessCase{"AnnouncedLength",
+                    kHead + "Content-Length: 99999999999\r\n\r\n", kPiece,
+                    ExchangeFailure::kTooLarge}),
+    [](const auto& tested) { return tested.param.name; });
+
+// Guards against an endless response that takes the memory of the others: the
+// largest one fails, and the others complete.
+TEST_F(EventHttpClientTest, LargestResponseFailsWhenAllTakeTooMuch) {
+  constexpr std::size_t kMaxBuffered = std::size_t{1} << 20;
+  std::atomic<bool> has_endless_failed = false;
+  const std::string large(kMaxBuffered / 4, 'a');
+  ScriptedServer sound([&](ScriptedConnection& connection, int) {
+    connection.ReadHead();
+    connection.Write(kHead + "\r\n" + large);
+    while (!has_endless_failed) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+  });
+  ScriptedServer endless([](ScriptedConnection& connection, int) {
+    connection.ReadHead();
+    connection.Write(kHead + "\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    for (std::size_t sent = 0; sent < 8 * kMaxBuffered; sent += kPiece.size()) {
+      connection.Write(kPiece);
+    }
+  });
+  EventHttpClient client(loop_, {.max_buffered_bytes = kMaxBuffered});
+  std::optional<ExchangeResult> sound_result;
+  client.Send(MakeRequest(sound), [&](ExchangeResult completed) {
+    sound_result = std::move(completed);
+    loop_.Finish(0);
+  });
+  client.Send(MakeRequest(endless), [&](const ExchangeResult& completed) {
+    ASSERT_FALSE(IsOk(completed));
+    EXPECT_EQ(ErrorOf(completed).failure, ExchangeFailure::kTooLarge);
+    has_endless_failed = true;
+  });
+  loop_.Run();
+
+  ASSERT_TRUE(IsOk(*sound_result));
+  EXPECT_EQ(ValueOf(*sound_result).body, large);
+}
+
 }  // namespace
 }  // namespace medlarcroft::adapters
