Check what a response announces before its memory is reserved

Found by system_endless_answer (announced_body): a target that announces a body of 99,999,999,999 bytes and sends some of it at once ends every node that asks it (std::bad_alloc; the stack shows the parser reserving the announced length).

Cause: when the parser reads head and body in one step, it goes on after the limit is passed, and reserves before it returns the error. Change: the head is read in a step of its own, and the body only after it has been accepted.

Evidence: on the code before, EndlessResponseTest/AnnouncedLengthAndBodyAtOnce ends its process, BadRequestTest/ChunkSizeWithoutEnd gets no answer within 15 s, and the form announced_body ends the node. After: all pass. A request that announces as much was answered 413 before as well (BodyBeyondAnyMemory).

--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -119,7 +119,6 @@
 void HttpClientConnection::ResetParser() {
   is_head_reported_ = false;
   parser_.emplace();
-  parser_->eager(true);
   parser_->skip(request_.is_head_request);
   parser_->body_limit(
       std::min(request_.max_answer_bytes, client_.options_.max_buffered_bytes));
@@ -131,6 +130,9 @@
     const std::size_t used =
         parser_->put(boost::asio::buffer(input_.data(), input_.size()), error);
     input_.erase(0, used);
+    // Only then: if the parser read the body in the same step, it would reserve
+    // the announced length before it tells that this is too much.
+    parser_->eager(parser_->is_header_done());
     ReportHead();
     if (error && error != http::error::need_more) {
       const bool is_too_large = error == http::error::body_limit;
@@ -144,7 +146,10 @@
       return;
     }
     if (!parser_->is_done()) {
-      break;
+      if (used == 0) {
+        break;
+      }
+      continue;
     }
     if (!HandleResponse()) {
       return;
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -1,5 +1,6 @@
 #include "adapters/event/http_server_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "adapters/event/http_serialization.h"
@@ -75,6 +76,10 @@
   if (error == http::error::need_more) {
     error = {};
   }
+  // Guards against a caller whose chunk size never ends.
+  if (!error && !parser_->is_done() && input_.size() > MaxUnparsedBytes()) {
+    error = http::error::bad_chunk;
+  }
   if (error) {
     ++listener_->counters_.malformed;
     RejectRequest(StatusOf(error));
@@ -98,6 +103,10 @@
   }
 }
 
+std::size_t HttpServerConnection::MaxUnparsedBytes() const {
+  return std::max(kMaxPipelinedBytes, listener_->limits_.max_header_bytes);
+}
+
 void HttpServerConnection::DispatchRequest() {
   phase_ = Phase::kServing;
   listener_->loop_.Cancel(deadline_);
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
@@ -44,6 +44,7 @@
   enum class Phase { kIdle, kReading, kServing, kClosing };
 
   void Parse();
+  [[nodiscard]] std::size_t MaxUnparsedBytes() const;
   void DispatchRequest();
   void RejectRequest(int status);
   void WaitForRequest();
--- a/tests/system/endless_answer_test.py
+++ b/tests/system/endless_answer_test.py
@@ -34,6 +34,7 @@
     "chunks": (CHUNKED, "4000\r\n" + "a" * 0x4000 + "\r\n", 0),
     "trailers": (CHUNKED + "5\r\nhello\r\n0\r\n", "X-More: " + "a" * 1000 + "\r\n", 0),
     "body_ended_by_close": (OK_HEAD + "Connection: close\r\n\r\n", "a" * PIECE, 0),
+    "announced_body": (OK_HEAD + "Content-Length: 99999999999\r\n\r\n", "a" * PIECE, 0),
     "after_a_whole_answer": (OK_HEAD + "Content-Length: 5\r\n\r\nhello", "a" * PIECE, 0),
     "answers_to_others": ("", OK_HEAD.format(id="other") + "Content-Length: 5\r\n\r\nhello", 0),
     "slow_lines": (OK_HEAD, "X-More: a\r\n", 0.1),
--- a/tests/unit/adapters/event/event_http_client_test.cc
+++ b/tests/unit/adapters/event/event_http_client_test.cc
@@ -429,7 +429,10 @@
                     ExchangeFailure::kTooLarge},
         EndlessCase{"AnnouncedLength",
                     kHead + "Content-Length: 99999999999\r\n\r\n", kPiece,
-                    ExchangeFailure::kTooLarge}),
+                    ExchangeFailure::kTooLarge},
+        EndlessCase{"AnnouncedLengthAndBodyAtOnce",
+                    kHead + "Content-Length: 99999999999\r\n\r\n" + kPiece,
+                    kPiece, ExchangeFailure::kTooLarge}),
     [](const auto& tested) { return tested.param.name; });
 
 // Guards against an endless response that takes the memory of the others: the
--- a/tests/unit/adapters/event/http_listener_test.cc
+++ b/tests/unit/adapters/event/http_listener_test.cc
@@ -180,6 +180,16 @@
                        "POST / HTTP/1.1\r\nHost: h\r\n"
                        "Content-Length: 11\r\n\r\n",
                        "413"},
+        // Guards against a host that reserves what a caller announces.
+        BadRequestCase{"BodyBeyondAnyMemory",
+                       "POST / HTTP/1.1\r\nHost: h\r\n"
+                       "Content-Length: 99999999999\r\n\r\nbody",
+                       "413"},
+        BadRequestCase{"ChunkSizeWithoutEnd",
+                       "POST / HTTP/1.1\r\nHost: h\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n" +
+                           std::string(100'000, '0'),
+                       "400"},
         BadRequestCase{"ContentLengthAndChunked",
                        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
                        "Transfer-Encoding: chunked\r\n\r\n",
