Show that a spoilt status reaches the client as bytes that are no answer

A status below 100 in an upstream's wrong bytes is taken for a good answer and written with fewer than three digits (rule MIXED). In a first form, without sticky routes, one upstream got nearly all requests and nothing was spoilt.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -221,9 +221,9 @@
     return answer
 
 
-def request_text(method, path, attempt, deadline_ms, body=b""):
-    head = "%s %s HTTP/1.1\r\nHost: %s\r\nX-Medlarcroft-Attempt-Id: %s\r\nX-Medlarcroft-Affinity-Key: 7\r\n" \
-           "X-Medlarcroft-Deadline-Ms: %d\r\n" % (method, path, HOST, attempt, deadline_ms)
+def request_text(method, path, attempt, deadline_ms, body=b"", object_key="7"):
+    head = "%s %s HTTP/1.1\r\nHost: %s\r\nX-Medlarcroft-Attempt-Id: %s\r\nX-Medlarcroft-Affinity-Key: %s\r\n" \
+           "X-Medlarcroft-Deadline-Ms: %d\r\n" % (method, path, HOST, attempt, object_key, deadline_ms)
     if body:
         head += "Content-Length: %d\r\n" % len(body)
     return head.encode() + b"\r\n" + body
