Log by which configuration a request was placed

A request may run in a region that only an earlier configuration allows. No line told which version of the configuration placed it, how old the host's knowledge of it was, and which regions it allowed, so that an outdated host, a host that believes itself up to date and a request that keeps what it began with could not be told apart.

request-placed and request-sent-again now carry configuration, configuration_age_ms and allowed_regions. No decision changes.

--- a/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
@@ -97,6 +97,10 @@
   /// @return the time since the last answer of the store, or of a host that
   /// reads it; nullopt when there was none.
   [[nodiscard]] std::optional<Duration> Age() const;
+  /// @return when that answer came.
+  [[nodiscard]] std::optional<MonotonicTime> ConfirmedAt() const {
+    return answered_at_;
+  }
   [[nodiscard]] bool IsDisconnected() const {
     return disconnected_since_.has_value();
   }
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -78,8 +78,12 @@
   /// @brief Sets this host's share of the limits for all hosts.
   void SetShare(const membership::HostShare& share) { share_ = share; }
   /// @brief Sets whether the configuration may be older than the one in force.
-  void SetConfigurationStale(bool is_stale) {
+  /// @param confirmed_at when the store last confirmed it; nullopt: never.
+  void SetConfigurationStale(
+      bool is_stale,
+      std::optional<MonotonicTime> confirmed_at = std::nullopt) {
     is_configuration_stale_ = is_stale;
+    configuration_confirmed_at_ = confirmed_at;
   }
 
   /// @brief Checks requests against the quotas of their accounts.
@@ -189,6 +193,7 @@
   };
   struct Request {
     std::shared_ptr<const routing::Route> route;
+    std::uint64_t configuration = 0;  ///< Version of `route`.
     ServiceName service;
     /// Kept from arrival to the end, although the configuration may change.
     std::shared_ptr<const routing::ClientAccount> account;
@@ -272,6 +277,8 @@
                       MonotonicTime now);
   /// @return the demand that the configuration in force binds to regions.
   [[nodiscard]] std::span<const BoundDemand> BoundDemands();
+  [[nodiscard]] PlacementBasis BasisOf(const Request& request,
+                                       MonotonicTime now) const;
   [[nodiscard]] Step Send(Request& request,
                           const Placement& placement,
                           MonotonicTime now);
@@ -331,6 +338,7 @@
   TargetReach reach_;
   membership::HostShare share_{.hosts = 1};
   bool is_configuration_stale_ = false;
+  std::optional<MonotonicTime> configuration_confirmed_at_;
   quota::QuotaGate* quotas_ = nullptr;
   /// Requests that wait for a token, in the order of arrival. Some of them may
   /// have ended.
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
@@ -84,6 +84,16 @@
   std::optional<AdmissionLimit> limit;  ///< For `kOverloaded`.
 };
 
+/// @brief The configuration by which a send was placed, for the log.
+struct PlacementBasis {
+  std::uint64_t configuration = 0;  ///< Version.
+  /// Since the store last confirmed that this version is the newest one;
+  /// nullopt: never.
+  std::optional<Duration> configuration_age;
+  /// Regions whose targets may run the request; empty: all.
+  std::vector<RegionName> allowed_regions;
+};
+
 /// @brief Send the request to `target` now.
 struct SendAttempt {
   AttemptNumber attempt = 0;
@@ -100,6 +110,7 @@
   std::optional<Duration> hedge_after;
   Placement placement;
   std::optional<Duration> report_age;
+  PlacementBasis basis;
   /// Regions of the hosts of which one must send it, since this host is cut off
   /// from the targets, in order of preference; an empty name: any region. None:
   /// this host sends it.
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
+#include <string>
 #include <utility>
 
 namespace medlarcroft::adapters {
@@ -67,6 +69,14 @@
                            : RequestOutcome::kFailed;
 }
 
+std::string JoinNames(std::span<const RegionName> names) {
+  std::string joined;
+  for (const RegionName& name : names) {
+    joined.append(joined.empty() ? "" : ",").append(name.Value());
+  }
+  return joined;
+}
+
 void LogSend(WallTime at,
              std::string_view id,
              const routing::Route& route,
@@ -91,7 +101,13 @@
        {"report_age_ms",
         attempt.report_age ? ToMilliseconds(*attempt.report_age) : -1},
        {"rank", placement.rank},
-       {"is_warm", placement.is_warm}});
+       {"is_warm", placement.is_warm},
+       {"configuration", attempt.basis.configuration},
+       {"configuration_age_ms",
+        attempt.basis.configuration_age
+            ? ToMilliseconds(*attempt.basis.configuration_age)
+            : -1},
+       {"allowed_regions", JoinNames(attempt.basis.allowed_regions)}});
 }
 
 void LogAttemptEnd(WallTime at,
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -103,6 +103,7 @@
 
   Request state{
       .route = start.route,
+      .configuration = routes_.Version(),
       .service = start.service,
       .account = start.account,
       .allowed_regions = AllowedRegions(*start.route, start.account.get()),
@@ -185,6 +186,16 @@
   return Send(request, *placement, now);
 }
 
+PlacementBasis RequestPath::BasisOf(const Request& request,
+                                    MonotonicTime now) const {
+  PlacementBasis basis{.configuration = request.configuration,
+                       .allowed_regions = request.allowed_regions};
+  if (configuration_confirmed_at_) {
+    basis.configuration_age = now - *configuration_confirmed_at_;
+  }
+  return basis;
+}
+
 Step RequestPath::Send(Request& request,
                        const Placement& placement,
                        MonotonicTime now) {
@@ -206,7 +217,8 @@
       .should_announce = request.route->is_sticky &&
                          target.ShouldAnnounce(request.object, now),
       .placement = placement,
-      .report_age = target.ReportAge(now)};
+      .report_age = target.ReportAge(now),
+      .basis = BasisOf(request, now)};
   if (reach_.IsCutOff()) {
     send.helper_regions = HelperRegions(request);
   }
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -405,7 +405,8 @@
   // that was added meanwhile would be rejected, and its caller would not retry.
   // While a response of the store is overdue, a missing route may be an update
   // that has not arrived, so meanwhile the rejection names a time to retry.
-  path_.SetConfigurationStale(operator_follower_.IsOverdue());
+  path_.SetConfigurationStale(operator_follower_.IsOverdue(),
+                              operator_follower_.ConfirmedAt());
   UpdateFollowTiming();
   UpdatePhase();
   AdvanceStop();
