Show that requests run by regions that are no longer in force

Five tests fail on this code and are listed: a host that may have missed changes sends by the regions that it knows (first sends and retries, by route and by account); retries and hedges keep the regions of the request's arrival; a target whose entry names another failure domain keeps the region of its first entry.

--- a/tests/unit/request_path/client_account_test.cc
+++ b/tests/unit/request_path/client_account_test.cc
@@ -264,6 +264,82 @@
         RegionCase{"Disjoint", {kHere}, {kThere}, {}}),
     [](const auto& tested) { return tested.param.name; });
 
+struct OutdatedCase {
+  std::string name;
+  std::vector<RegionName> of_route;
+  std::vector<RegionName> of_account;
+  bool runs = false;
+};
+
+class OutdatedHostTable : public ClientAccountTest,
+                          public testing::WithParamInterface<OutdatedCase> {};
+
+// Guards against requests that run in a region which the configuration in force
+// forbids, on a host that may have missed that configuration.
+TEST_P(OutdatedHostTable, RunsNothingByRegionsThatMayHaveChanged) {
+  ClientAccount account = AccountWithKey("key-1");
+  account.allowed_regions = GetParam().of_account;
+  Configure({account}, GetParam().of_route);
+  const RequestStart before = Begin("key-1");
+  path_.SetConfigurationStale(true);
+
+  const RequestStart start = Begin("key-1");
+  const Step retry =
+      path_.OnAttemptEnd(before.ticket, 1, AttemptEnd::kNotRun, kStart);
+
+  EXPECT_EQ(std::holds_alternative<SendAttempt>(start.step), GetParam().runs);
+  EXPECT_EQ(std::holds_alternative<SendAttempt>(retry), GetParam().runs);
+  for (const Step& step : {start.step, retry}) {
+    if (const auto* const failure = std::get_if<RequestFailure>(&step)) {
+      EXPECT_TRUE(failure->is_not_run);
+      EXPECT_TRUE(failure->retry_after);
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    OutdatedHostTable,
+    testing::Values(OutdatedCase{"Anywhere", {}, {}, true},
+                    OutdatedCase{"ByRoute", {kThere, kBeyond}, {}, false},
+                    OutdatedCase{"ByAccount", {}, {kThere, kBeyond}, false}),
+    [](const auto& tested) { return tested.param.name; });
+
+// Guards against later sends of a request that run where the configuration of
+// its arrival allowed it and the one in force does not.
+TEST_F(ClientAccountTest, ALaterSendRunsWhereTheConfigurationInForceAllows) {
+  Configure({}, {kThere, kBeyond});
+  const RequestStart retried = Begin(std::nullopt);
+  const RequestStart hedged = Begin(std::nullopt, "/closed/2");
+  Configure({}, {kHere});
+
+  const Step retry =
+      path_.OnAttemptEnd(retried.ticket, 1, AttemptEnd::kNotRun, kStart);
+  const Step hedge = path_.OnSlow(hedged.ticket, kStart);
+
+  for (const Step& step : {retry, hedge}) {
+    ASSERT_TRUE(std::holds_alternative<SendAttempt>(step));
+    EXPECT_EQ(std::get<SendAttempt>(step).region, kHere);
+  }
+}
+
+// Guards against later sends to any region when the route and the account have
+// no region in common any more.
+TEST_F(ClientAccountTest, NoLaterSendWhenNoRegionIsLeft) {
+  ClientAccount account = AccountWithKey("key-1");
+  account.allowed_regions = {kThere, kBeyond};
+  Configure({account}, {kThere, kBeyond});
+  const RequestStart start = Begin("key-1");
+  Configure({account}, {kHere});
+
+  const Step retry =
+      path_.OnAttemptEnd(start.ticket, 1, AttemptEnd::kNotRun, kStart);
+
+  ASSERT_TRUE(std::holds_alternative<RequestFailure>(retry));
+  EXPECT_EQ(std::get<RequestFailure>(retry).reason,
+            FailureReason::kRegionForbidden);
+}
+
 // Guards against refusing requests that may run anywhere because their region
 // is full with an account that may run nowhere else, while others have room.
 TEST_F(ClientAccountTest, RequestsLeaveARegionThatAnAccountFills) {
--- a/tests/unit/request_path/target_directory_test.cc
+++ b/tests/unit/request_path/target_directory_test.cc
@@ -282,5 +282,16 @@
   EXPECT_EQ(directory_.ReachCandidates(kStart + seconds(3)).size(), 2U);
 }
 
+// Guards against requests that leave the regions they may run in, because a
+// target's region is still the one of its first entry.
+TEST_F(TargetDirectoryTest, ATargetHasTheRegionOfItsLatestEntry) {
+  List({MakeTarget("t1", "a")});
+  directory_.Put(MakeTarget("t1", "b"), kStart);
+
+  const auto usable = directory_.Usable(kService);
+  ASSERT_EQ(usable.size(), 1U);
+  EXPECT_EQ(usable.front().region, RegionName("south"));
+}
+
 }  // namespace
 }  // namespace medlarcroft::request_path
