Take a target's region from its latest entry

Callers whose requests may run in some regions only would be sent to a target elsewhere: an entry that names another failure domain for the known process updated the target's record, but its region stayed that of the first entry, in placement and in the log.

The region now follows the entry.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/target_state.h
@@ -55,6 +55,7 @@
   [[nodiscard]] const RegionName& Region() const { return region_; }
   [[nodiscard]] TargetNumber Number() const { return number_; }
   void Update(TargetRecord record) { record_ = std::move(record); }
+  void SetRegion(RegionName region) { region_ = std::move(region); }
   /// @return the target's rank value for an object: the target with the
   /// greatest value comes first, on every host.
   [[nodiscard]] std::uint64_t OrderOf(ObjectKey object) const;
--- a/lib/libmedlarcroft/source/request_path/target_directory.cc
+++ b/lib/libmedlarcroft/source/request_path/target_directory.cc
@@ -93,6 +93,7 @@
   }
   const bool leaves_now = target.is_leaving && !known.is_leaving;
   entry.state->Update(target);
+  entry.state->SetRegion(RegionOf(target.domain));
   usable_.clear();
   observer_.OnTargetChange(
       leaves_now ? TargetChange::kLeaving : TargetChange::kUpdated, target);
