Send later attempts by the regions in force

A caller's request that waits for a quota token, a connection, a retry or a hedge, or for another host to send it, ran where the configuration of its arrival allowed it, also when a newer one in force forbade that region.

The regions are determined anew before each send and when a connection is there, if the version has changed: by the route that the request matches now and the account of its arrival as it is now. An account or route that is gone restricts it as before, and keys stay as decided (a request keeps the account of its arrival).

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -149,11 +149,15 @@
                 const TargetNotice& notice,
                 std::string_view request,
                 MonotonicTime now);
-  /// @return whether a request that was placed on the process may be sent now.
+  /// @return whether requests may be sent to the process now.
   [[nodiscard]] bool MaySend(const TargetIdentity& target,
                              MonotonicTime now) const {
     return targets_.FindUsableAddress(target, now).has_value();
   }
+  /// @return whether a request that was placed on the process may be sent now.
+  [[nodiscard]] bool MaySend(RequestTicket ticket,
+                             const TargetIdentity& target,
+                             MonotonicTime now);
   [[nodiscard]] bool IsResting(const TargetIdentity& target,
                                MonotonicTime now) const;
   /// @return whether the process rests or leaves.
@@ -191,14 +195,24 @@
     bool is_relayed = false;
     bool is_open = true;
   };
+  /// @brief What a request's route is found by.
+  struct RouteQuery {
+    std::string host;
+    std::string target;
+  };
   struct Request {
+    RouteQuery caller;
+    /// Kept from arrival to the end, although the configuration may change.
     std::shared_ptr<const routing::Route> route;
-    std::uint64_t configuration = 0;  ///< Version of `route`.
+    /// Version by which `allowed_regions` were last determined.
+    std::uint64_t configuration = 0;
     ServiceName service;
     /// Kept from arrival to the end, although the configuration may change.
     std::shared_ptr<const routing::ClientAccount> account;
     /// Regions whose targets may run the request; empty: all.
     std::vector<RegionName> allowed_regions;
+    /// Whether the route and the account allow no region in common.
+    bool is_region_forbidden = false;
     bool waits_for_token = false;
     /// Until when the token that the request took can be given back.
     std::optional<MonotonicTime> token_valid_until;
@@ -277,6 +291,11 @@
                       MonotonicTime now);
   /// @return the demand that the configuration in force binds to regions.
   [[nodiscard]] std::span<const BoundDemand> BoundDemands();
+  /// @brief Determines the regions anew if the configuration has changed.
+  void UpdateRegions(Request& request);
+  /// @return why the request must not be sent to any region now; nullopt: it
+  /// may be sent to its regions.
+  [[nodiscard]] std::optional<RequestFailure> CheckRegions(Request& request);
   [[nodiscard]] PlacementBasis BasisOf(const Request& request,
                                        MonotonicTime now) const;
   [[nodiscard]] Step Send(Request& request,
--- a/lib/libmedlarcroft/include/medlarcroft/routing/client_account.h
+++ b/lib/libmedlarcroft/include/medlarcroft/routing/client_account.h
@@ -45,6 +45,10 @@
   [[nodiscard]] std::shared_ptr<const ClientAccount> Find(
       const ApiKeyDigest& key) const;
 
+  /// @return the account of that name; null: none.
+  [[nodiscard]] std::shared_ptr<const ClientAccount> FindByName(
+      const ClientAccountName& name) const;
+
   /// @return whether callers need a key.
   [[nodiscard]] bool IsEmpty() const { return accounts_.empty(); }
   [[nodiscard]] std::span<const std::shared_ptr<const ClientAccount>> Accounts()
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -218,7 +218,7 @@
                                             const SendAttempt& attempt) {
   const auto found = active_requests_.find(ticket);
   if (found == active_requests_.end() ||
-      parts_.path.MaySend(attempt.target, parts_.loop.Now())) {
+      parts_.path.MaySend(ticket, attempt.target, parts_.loop.Now())) {
     return false;
   }
   ActiveRequest& active = *found->second;
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 #include <utility>
 
+#include "medlarcroft/request_path/allowed_regions.h"
+
 namespace medlarcroft::request_path {
 
 namespace {
@@ -35,34 +36,6 @@
          end == AttemptEnd::kHelperLost;
 }
 
-/// @return the regions that both the route and the account allow; empty: all.
-std::vector<RegionName> AllowedRegions(const routing::Route& route,
-                                       const routing::ClientAccount* account) {
-  if (account == nullptr || account->allowed_regions.empty()) {
-    return route.allowed_regions;
-  }
-  if (route.allowed_regions.empty()) {
-    return account->allowed_regions;
-  }
-  std::vector<RegionName> common;
-  std::ranges::copy_if(route.allowed_regions, std::back_inserter(common),
-                       [&](const RegionName& region) {
-                         return std::ranges::find(account->allowed_regions,
-                                                  region) !=
-                                account->allowed_regions.end();
-                       });
-  return common;
-}
-
-/// @return whether some region may run requests of the account on the route.
-bool HaveCommonRegion(const routing::Route& route,
-                      const routing::ClientAccount* account) {
-  const bool is_restricted_twice = account != nullptr &&
-                                   !account->allowed_regions.empty() &&
-                                   !route.allowed_regions.empty();
-  return !is_restricted_twice || !AllowedRegions(route, account).empty();
-}
-
 bool ReachedTarget(AttemptEnd end) {
   return end != AttemptEnd::kNeverSent && end != AttemptEnd::kNoHelper &&
          end != AttemptEnd::kWithheld;
@@ -101,15 +74,16 @@
     return start;
   }
 
-  Request state{
-      .route = start.route,
-      .configuration = routes_.Version(),
-      .service = start.service,
-      .account = start.account,
-      .allowed_regions = AllowedRegions(*start.route, start.account.get()),
-      .object = ObjectKey(request.object),
-      .fingerprint = request.fingerprint,
-      .deadline = now + start.time_left};
+  Request state{.caller = {.host = request.host, .target = request.target},
+                .route = start.route,
+                .configuration = routes_.Version(),
+                .service = start.service,
+                .account = start.account,
+                .allowed_regions =
+                    AllowedRegions(*start.route, start.account.get()).value(),
+                .object = ObjectKey(request.object),
+                .fingerprint = request.fingerprint,
+                .deadline = now + start.time_left};
   const Duration caller_time_left = request.time_left.value_or(start.time_left);
   state.admission = DescribeForAdmission(state, caller_time_left);
   state.longest_retry_after =
@@ -146,7 +120,7 @@
     return RefuseByConfiguration(FailureReason::kKeyUnknown,
                                  FailureReason::kKeyUnknownYet);
   }
-  if (!HaveCommonRegion(*start.route, start.account.get())) {
+  if (!AllowedRegions(*start.route, start.account.get())) {
     return RequestFailure{.reason = FailureReason::kRegionForbidden};
   }
   return std::nullopt;
@@ -167,6 +141,9 @@
 }
 
 Step RequestPath::SendFirst(Request& request, MonotonicTime now) {
+  if (const auto refusal = CheckRegions(request)) {
+    return *refusal;
+  }
   const std::optional<Placement> placement = PlaceByRegionPlan(request, now);
   if (!placement) {
     return RefuseWithoutTarget(request, FailureReason::kNoTarget, now);
@@ -247,6 +224,9 @@
                           .is_not_run = !request.may_have_run,
                           .retry_after = blocked};
   }
+  if (const auto refusal = CheckRegions(request)) {
+    return *refusal;
+  }
   const std::optional<Placement> placement =
       Place(request, request.allowed_regions, now);
   if (request.delivered_attempts >= request.route->max_attempts || !placement ||
@@ -373,7 +353,7 @@
   Request& request = found->second;
   const auto sends = static_cast<std::uint32_t>(request.attempts.size());
   if (sends >= request.route->max_attempts || sends >= 2 ||
-      crashes_.BlockedFor(request.fingerprint, now)) {
+      crashes_.BlockedFor(request.fingerprint, now) || CheckRegions(request)) {
     return AwaitAttempt{};
   }
   const std::optional<Placement> placement =
--- a/lib/libmedlarcroft/source/routing/client_account.cc
+++ b/lib/libmedlarcroft/source/routing/client_account.cc
@@ -1,5 +1,6 @@
 #include "medlarcroft/routing/client_account.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace medlarcroft::routing {
@@ -22,4 +23,12 @@
   return found == by_key_.end() ? nullptr : found->second;
 }
 
+std::shared_ptr<const ClientAccount> ClientAccountTable::FindByName(
+    const ClientAccountName& name) const {
+  const auto found = std::ranges::find_if(
+      accounts_,
+      [&name](const auto& account) { return account->name == name; });
+  return found == accounts_.end() ? nullptr : *found;
+}
+
 }  // namespace medlarcroft::routing
--- a/tests/unit/request_path/client_account_test.cc
+++ b/tests/unit/request_path/client_account_test.cc
@@ -323,6 +323,17 @@
   }
 }
 
+// Guards against a send that waits for its connection, or for another host to
+// relay it, while the configuration forbids its region.
+TEST_F(ClientAccountTest, AWaitingSendIsNotSentToARegionForbiddenMeanwhile) {
+  Configure({}, {kThere});
+  const RequestStart start = Begin(std::nullopt);
+  const TargetIdentity target = std::get<SendAttempt>(start.step).target;
+  EXPECT_TRUE(path_.MaySend(start.ticket, target, kStart));
+  Configure({}, {kHere});
+  EXPECT_FALSE(path_.MaySend(start.ticket, target, kStart));
+}
+
 // Guards against later sends to any region when the route and the account have
 // no region in common any more.
 TEST_F(ClientAccountTest, NoLaterSendWhenNoRegionIsLeft) {
