Refuse requests with regions while the configuration may be outdated

Callers' requests that may run in some regions only ran in regions that the configuration in force forbade. A host that is cut off, turned away by the store, or so busy that its calls time out, knew that it might have missed a change, answered "no route yet" to unknown routes, and went on placing by the regions it had.

Such requests are now refused (503, not run, regions-unknown, Retry-After of 0.2 to 0.6 s) from the moment at which an answer of the store, or of the host that reads it, is overdue; callers reach another host. Requests without regions run as before. When the store has been away for 15 s and a host of another region says that it gets no answer either, nothing can change, and they run again by the last known regions.

--- a/lib/libmedlarcroft/include/medlarcroft/replication/peer_readers.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/peer_readers.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,9 +67,14 @@
   /// @brief Requests the rows from a random host that reads the store, in any
   /// region.
   void AskSomeReader(const RowsRequest& request, RowsCallback callback);
+  /// @return the time since a host of another region refused, or any host if
+  /// there is no other region; nullopt: none did.
+  [[nodiscard]] std::optional<Duration> RefusedElsewhereAgo() const;
 
  private:
   [[nodiscard]] std::vector<ReaderCandidate> Candidates() const;
+  [[nodiscard]] bool IsElsewhere(const FailureDomainName& domain) const;
+  void OnRefused(const ReaderCandidate& reader);
   bool TryReader(const RowsRequest& request,
                  int attempts_left,
                  RowsCallback callback);
@@ -81,6 +87,7 @@
   Options options_;
   Parts parts_;
   RefusedReaders refused_;
+  std::optional<MonotonicTime> refused_elsewhere_at_;
   /// Null after destruction, since calls may still be pending then.
   std::shared_ptr<PeerReaders*> self_ = std::make_shared<PeerReaders*>(this);
 };
--- a/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
@@ -104,6 +104,13 @@
   [[nodiscard]] bool IsDisconnected() const {
     return disconnected_since_.has_value();
   }
+  /// @return the time since the first call to the store that failed; nullopt
+  /// when it answers.
+  [[nodiscard]] std::optional<Duration> DisconnectedFor() const {
+    return disconnected_since_
+               ? std::optional(parts_.timers.Now() - *disconnected_since_)
+               : std::nullopt;
+  }
   /// @return whether no answer has come in the time in which one was due, so
   /// that this host may have missed changes.
   [[nodiscard]] bool IsOverdue() const;
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -86,6 +86,10 @@
     configuration_confirmed_at_ = confirmed_at;
   }
 
+  /// @brief Sets whether the store answers no host, so that the configuration
+  /// can't have changed although it may be older than the one in force.
+  void SetStoreAway(bool is_away) { is_store_away_ = is_away; }
+
   /// @brief Checks requests against the quotas of their accounts.
   /// @param quotas must outlive this object.
   void EnforceQuotas(quota::QuotaGate& quotas) { quotas_ = &quotas; }
@@ -358,6 +362,7 @@
   membership::HostShare share_{.hosts = 1};
   bool is_configuration_stale_ = false;
   std::optional<MonotonicTime> configuration_confirmed_at_;
+  bool is_store_away_ = false;
   quota::QuotaGate* quotas_ = nullptr;
   /// Requests that wait for a token, in the order of arrival. Some of them may
   /// have ended.
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
@@ -63,6 +63,7 @@
   kTargetsOutOfReach,    ///< This host is cut off from all targets, and no
                          ///< other host sent for it.
   kTargetsResting,       ///< All targets that may run it asked for rest.
+  kRegionsUnknown,       ///< The regions in which it may run may have changed.
 };
 
 /// @brief The limit by which a request was refused.
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -39,7 +39,7 @@
 constexpr MetricDescription kAnswerLatency = {
     "medlar_answer_seconds", "From a request's arrival to its whole answer."};
 
-constexpr std::array<std::string_view, 18> kEndReasonNames = {
+constexpr std::array<std::string_view, 19> kEndReasonNames = {
     "not-configured",
     "no-route",
     "no-route-yet",
@@ -57,7 +57,8 @@
     "quota-unknown",
     "region-forbidden",
     "targets-out-of-reach",
-    "targets-resting"};
+    "targets-resting",
+    "regions-unknown"};
 constexpr std::array<std::string_view, 10> kAttemptEndNames = {
     "answered", "target-failed", "not-run",   "other-target", "never-sent",
     "lost",     "timed-out",     "no-helper", "helper-lost",  "withheld"};
--- a/lib/libmedlarcroft/source/replication/peer_readers.cc
+++ b/lib/libmedlarcroft/source/replication/peer_readers.cc
@@ -89,15 +89,37 @@
 void PeerReaders::CallReader(const ReaderCandidate& reader,
                              const RowsRequest& request,
                              RowsCallback callback) {
-  parts_.ask_host(
-      reader.address, request,
-      [self = self_, host = reader.host,
-       callback = std::move(callback)](Result<RowBatch, RowFailure> answer) {
-        if (IsRefusal(answer) && *self != nullptr) {
-          (*self)->refused_.Record(host, (*self)->parts_.timers.Now());
-        }
-        callback(std::move(answer));
-      });
+  parts_.ask_host(reader.address, request,
+                  [self = self_, reader, callback = std::move(callback)](
+                      Result<RowBatch, RowFailure> answer) {
+                    if (IsRefusal(answer) && *self != nullptr) {
+                      (*self)->OnRefused(reader);
+                    }
+                    callback(std::move(answer));
+                  });
+}
+
+void PeerReaders::OnRefused(const ReaderCandidate& reader) {
+  const MonotonicTime now = parts_.timers.Now();
+  refused_.Record(reader.host, now);
+  if (IsElsewhere(reader.failure_domain)) {
+    refused_elsewhere_at_ = now;
+  }
+}
+
+bool PeerReaders::IsElsewhere(const FailureDomainName& domain) const {
+  const auto own = parts_.regions.find(options_.failure_domain);
+  const auto other = parts_.regions.find(domain);
+  const bool is_other_region = own != parts_.regions.end() &&
+                               other != parts_.regions.end() &&
+                               own->second != other->second;
+  return is_other_region || parts_.directory.HostsInOtherRegions().empty();
+}
+
+std::optional<Duration> PeerReaders::RefusedElsewhereAgo() const {
+  return refused_elsewhere_at_
+             ? std::optional(parts_.timers.Now() - *refused_elsewhere_at_)
+             : std::nullopt;
 }
 
 }  // namespace medlarcroft::replication
--- a/lib/libmedlarcroft/source/request_path/request_path_regions.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_regions.cc
@@ -30,12 +30,22 @@
       std::move(allowed).value_or(std::vector<RegionName>{});
 }
 
+// Guards against requests that run in a region which a configuration that this
+// host has not heard of forbids. What ran or was stored there can't be undone,
+// while callers that are refused reach another host. Requests that may run
+// anywhere are sent as before.
 std::optional<RequestFailure> RequestPath::CheckRegions(Request& request) {
   UpdateRegions(request);
   if (request.is_region_forbidden) {
     return RequestFailure{.reason = FailureReason::kRegionForbidden,
                           .is_not_run = !request.may_have_run};
   }
+  const bool may_have_changed = is_configuration_stale_ && !is_store_away_;
+  if (may_have_changed && !request.allowed_regions.empty()) {
+    return RequestFailure{.reason = FailureReason::kRegionsUnknown,
+                          .is_not_run = !request.may_have_run,
+                          .retry_after = RetryAfter(Duration(0))};
+  }
   return std::nullopt;
 }
 
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "adapters/process/log.h"
+#include "medlarcroft/replication/store_outage.h"
 #include "platform/operator_keys.h"
 
 namespace medlarcroft::node {
@@ -407,6 +408,9 @@
   // that has not arrived, so meanwhile the rejection names a time to retry.
   path_.SetConfigurationStale(operator_follower_.IsOverdue(),
                               operator_follower_.ConfirmedAt());
+  path_.SetStoreAway(replication::IsAwayForAll(
+      {.disconnected_for = operator_follower_.DisconnectedFor(),
+       .refused_elsewhere_ago = peers_.Readers().RefusedElsewhereAgo()}));
   UpdateFollowTiming();
   UpdatePhase();
   AdvanceStop();
--- a/tests/unit/request_path/client_account_test.cc
+++ b/tests/unit/request_path/client_account_test.cc
@@ -268,6 +268,7 @@
   std::string name;
   std::vector<RegionName> of_route;
   std::vector<RegionName> of_account;
+  bool is_store_away = false;  ///< For all hosts.
   bool runs = false;
 };
 
@@ -282,6 +283,7 @@
   Configure({account}, GetParam().of_route);
   const RequestStart before = Begin("key-1");
   path_.SetConfigurationStale(true);
+  path_.SetStoreAway(GetParam().is_store_away);
 
   const RequestStart start = Begin("key-1");
   const Step retry =
@@ -300,9 +302,15 @@
 INSTANTIATE_TEST_SUITE_P(
     All,
     OutdatedHostTable,
-    testing::Values(OutdatedCase{"Anywhere", {}, {}, true},
-                    OutdatedCase{"ByRoute", {kThere, kBeyond}, {}, false},
-                    OutdatedCase{"ByAccount", {}, {kThere, kBeyond}, false}),
+    testing::Values(
+        OutdatedCase{"Anywhere", {}, {}, false, true},
+        OutdatedCase{"ByRoute", {kThere, kBeyond}, {}, false, false},
+        OutdatedCase{"ByAccount", {}, {kThere, kBeyond}, false, false},
+        OutdatedCase{"WhileNothingCanChange",
+                     {kThere, kBeyond},
+                     {},
+                     true,
+                     true}),
     [](const auto& tested) { return tested.param.name; });
 
 // Guards against later sends of a request that run where the configuration of
