--- a/tests/property/model_store.h
+++ b/tests/property/model_store.h
@@ -165,6 +165,13 @@
     });
   }
 
+  /// @brief Delays the answers that cross the host's link.
+  void SetLinkDelay(int host, Duration delay) { link_delays_[host] = delay; }
+  /// @brief Sets how long a call between hosts waits for its connection.
+  void SetConnectTime(std::function<Duration(int from, int to)> draw) {
+    draw_connect_time_ = std::move(draw);
+  }
+
   /// @brief Answers the calls held by the store that the commit satisfies.
   void OnCommit() { AnswerHeldCalls(); }
 
@@ -175,19 +182,24 @@
       const RowsRequest& question,
       const std::function<void(const RowsRequest&, RowsCallback)>& ask,
       RowsCallback callback) {
-    const auto call = StartCall(from, question.wait + question.answer_margin,
-                                std::move(callback));
+    const Duration connect_time = draw_connect_time_(from, to);
+    const auto call =
+        StartCall(from, connect_time + question.wait + question.answer_margin,
+                  std::move(callback));
     if (AccessOf(from) == StoreAccess::kIsolated ||
         AccessOf(to) == StoreAccess::kIsolated) {
       return;
     }
-    time_.At(to, time_.Now() + kPeerLatency, [this, from, question, ask, call] {
-      ask(question,
-          [this, from, call](const Result<RowBatch, RowFailure>& rows) {
-            time_.At(from, time_.Now() + kPeerLatency,
-                     [call, rows] { FinishCall(*call, rows); });
-          });
-    });
+    time_.At(to, time_.Now() + connect_time + kPeerLatency,
+             [this, from, to, question, ask, call] {
+               ask(question, [this, from, to,
+                              call](const Result<RowBatch, RowFailure>& rows) {
+                 time_.At(from,
+                          time_.Now() + kPeerLatency + LinkDelay(to) +
+                              LinkDelay(from),
+                          [call, rows] { FinishCall(*call, rows); });
+               });
+             });
   }
 
  private:
@@ -222,8 +234,8 @@
                                   RowsCallback callback) {
     auto call = std::make_shared<Call>();
     call->callback = std::move(callback);
-    time_.At(host, time_.Now() + timeout,
-             [call] { FinishCall(*call, RowFailure::kUnreachable); });
+    time_.After(host, timeout,
+                [call] { FinishCall(*call, RowFailure::kUnreachable); });
     return call;
   }
 
@@ -265,7 +277,7 @@
     }
     Transmit(host, call, time_.Now() + kProbeTimeout,
              [this, host, call, response] {
-               time_.At(host, time_.Now(),
+               time_.At(host, time_.Now() + LinkDelay(host),
                         [call, response] { FinishCall(*call, response); });
              });
   }
@@ -295,6 +307,11 @@
              });
   }
 
+  [[nodiscard]] Duration LinkDelay(int host) const {
+    const auto found = link_delays_.find(host);
+    return found == link_delays_.end() ? Duration(0) : found->second;
+  }
+
   Duration DrawLatency() {
     return milliseconds(1) + FromSeconds(0.055 * random_.NextUnit());
   }
@@ -304,6 +321,10 @@
   fakes::SeededRandom random_;
   std::map<int, StoreAccess> access_by_host_;
   std::vector<Held> held_;
+  std::map<int, Duration> link_delays_;
+  std::function<Duration(int, int)> draw_connect_time_ = [](int, int) {
+    return Duration(0);
+  };
 };
 
 /// @brief One host's row source, through the model network.
--- a/tests/property/table_following_world.h
+++ b/tests/property/table_following_world.h
@@ -126,6 +126,9 @@
     }
   }
 
+  static HostName NameOf(int host) {
+    return HostName("h" + std::to_string(host));
+  }
   [[nodiscard]] int Size() const { return static_cast<int>(hosts_.size()); }
   [[nodiscard]] bool IsAlive(int host) const { return At(host) != nullptr; }
   [[nodiscard]] const TableFollower& FollowerOf(int host) const {
@@ -135,6 +138,11 @@
     return At(host)->received;
   }
 
+  /// @brief Sets which live hosts a host takes for dead.
+  void SetHidden(std::function<bool(int host, int other)> is_hidden) {
+    is_hidden_ = std::move(is_hidden);
+  }
+
   void Kill(int host) {
     time_.Kill(host);
     hosts_[static_cast<std::size_t>(host)].reset();
@@ -212,16 +220,14 @@
 
   inline static const FailureDomainName kDomain{"z"};
 
-  static HostName NameOf(int host) {
-    return HostName("h" + std::to_string(host));
-  }
   [[nodiscard]] HostProcess& ProcessOf(int host) {
     return *hosts_[static_cast<std::size_t>(host)];
   }
   [[nodiscard]] std::vector<ReaderCandidate> LivePeersOf(int host) {
     std::vector<ReaderCandidate> live;
     for (int other = 0; other < Size(); ++other) {
-      if (other == host || IsConsideredAlive(other)) {
+      if (other == host ||
+          (IsConsideredAlive(other) && !is_hidden_(host, other))) {
         live.push_back({.host = NameOf(other),
                         .address = std::to_string(other),
                         .failure_domain = kDomain,
@@ -295,6 +301,7 @@
       {kDomain, RegionName("r")}};
   fakes::SeededRandom random_;
   std::vector<std::unique_ptr<HostProcess>> hosts_;
+  std::function<bool(int, int)> is_hidden_ = [](int, int) { return false; };
 };
 
 }  // namespace medlarcroft::replication
