--- a/lib/libmedlarcroft/source/replication/peer_readers.cc
+++ b/lib/libmedlarcroft/source/replication/peer_readers.cc
@@ -52,9 +52,13 @@
       *reader, request,
       [self = self_, request, attempts_left,
        callback = std::move(callback)](Result<RowBatch, RowFailure> answer) {
+        // Another reader is not to hold the call: the first one took time that
+        // a call to the store may need.
+        RowsRequest next = request;
+        next.wait = Duration(0);
         const bool is_retried =
             IsRefusal(answer) && attempts_left > 0 && *self != nullptr &&
-            (*self)->TryReader(request, attempts_left - 1, callback);
+            (*self)->TryReader(next, attempts_left - 1, callback);
         if (!is_retried) {
           callback(std::move(answer));
         }
