Count the age of rows from the store's answer, also through a reader

A host that follows a reader took its rows for new when they arrived, though the store may have confirmed them to the reader 1.4 s before; a host that was paused took an answer that had waited for it for new.

The age is now the store's, for rows of readers and peers as well; the store's clock is learnt from peers' answers by hosts that never call it. Behind a reader an answer is overdue after its freshness limit, the hold and the margin (2.4 s in a region of 20), which keeps calm hosts from counting as outdated.

--- a/lib/libmedlarcroft/include/medlarcroft/replication/follow_timing.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/follow_timing.h
@@ -54,6 +54,13 @@
 /// same region, and one lost packet is retransmitted within 300 ms.
 inline constexpr Duration kPeerAnswerMargin = std::chrono::milliseconds(400);
 
+/// @return how old the store's last answer may be at a host that follows a
+/// reader, if neither has failed.
+[[nodiscard]] constexpr Duration MaxAgeBehindReader(
+    const FollowTiming& timing) {
+  return FreshnessLimit(timing) + timing.reader_wait + kPeerAnswerMargin;
+}
+
 /// For hosts that each read the store themselves. The hold is limited by
 /// `MaxHold`.
 inline constexpr FollowTiming kDirectReadTiming{
--- a/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
@@ -94,10 +94,10 @@
 
   [[nodiscard]] const std::string& Table() const { return options_.table; }
   [[nodiscard]] bool HasTable() const { return has_table_; }
-  /// @return the time since the last answer of the store, or of a host that
-  /// reads it; nullopt when there was none.
+  /// @return the time since the last answer of the store, to this host or to
+  /// the one that sent it rows; nullopt when there was none.
   [[nodiscard]] std::optional<Duration> Age() const;
-  /// @return when that answer came.
+  /// @return when the store gave that answer.
   [[nodiscard]] std::optional<MonotonicTime> ConfirmedAt() const {
     return answered_at_;
   }
@@ -162,7 +162,10 @@
   /// Version of the known rows. Older answers are ignored.
   std::uint64_t version_ = 0;
   TableMirror mirror_;
+  /// When the store gave the last answer, to this host or to the one that sent
+  /// the rows.
   std::optional<MonotonicTime> answered_at_;
+  bool is_answer_of_host_ = false;  ///< Whether another host sent the rows.
   std::optional<MonotonicTime> disconnected_since_;
   /// When the store was last called.
   MonotonicTime called_at_{};
--- a/lib/libmedlarcroft/source/replication/table_follower.cc
+++ b/lib/libmedlarcroft/source/replication/table_follower.cc
@@ -35,7 +35,10 @@
 
 bool TableFollower::IsOverdue() const {
   const auto age = Age();
-  return !age || *age >= FreshnessLimit(options_.timing);
+  const Duration limit = is_answer_of_host_
+                             ? MaxAgeBehindReader(options_.timing)
+                             : FreshnessLimit(options_.timing);
+  return !age || *age >= limit;
 }
 
 // Hosts that start in a large region read the table from its reader, so that
@@ -169,10 +172,12 @@
     disconnected_since_.reset();
     parts_.listener.OnStoreRecovered(outage_time);
   }
-  answered_at_ = now;
   const std::optional<MonotonicTime> answered_before = store_answered_at_;
   store_answered_at_ =
       store_time ? store_clock_.EstimateAnswerTime(*store_time, now) : now;
+  // An answer may have waited while this host was paused.
+  answered_at_ = store_answered_at_;
+  is_answer_of_host_ = false;
   is_catching_up_ = false;
   const bool is_after_gap =
       availability_.OnAnswer(store_time.value_or(now.time_since_epoch()));
@@ -277,10 +282,7 @@
     return;
   }
   if (disconnected_since_) {
-    const std::optional<MonotonicTime> answered_before = answered_at_;
-    if (ApplyPeerRows(ValueOf(result))) {
-      answered_at_ = StoreAnswerTime(ValueOf(result), answered_before);
-    }
+    (void)ApplyPeerRows(ValueOf(result));
   } else {
     ApplyPeerAvailability(ValueOf(result));
   }
@@ -303,6 +305,10 @@
 }
 
 void TableFollower::ApplyPeerAvailability(const RowBatch& rows) {
+  if (rows.store_available) {
+    (void)store_clock_.EstimateAnswerTime(rows.store_available->until,
+                                          parts_.timers.Now());
+  }
   if (options_.expiry && rows.store_available) {
     availability_.OnKnownByPeer(*rows.store_available);
     OnAvailabilityChange();
@@ -313,8 +319,9 @@
   if (rows.newest_version < version_) {
     return false;
   }
-  answered_at_ = parts_.timers.Now();
   ApplyPeerAvailability(rows);
+  answered_at_ = StoreAnswerTime(rows, answered_at_);
+  is_answer_of_host_ = true;
   if (rows.is_full_table) {
     version_ = rows.newest_version;
     has_table_ = true;
