Believe in an outage of the store by fresh refusals of its own table only

A host that is turned away could take another host's trouble for an outage of the store in all regions, and run requests by old regions: any refusal counted, also for another table, and one stayed in mind after another host had sent rows.

Only refusals of the operator's table by hosts of another region count, and rows from any host end them. OnlyRefusalsOfOtherRegionsShowAnOutage is new.

--- a/lib/libmedlarcroft/include/medlarcroft/replication/peer_readers.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/peer_readers.h
@@ -67,14 +67,18 @@
   /// @brief Requests the rows from a random host that reads the store, in any
   /// region.
   void AskSomeReader(const RowsRequest& request, RowsCallback callback);
-  /// @return the time since a host of another region refused, or any host if
-  /// there is no other region; nullopt: none did.
-  [[nodiscard]] std::optional<Duration> RefusedElsewhereAgo() const;
+  /// @return the time since a host of another region, or any host if there is
+  /// no other region, refused rows of the table, since the store did not answer
+  /// it; nullopt: none did since the last rows that came.
+  [[nodiscard]] std::optional<Duration> RefusedElsewhereAgo(
+      const std::string& table) const;
 
  private:
   [[nodiscard]] std::vector<ReaderCandidate> Candidates() const;
   [[nodiscard]] bool IsElsewhere(const FailureDomainName& domain) const;
-  void OnRefused(const ReaderCandidate& reader);
+  void OnAnswer(const ReaderCandidate& reader,
+                const std::string& table,
+                const Result<RowBatch, RowFailure>& answer);
   bool TryReader(const RowsRequest& request,
                  int attempts_left,
                  RowsCallback callback);
@@ -87,7 +91,7 @@
   Options options_;
   Parts parts_;
   RefusedReaders refused_;
-  std::optional<MonotonicTime> refused_elsewhere_at_;
+  std::map<std::string, MonotonicTime> refused_elsewhere_at_;  ///< By table.
   /// Null after destruction, since calls may still be pending then.
   std::shared_ptr<PeerReaders*> self_ = std::make_shared<PeerReaders*>(this);
 };
--- a/lib/libmedlarcroft/include/medlarcroft/replication/store_outage.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/store_outage.h
@@ -7,8 +7,8 @@
 
 namespace medlarcroft::replication {
 
-/// The store may refuse some hosts while it serves others, which a host finds
-/// within this time if it reaches them.
+/// The store may refuse some hosts while it serves others. Shorter outages are
+/// not taken for one of all hosts.
 inline constexpr Duration kStoreAwayAfter = std::chrono::seconds(15);
 
 /// A reader that refused is asked again after three seconds.
@@ -23,10 +23,10 @@
   std::optional<Duration> refused_elsewhere_ago;
 };
 
-/// @return whether the store answers no host, as far as can be known, so that
-/// its rows don't change.
-///
-/// A host or a region that is cut off hears from no host of another region.
+/// @return whether the store seems to answer no host, so that its rows don't
+/// change. A host or a region that is cut off hears of no other region. That
+/// the store refuses all readers for long, and serves others, can't be told
+/// apart.
 [[nodiscard]] constexpr bool IsAwayForAll(const StoreOutage& outage) {
   return outage.disconnected_for.value_or(Duration(0)) >= kStoreAwayAfter &&
          outage.refused_elsewhere_ago &&
--- a/lib/libmedlarcroft/source/replication/peer_readers.cc
+++ b/lib/libmedlarcroft/source/replication/peer_readers.cc
@@ -93,21 +93,31 @@
 void PeerReaders::CallReader(const ReaderCandidate& reader,
                              const RowsRequest& request,
                              RowsCallback callback) {
-  parts_.ask_host(reader.address, request,
-                  [self = self_, reader, callback = std::move(callback)](
-                      Result<RowBatch, RowFailure> answer) {
-                    if (IsRefusal(answer) && *self != nullptr) {
-                      (*self)->OnRefused(reader);
-                    }
-                    callback(std::move(answer));
-                  });
+  parts_.ask_host(
+      reader.address, request,
+      [self = self_, reader, table = request.table,
+       callback = std::move(callback)](Result<RowBatch, RowFailure> answer) {
+        if (*self != nullptr) {
+          (*self)->OnAnswer(reader, table, answer);
+        }
+        callback(std::move(answer));
+      });
 }
 
-void PeerReaders::OnRefused(const ReaderCandidate& reader) {
+// A host that the store answers proves that it is not away.
+void PeerReaders::OnAnswer(const ReaderCandidate& reader,
+                           const std::string& table,
+                           const Result<RowBatch, RowFailure>& answer) {
   const MonotonicTime now = parts_.timers.Now();
+  if (IsOk(answer)) {
+    refused_elsewhere_at_.erase(table);
+  }
+  if (!IsRefusal(answer)) {
+    return;
+  }
   refused_.Record(reader.host, now);
   if (IsElsewhere(reader.failure_domain)) {
-    refused_elsewhere_at_ = now;
+    refused_elsewhere_at_[table] = now;
   }
 }
 
@@ -120,10 +130,12 @@
   return is_other_region || parts_.directory.HostsInOtherRegions().empty();
 }
 
-std::optional<Duration> PeerReaders::RefusedElsewhereAgo() const {
-  return refused_elsewhere_at_
-             ? std::optional(parts_.timers.Now() - *refused_elsewhere_at_)
-             : std::nullopt;
+std::optional<Duration> PeerReaders::RefusedElsewhereAgo(
+    const std::string& table) const {
+  const auto found = refused_elsewhere_at_.find(table);
+  return found == refused_elsewhere_at_.end()
+             ? std::nullopt
+             : std::optional(parts_.timers.Now() - found->second);
 }
 
 }  // namespace medlarcroft::replication
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -406,11 +406,12 @@
   // that was added meanwhile would be rejected, and its caller would not retry.
   // While a response of the store is overdue, a missing route may be an update
   // that has not arrived, so meanwhile the rejection names a time to retry.
-  path_.SetConfigurationStale(operator_follower_.IsOverdue(),
-                              operator_follower_.ConfirmedAt());
+  path_.SetConfigurationAge({.confirmed_at = operator_follower_.ConfirmedAt(),
+                             .overdue_at = operator_follower_.OverdueAt()});
   path_.SetStoreAway(replication::IsAwayForAll(
       {.disconnected_for = operator_follower_.DisconnectedFor(),
-       .refused_elsewhere_ago = peers_.Readers().RefusedElsewhereAgo()}));
+       .refused_elsewhere_ago =
+           peers_.Readers().RefusedElsewhereAgo(operator_follower_.Table())}));
   UpdateFollowTiming();
   UpdatePhase();
   AdvanceStop();
--- a/tests/property/slow_reader_property_test.cc
+++ b/tests/property/slow_reader_property_test.cc
@@ -19,6 +19,7 @@
 /// @return the hosts that read for the region, the preferred one first.
 std::vector<int> RankReaders(int hosts) {
   std::vector<ReaderCandidate> left;
+  left.reserve(static_cast<std::size_t>(hosts));
   for (int host = 0; host < hosts; ++host) {
     left.push_back({.host = Region::NameOf(host),
                     .address = std::to_string(host),
--- a/tests/unit/replication/peer_readers_test.cc
+++ b/tests/unit/replication/peer_readers_test.cc
@@ -155,5 +155,31 @@
   EXPECT_FALSE(readers.AskReader(request_, [](const auto&) {}));
 }
 
+// Guards against a host that takes a reader's own trouble, or another table,
+// for an outage of the store in all regions.
+TEST_F(PeerReadersTest, OnlyRefusalsOfOtherRegionsShowAnOutage) {
+  PeerReaders readers = Make(0);
+  const auto ask_some = [&] {
+    for (int i = 0; i < 20; ++i) {
+      readers.AskSomeReader(request_, [](const auto&) {});
+      time_.RunUntil(time_.Now() + seconds(4));
+    }
+  };
+  for (const ReaderCandidate& host : directory_.live) {
+    refusing_.insert(host.address);
+  }
+  ask_some();
+  EXPECT_FALSE(readers.RefusedElsewhereAgo("t"));
+  for (const ReaderCandidate& host : directory_.other_regions) {
+    refusing_.insert(host.address);
+  }
+  ask_some();
+  EXPECT_TRUE(readers.RefusedElsewhereAgo("t"));
+  EXPECT_FALSE(readers.RefusedElsewhereAgo("other"));
+  refusing_.clear();
+  ask_some();
+  EXPECT_FALSE(readers.RefusedElsewhereAgo("t"));
+}
+
 }  // namespace
 }  // namespace medlarcroft::replication
