Compare the configuration's age at each decision

A host that wakes from a pause, or whose loop is late, decided the requests that waited for it by a flag of its last tick, up to 250 ms old and as much older as the pause was long: by old regions, and with 404 or 401 for good.

The decision now gets the time from which on a change may have been missed, and compares it with the request's own.

--- a/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
@@ -111,9 +111,12 @@
                ? std::optional(parts_.timers.Now() - *disconnected_since_)
                : std::nullopt;
   }
-  /// @return whether no answer has come in the time in which one was due, so
-  /// that this host may have missed changes.
-  [[nodiscard]] bool IsOverdue() const;
+  /// @return from when on this host may have missed changes, if no answer comes
+  /// before.
+  [[nodiscard]] MonotonicTime OverdueAt() const;
+  [[nodiscard]] bool IsOverdue() const {
+    return parts_.timers.Now() >= OverdueAt();
+  }
   /// @brief Called when another host requests rows from this one as the reader
   /// of its region. From then on this host reads the store itself.
   /// @return the rows, if the store itself has answered this host within
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -35,6 +35,14 @@
 
 namespace medlarcroft::request_path {
 
+/// @brief How old a host's knowledge of the configuration is.
+struct ConfigurationAge {
+  /// When the store last confirmed it; nullopt: never.
+  std::optional<MonotonicTime> confirmed_at;
+  /// From when on a newer one may be in force; nullopt: it is not known to be.
+  std::optional<MonotonicTime> overdue_at;
+};
+
 /// @brief One host's decisions about requests, from arrival to final response,
 /// without I/O. Not thread-safe.
 ///
@@ -77,13 +85,9 @@
 
   /// @brief Sets this host's share of the limits for all hosts.
   void SetShare(const membership::HostShare& share) { share_ = share; }
-  /// @brief Sets whether the configuration may be older than the one in force.
-  /// @param confirmed_at when the store last confirmed it; nullopt: never.
-  void SetConfigurationStale(
-      bool is_stale,
-      std::optional<MonotonicTime> confirmed_at = std::nullopt) {
-    is_configuration_stale_ = is_stale;
-    configuration_confirmed_at_ = confirmed_at;
+  /// @brief Sets what is known of the configuration's age.
+  void SetConfigurationAge(const ConfigurationAge& age) {
+    configuration_age_ = age;
   }
 
   /// @brief Sets whether the store answers no host, so that the configuration
@@ -205,7 +209,7 @@
     std::string target;
   };
   struct Request {
-    RouteQuery caller;
+    RouteQuery query;
     /// Kept from arrival to the end, although the configuration may change.
     std::shared_ptr<const routing::Route> route;
     /// Version by which `allowed_regions` were last determined.
@@ -237,12 +241,19 @@
   /// @return why the request must not run; nullopt: it may.
   [[nodiscard]] std::optional<RequestFailure> Authorize(
       const CallerRequest& request,
-      RequestStart& start);
+      RequestStart& start,
+      MonotonicTime now);
+  /// @return whether a newer configuration may be in force.
+  [[nodiscard]] bool IsConfigurationStale(MonotonicTime now) const {
+    return configuration_age_.overdue_at &&
+           now >= *configuration_age_.overdue_at;
+  }
   /// @return the refusal for `final_reason`, or for `temporary_reason` while
   /// the configuration may be outdated.
   [[nodiscard]] RequestFailure RefuseByConfiguration(
       FailureReason final_reason,
-      FailureReason temporary_reason);
+      FailureReason temporary_reason,
+      MonotonicTime now);
   [[nodiscard]] retries::RetryBudget& RetryBudgetOf(const ServiceName& service);
   /// @return the processing times of the request's service, over all routes.
   [[nodiscard]] ServiceTimes& ServiceTimesOf(const Request& request);
@@ -299,7 +310,8 @@
   void UpdateRegions(Request& request);
   /// @return why the request must not be sent to any region now; nullopt: it
   /// may be sent to its regions.
-  [[nodiscard]] std::optional<RequestFailure> CheckRegions(Request& request);
+  [[nodiscard]] std::optional<RequestFailure> CheckRegions(Request& request,
+                                                           MonotonicTime now);
   [[nodiscard]] PlacementBasis BasisOf(const Request& request,
                                        MonotonicTime now) const;
   [[nodiscard]] Step Send(Request& request,
@@ -360,8 +372,7 @@
   RateLimits limits_;
   TargetReach reach_;
   membership::HostShare share_{.hosts = 1};
-  bool is_configuration_stale_ = false;
-  std::optional<MonotonicTime> configuration_confirmed_at_;
+  ConfigurationAge configuration_age_;
   bool is_store_away_ = false;
   quota::QuotaGate* quotas_ = nullptr;
   /// Requests that wait for a token, in the order of arrival. Some of them may
--- a/lib/libmedlarcroft/source/replication/table_follower.cc
+++ b/lib/libmedlarcroft/source/replication/table_follower.cc
@@ -33,12 +33,11 @@
                       : std::nullopt;
 }
 
-bool TableFollower::IsOverdue() const {
-  const auto age = Age();
+MonotonicTime TableFollower::OverdueAt() const {
   const Duration limit = is_answer_of_host_
                              ? MaxAgeBehindReader(options_.timing)
                              : FreshnessLimit(options_.timing);
-  return !age || *age >= limit;
+  return answered_at_ ? *answered_at_ + limit : MonotonicTime();
 }
 
 // Hosts that start in a large region read the table from its reader, so that
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -59,7 +59,7 @@
 RequestStart RequestPath::Begin(const CallerRequest& request,
                                 MonotonicTime now) {
   RequestStart start;
-  if (const auto failure = Authorize(request, start)) {
+  if (const auto failure = Authorize(request, start, now)) {
     start.step = *failure;
     return start;
   }
@@ -74,7 +74,7 @@
     return start;
   }
 
-  Request state{.caller = {.host = request.host, .target = request.target},
+  Request state{.query = {.host = request.host, .target = request.target},
                 .route = start.route,
                 .configuration = routes_.Version(),
                 .service = start.service,
@@ -101,7 +101,8 @@
 
 std::optional<RequestFailure> RequestPath::Authorize(
     const CallerRequest& request,
-    RequestStart& start) {
+    RequestStart& start,
+    MonotonicTime now) {
   if (!routes_.IsConfigured()) {
     return RequestFailure{.reason = FailureReason::kNotConfigured,
                           .retry_after = RetryAfter(Duration(0))};
@@ -109,7 +110,7 @@
   start.route = routes_.Find(request.host, request.target);
   if (!start.route) {
     return RefuseByConfiguration(FailureReason::kNoRoute,
-                                 FailureReason::kNoRouteYet);
+                                 FailureReason::kNoRouteYet, now);
   }
   const routing::ClientAccountTable& accounts = routes_.Accounts();
   if (request.api_key) {
@@ -118,7 +119,7 @@
   const bool needs_account = !accounts.IsEmpty() && !start.route->is_public;
   if (needs_account && !start.account) {
     return RefuseByConfiguration(FailureReason::kKeyUnknown,
-                                 FailureReason::kKeyUnknownYet);
+                                 FailureReason::kKeyUnknownYet, now);
   }
   if (!AllowedRegions(*start.route, start.account.get())) {
     return RequestFailure{.reason = FailureReason::kRegionForbidden};
@@ -133,15 +134,16 @@
 // as a removed route is: a host that is cut off keeps serving.
 RequestFailure RequestPath::RefuseByConfiguration(
     FailureReason final_reason,
-    FailureReason temporary_reason) {
-  if (!is_configuration_stale_) {
+    FailureReason temporary_reason,
+    MonotonicTime now) {
+  if (!IsConfigurationStale(now)) {
     return {.reason = final_reason};
   }
   return {.reason = temporary_reason, .retry_after = RetryAfter(Duration(0))};
 }
 
 Step RequestPath::SendFirst(Request& request, MonotonicTime now) {
-  if (const auto refusal = CheckRegions(request)) {
+  if (const auto refusal = CheckRegions(request, now)) {
     return *refusal;
   }
   const std::optional<Placement> placement = PlaceByRegionPlan(request, now);
@@ -167,8 +169,8 @@
                                     MonotonicTime now) const {
   PlacementBasis basis{.configuration = request.configuration,
                        .allowed_regions = request.allowed_regions};
-  if (configuration_confirmed_at_) {
-    basis.configuration_age = now - *configuration_confirmed_at_;
+  if (configuration_age_.confirmed_at) {
+    basis.configuration_age = now - *configuration_age_.confirmed_at;
   }
   return basis;
 }
@@ -224,7 +226,7 @@
                           .is_not_run = !request.may_have_run,
                           .retry_after = blocked};
   }
-  if (const auto refusal = CheckRegions(request)) {
+  if (const auto refusal = CheckRegions(request, now)) {
     return *refusal;
   }
   const std::optional<Placement> placement =
@@ -353,7 +355,8 @@
   Request& request = found->second;
   const auto sends = static_cast<std::uint32_t>(request.attempts.size());
   if (sends >= request.route->max_attempts || sends >= 2 ||
-      crashes_.BlockedFor(request.fingerprint, now) || CheckRegions(request)) {
+      crashes_.BlockedFor(request.fingerprint, now) ||
+      CheckRegions(request, now)) {
     return AwaitAttempt{};
   }
   const std::optional<Placement> placement =
--- a/lib/libmedlarcroft/source/request_path/request_path_regions.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_regions.cc
@@ -7,14 +7,14 @@
 // A request may wait for a token, a connection, a retry or a hedge while a new
 // configuration comes into force. By the regions of its arrival it would run
 // where that configuration forbids it. Its account stays that of its arrival,
-// also without a key; an account or a route that no longer exists restricts it
-// as before.
+// also without a key. An account that no longer exists, and a route if the
+// request matches none any more, restrict it as before.
 void RequestPath::UpdateRegions(Request& request) {
   if (request.configuration == routes_.Version()) {
     return;
   }
   request.configuration = routes_.Version();
-  auto route = routes_.Find(request.caller.host, request.caller.target);
+  auto route = routes_.Find(request.query.host, request.query.target);
   if (!route) {
     route = request.route;
   }
@@ -34,13 +34,14 @@
 // host has not heard of forbids. What ran or was stored there can't be undone,
 // while callers that are refused reach another host. Requests that may run
 // anywhere are sent as before.
-std::optional<RequestFailure> RequestPath::CheckRegions(Request& request) {
+std::optional<RequestFailure> RequestPath::CheckRegions(Request& request,
+                                                        MonotonicTime now) {
   UpdateRegions(request);
   if (request.is_region_forbidden) {
     return RequestFailure{.reason = FailureReason::kRegionForbidden,
                           .is_not_run = !request.may_have_run};
   }
-  const bool may_have_changed = is_configuration_stale_ && !is_store_away_;
+  const bool may_have_changed = IsConfigurationStale(now) && !is_store_away_;
   if (may_have_changed && !request.allowed_regions.empty()) {
     return RequestFailure{.reason = FailureReason::kRegionsUnknown,
                           .is_not_run = !request.may_have_run,
@@ -58,7 +59,7 @@
     return false;
   }
   Request& request = found->second;
-  return !CheckRegions(request) &&
+  return !CheckRegions(request, now) &&
          IsAllowedRegion(state->Region(), request.allowed_regions);
 }
 
--- a/tests/unit/request_path/client_account_test.cc
+++ b/tests/unit/request_path/client_account_test.cc
@@ -124,7 +124,9 @@
 // requests that are refused for good by a host whose configuration is outdated.
 TEST_P(KeyTable, OnlyRequestsWithAKnownKeyRun) {
   Configure({AccountWithKey("key-1")});
-  path_.SetConfigurationStale(GetParam().is_configuration_stale);
+  if (GetParam().is_configuration_stale) {
+    path_.SetConfigurationAge({.overdue_at = kStart});
+  }
 
   const RequestStart start = Begin(GetParam().key, GetParam().target);
 
@@ -282,7 +284,7 @@
   account.allowed_regions = GetParam().of_account;
   Configure({account}, GetParam().of_route);
   const RequestStart before = Begin("key-1");
-  path_.SetConfigurationStale(true);
+  path_.SetConfigurationAge({.overdue_at = kStart});
   path_.SetStoreAway(GetParam().is_store_away);
 
   const RequestStart start = Begin("key-1");
@@ -313,6 +315,16 @@
                      true}),
     [](const auto& tested) { return tested.param.name; });
 
+// Guards against requests that a host finds after a pause, and decides before
+// it learns what it missed.
+TEST_F(ClientAccountTest, RegionsAreUnknownFromTheMomentNewsIsOverdue) {
+  Configure({}, {kThere});
+  path_.SetConfigurationAge({.overdue_at = kStart + milliseconds(1)});
+  EXPECT_EQ(FailureOf(Begin(std::nullopt)), std::nullopt);
+  path_.SetConfigurationAge({.overdue_at = kStart});
+  EXPECT_EQ(FailureOf(Begin(std::nullopt)), FailureReason::kRegionsUnknown);
+}
+
 // Guards against later sends of a request that run where the configuration of
 // its arrival allowed it and the one in force does not.
 TEST_F(ClientAccountTest, ALaterSendRunsWhereTheConfigurationInForceAllows) {
--- a/tests/unit/request_path/request_path_test.cc
+++ b/tests/unit/request_path/request_path_test.cc
@@ -90,7 +90,7 @@
 
   EXPECT_EQ(FailureIn(path_.Begin(request, kStart).step)->reason,
             FailureReason::kNoRoute);
-  path_.SetConfigurationStale(true);
+  path_.SetConfigurationAge({.overdue_at = kStart});
   EXPECT_EQ(FailureIn(path_.Begin(request, kStart).step)->reason,
             FailureReason::kNoRouteYet);
 }
