Ask the store at once when a reader is lost

A follower whose reader fails called the store with the full hold of 0.9 s, and its news was overdue until that ended though the store was there: requests with regions would be refused, and unknown routes called so only for a while, at each end of a reader. The first call is no longer held. Found by the review, by reading; the 29 property tests of following pass, the share of refusals that it saves is not measured.

--- a/lib/libmedlarcroft/source/replication/table_follower.cc
+++ b/lib/libmedlarcroft/source/replication/table_follower.cc
@@ -384,8 +384,9 @@
   if (failure != RowFailure::kRefused) {
     direct_read_until_ = parts_.timers.Now() + kDirectReadTime;
   }
+  // A held call would leave this host overdue until its end.
   if (has_table_) {
-    FollowStore(options_.timing.wait);
+    FollowStore(kCatchUpWait);
   } else {
     ReadTable();
   }
