Count rows of hosts asked in an outage as overdue after the usual time

The longer time after which rows of a reader are overdue also held for rows of hosts that are asked while the store is lost. Where hosts read the store themselves, a hung store was then noticed after more than 3 s, and a route that was added meanwhile denied for good.

The longer time now holds for rows of the reader only.

--- a/lib/libmedlarcroft/source/replication/table_follower.cc
+++ b/lib/libmedlarcroft/source/replication/table_follower.cc
@@ -320,7 +320,7 @@
   }
   ApplyPeerAvailability(rows);
   answered_at_ = StoreAnswerTime(rows, answered_at_);
-  is_answer_of_host_ = true;
+  is_answer_of_host_ = !disconnected_since_;
   if (rows.is_full_table) {
     version_ = rows.newest_version;
     has_table_ = true;
