--- a/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
+++ b/lib/libmedlarcroft/include/medlarcroft/replication/table_follower.h
@@ -168,7 +168,8 @@
   /// When the store gave the last answer, to this host or to the one that sent
   /// the rows.
   std::optional<MonotonicTime> answered_at_;
-  /// Whether the reader sent the rows, not a host asked while the store is lost.
+  /// Whether the reader sent the rows, not a host asked while the store is
+  /// lost.
   bool is_answer_of_host_ = false;
   std::optional<MonotonicTime> disconnected_since_;
   /// When the store was last called.
