End a stream whose send failed as reset

Cause: the reset makes the socket readable and writable at once, and the reactor reports writable first. The send takes the error from the socket, the bytes not sent were dropped, and the read after it sees an orderly end, which completes an answer without a length. For the same reason a broken connection counted as drained and was pooled for the next request.

Change: a failed send makes the stream's end a reset, whatever the read says; such a stream is never drained. What the target sent before is still read, so an answer that is whole by its length stays whole. The read side is shut down, so that the end also comes after an error that leaves the connection up.

--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
@@ -127,7 +127,8 @@
   if (count < 0 && WouldBlock()) {
     return;
   }
-  End(count == 0 ? StreamEnd::kClosed : StreamEnd::kReset);
+  const bool is_orderly = count == 0 && !has_send_failed_;
+  End(is_orderly ? StreamEnd::kClosed : StreamEnd::kReset);
 }
 
 void TcpStream::OnWritable() {
@@ -164,10 +165,8 @@
     const ssize_t count =
         ::send(descriptor_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
     if (count < 0) {
-      // The next read reports a broken connection, after the data that the peer
-      // sent before it broke.
       if (!WouldBlock()) {
-        unsent_.clear();
+        OnSendFailed();
       }
       break;
     }
@@ -175,7 +174,7 @@
     unsent_.erase(0, static_cast<std::size_t>(count));
   }
   UpdateInterest();
-  if (!unsent_.empty()) {
+  if (!IsDrained()) {
     return;
   }
   std::string().swap(unsent_);
@@ -187,6 +186,18 @@
   }
 }
 
+// Guards against half an answer that looks whole: a send that meets a reset
+// takes the error from the socket, and the read after it reports an orderly
+// end. So the end of a stream whose send failed is a reset, whatever the read
+// says. What the peer sent before is still read: it may be a whole answer.
+void TcpStream::OnSendFailed() {
+  has_send_failed_ = true;
+  unsent_.clear();
+  // The read must come to an end also after an error that leaves the
+  // connection up.
+  ::shutdown(descriptor_, SHUT_RDWR);
+}
+
 void TcpStream::End(StreamEnd end) {
   Close();
   handler_.OnEnd(end);
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
@@ -36,7 +36,7 @@
 /// @brief How a connection ended.
 enum class StreamEnd {
   kClosed,         ///< Orderly close by the peer; all its data was read.
-  kReset,          ///< Reset; the last data of the peer may be lost.
+  kReset,          ///< Broken; the last data of either side may be lost.
   kCannotConnect,  ///< Not established; no byte was sent.
 };
 
@@ -83,7 +83,10 @@
   /// @return whether any byte was passed to the kernel; before that the peer
   /// can't have received anything.
   [[nodiscard]] bool HasSent() const { return has_sent_; }
-  [[nodiscard]] bool IsDrained() const { return unsent_.empty(); }
+  /// @return whether all written data has been passed to the kernel.
+  [[nodiscard]] bool IsDrained() const {
+    return unsent_.empty() && !has_send_failed_;
+  }
   /// @return whether the peer has closed or reset the connection, also while
   /// bytes that it sent before are unread.
   [[nodiscard]] bool HasPeerClosed() const;
@@ -94,6 +97,7 @@
  private:
   void CompleteConnect();
   void Flush();
+  void OnSendFailed();
   void End(StreamEnd end);
   void UpdateInterest();
 
@@ -102,6 +106,7 @@
   int descriptor_ = -1;
   bool is_connected_ = false;
   bool has_sent_ = false;
+  bool has_send_failed_ = false;
   bool is_finishing_ = false;
   bool wants_write_ = false;
   TimerId failure_timer_ = 0;
--- a/tests/unit/adapters/event/event_http_client_test.cc
+++ b/tests/unit/adapters/event/event_http_client_test.cc
@@ -258,6 +258,65 @@
   EXPECT_EQ(client_.IdleConnections(), 0U);
 }
 
+struct BrokenSendCase {
+  std::string name;
+  std::string sent;
+  /// The server stops reading, in place of breaking the connection.
+  bool is_silent;
+  bool is_whole;
+};
+
+class BrokenSendTest : public EventHttpClientTest,
+                       public testing::WithParamInterface<BrokenSendCase> {};
+
+// Guards against half an answer that looks whole: it came while the request was
+// being sent, the connection broke, and the send took the error.
+TEST_P(BrokenSendTest, AnswerIsWholeOnlyByItsOwnFraming) {
+  std::atomic<bool> is_done{false};
+  ScriptedServer server([&](ScriptedConnection& connection, int) {
+    connection.ReadHead();
+    connection.Write(GetParam().sent);
+    // Lets the answer arrive before the connection breaks.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    while (GetParam().is_silent && !is_done) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    // Closing with unread bytes resets the connection.
+  });
+  EventHttpClient client(
+      loop_, {.unacknowledged_timeout = std::chrono::milliseconds(300)});
+  std::optional<ExchangeResult> result;
+  client.Send(MakeRequest(server, std::string(std::size_t{32} << 20U, 'x')),
+              [&](ExchangeResult completed) {
+                result = std::move(completed);
+                loop_.Finish(0);
+              });
+  loop_.Run();
+  is_done = true;
+
+  ASSERT_EQ(IsOk(*result), GetParam().is_whole);
+  if (!GetParam().is_whole) {
+    EXPECT_EQ(ErrorOf(*result).failure, ExchangeFailure::kTruncated);
+  }
+  EXPECT_EQ(client.IdleConnections(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    BrokenSendTest,
+    testing::Values(
+        BrokenSendCase{"ResetWithinAnAnswerWithoutLength",
+                       "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf", false, false},
+        BrokenSendCase{"TimeoutWithinAnAnswerWithoutLength",
+                       "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf", true, false},
+        BrokenSendCase{
+            "ResetWithinAnAnnouncedBody",
+            "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok", false,
+            false},
+        BrokenSendCase{"ResetAfterAWholeAnswer", std::string(kOk), false,
+                       true}),
+    [](const auto& tested) { return tested.param.name; });
+
 TEST_F(EventHttpClientTest, AnUnresponsiveServerTimesOut) {
   ScriptedServer server([](ScriptedConnection& connection, int) {
     connection.ReadHead();
