Keep a connection open until its client has the response

Cause: both timers began when the response was written to a buffer of this process, and their end dropped what was left in it. Connections that were closed with unread input lost what the kernel held, too, and a client that pipelined over 64 KB lost the request in hand.

Change: delivery::ResponseDelivery knows what a connection owes: the request in hand, and bytes that the client has not acknowledged (the kernel's included). The timers ask it: a connection is unused only once nothing is owed; a client that reads nothing for the idle timeout is given up. After a response that ends the connection the client may send on, and what it sends is dropped. A client that pipelines waits: the next request is parsed when the kernel has taken the response before it, which also bounds what one connection holds. What is sent leaves memory, and an upload is no longer copied to be sent. Each close with something owed writes a line (response-cut: request, reason, bytes, age).

No ordinary request makes a system call more.

--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -100,7 +100,7 @@
     Fail(ExchangeFailure::kTimedOut);
   });
   has_started_sending_ = true;
-  stream_.Write(request_.text);
+  stream_.Write(std::move(request_.text));
 }
 
 void HttpClientConnection::OnBytes(std::string_view bytes) {
--- a/lib/libmedlarcroft/source/adapters/event/http_listener.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.cc
@@ -57,7 +57,7 @@
   StopAccepting();
   const auto open = connections_;
   for (const auto& connection : open) {
-    connection->OnEnd(StreamEnd::kReset);
+    connection->CloseForStop();
   }
 }
 
--- a/lib/libmedlarcroft/source/adapters/event/http_listener.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.h
@@ -59,6 +59,8 @@
   std::uint64_t malformed = 0;
   std::uint64_t timed_out = 0;
   std::uint64_t disconnected_before_response = 0;
+  /// Closed while the client was owed something.
+  std::uint64_t responses_cut = 0;
 };
 
 class HttpServerConnection;
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -1,9 +1,12 @@
 #include "adapters/event/http_server_connection.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
 #include "adapters/event/http_serialization.h"
+#include "adapters/process/log.h"
 
 namespace medlarcroft::adapters {
 
@@ -11,13 +14,23 @@
 
 namespace http = boost::beast::http;
 
-// How long to wait for the client to close after a response that ends the
-// connection: closing a socket with unread bytes resets the connection, and the
-// client may lose the response that it has not read yet.
+// How long to wait for the client to close after it has received a response
+// that ends the connection, and has stopped sending: a close resets the
+// connection if bytes arrive later, and a client that is still sending may not
+// read on then.
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+// How often to look whether a client reads what it is owed.
+constexpr Duration kDeliveryCheckPeriod = std::chrono::milliseconds(500);
 // How much a client may pipeline while its request is served.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
 
+constexpr std::array<std::string_view, 5> kCloseReasonNames = {
+    "client-closed", "broken", "idle", "no-progress", "stop"};
+
+bool IsOwnDecision(CloseReason reason) {
+  return reason != CloseReason::kClientClosed && reason != CloseReason::kBroken;
+}
+
 int StatusOf(const boost::beast::error_code& error) {
   if (error == http::error::header_limit) {
     return 431;
@@ -39,20 +52,36 @@
 
 void HttpServerConnection::OnBytes(std::string_view bytes) {
   if (phase_ == Phase::kClosing) {
-    return;
-  }
-  if (phase_ == Phase::kServing &&
-      input_.size() + bytes.size() > kMaxPipelinedBytes) {
-    Release();
+    last_input_at_ = listener_->loop_.Now();
     return;
   }
   const auto self = shared_from_this();
   input_.append(bytes);
-  if (phase_ != Phase::kServing) {
+  if (CanParse()) {
     Parse();
+  } else if (input_.size() >= kMaxPipelinedBytes) {
+    stream_.PauseReading();
   }
 }
 
+// Guards against memory that grows with each pipelined request of a client that
+// does not read: the next one waits until the kernel has taken the response
+// before it.
+bool HttpServerConnection::CanParse() const {
+  return phase_ == Phase::kReading ||
+         (phase_ == Phase::kIdle && stream_.IsDrained());
+}
+
+void HttpServerConnection::ParseNextSoon() {
+  listener_->loop_.After(Duration(0), [self = shared_from_this()] {
+    if (self->listener_ != nullptr && self->phase_ == Phase::kIdle &&
+        !self->input_.empty() && self->CanParse()) {
+      self->stream_.ResumeReading();
+      self->Parse();
+    }
+  });
+}
+
 void HttpServerConnection::Parse() {
   if (phase_ == Phase::kIdle) {
     phase_ = Phase::kReading;
@@ -109,6 +138,7 @@
 
 void HttpServerConnection::DispatchRequest() {
   phase_ = Phase::kServing;
+  delivery_.OnRequest();
   listener_->loop_.Cancel(deadline_);
   deadline_ = 0;
   ++listener_->counters_.requests;
@@ -133,9 +163,12 @@
   const auto self = shared_from_this();
   on_client_disconnected_ = nullptr;
   const bool keeps_alive = keeps_alive_ && !listener_->is_draining_;
-  stream_.Write(FormatResponse(
+  std::string text = FormatResponse(
       response,
-      {.keeps_alive = keeps_alive, .is_head_request = is_head_request_}));
+      {.keeps_alive = keeps_alive, .is_head_request = is_head_request_});
+  unused_since_ = listener_->loop_.Now();
+  delivery_.OnResponse(stream_.UnsentBytes() + text.size(), unused_since_);
+  stream_.Write(std::move(text));
   if (!keeps_alive) {
     LingerAndClose();
     return;
@@ -145,12 +178,14 @@
     std::string().swap(input_);
     return;
   }
-  // Parses a pipelined request, but not from within the handler's own call.
-  listener_->loop_.After(Duration(0), [this, self] {
-    if (phase_ == Phase::kIdle && listener_ != nullptr && !input_.empty()) {
-      Parse();
-    }
-  });
+  ParseNextSoon();
+}
+
+void HttpServerConnection::OnSent() {
+  delivery_.OnProgress(listener_->loop_.Now());
+  if (stream_.IsDrained() && !input_.empty()) {
+    ParseNextSoon();
+  }
 }
 
 bool HttpServerConnection::IsCallerGone() const {
@@ -160,6 +195,7 @@
 
 void HttpServerConnection::RejectRequest(int status) {
   phase_ = Phase::kServing;
+  delivery_.OnRequest();
   keeps_alive_ = false;
   is_head_request_ = false;
   Respond({.status = status});
@@ -167,7 +203,51 @@
 
 void HttpServerConnection::WaitForRequest() {
   phase_ = Phase::kIdle;
-  SetDeadline(listener_->limits_.idle_timeout, [this] { Release(); });
+  CheckDeliveryAfter(stream_.IsDrained() ? listener_->limits_.idle_timeout
+                                         : kDeliveryCheckPeriod);
+}
+
+const delivery::ResponseDelivery& HttpServerConnection::MeasureDelivery() {
+  delivery_.OnMeasured(stream_.UndeliveredBytes(), listener_->loop_.Now());
+  return delivery_;
+}
+
+void HttpServerConnection::CheckDeliveryAfter(Duration delay) {
+  SetDeadline(delay, [this] { CheckDelivery(); });
+}
+
+// Guards against responses that a close drops: a timer that began when the
+// response was written ends the connection of a client that reads slowly, with
+// the rest of the response unsent. It begins when the client has everything. A
+// client that reads nothing for an idle timeout is given up.
+void HttpServerConnection::CheckDelivery() {
+  const MonotonicTime now = listener_->loop_.Now();
+  const Duration patience = listener_->limits_.idle_timeout;
+  if (MeasureDelivery().Undelivered() > 0) {
+    unused_since_ = now;
+    if (delivery_.WithoutProgress(now) >= patience) {
+      Release(CloseReason::kNoProgress);
+    } else {
+      CheckDeliveryAfter(std::min(kDeliveryCheckPeriod, patience));
+    }
+    return;
+  }
+  const Duration time_left = TimeUntilUnused(now);
+  if (time_left <= Duration(0)) {
+    Release(CloseReason::kIdle);
+  } else {
+    CheckDeliveryAfter(time_left);
+  }
+}
+
+Duration HttpServerConnection::TimeUntilUnused(MonotonicTime now) const {
+  const Duration idle = unused_since_ + listener_->limits_.idle_timeout - now;
+  if (phase_ != Phase::kClosing) {
+    return idle;
+  }
+  const Duration linger =
+      std::max(unused_since_, last_input_at_) + kLingerTimeout - now;
+  return std::min(idle, linger);
 }
 
 void HttpServerConnection::SetDeadline(Duration delay,
@@ -185,28 +265,56 @@
 void HttpServerConnection::LingerAndClose() {
   phase_ = Phase::kClosing;
   stream_.FinishWriting();
-  SetDeadline(kLingerTimeout, [this] { Release(); });
+  // What is still sent is read and dropped.
+  stream_.ResumeReading();
+  CheckDeliveryAfter(stream_.IsDrained() ? kLingerTimeout
+                                         : kDeliveryCheckPeriod);
 }
 
-void HttpServerConnection::OnEnd(StreamEnd /*end*/) {
+void HttpServerConnection::OnEnd(StreamEnd end) {
   const auto self = shared_from_this();
   if (phase_ == Phase::kServing && on_client_disconnected_) {
     ++listener_->counters_.disconnected_before_response;
     std::exchange(on_client_disconnected_, nullptr)();
   }
-  Release();
+  Release(end == StreamEnd::kClosed ? CloseReason::kClientClosed
+                                    : CloseReason::kBroken);
+}
+
+void HttpServerConnection::LogIfOwing(CloseReason reason) {
+  const MonotonicTime now = listener_->loop_.Now();
+  const delivery::ResponseDelivery& owed = MeasureDelivery();
+  const bool is_cut = IsOwnDecision(reason) && owed.HasRequest();
+  if (!is_cut && owed.Undelivered() == 0) {
+    return;
+  }
+  ++listener_->counters_.responses_cut;
+  Log(LogLevel::kWarning, "response-cut",
+      {{"request", owed.Request()},
+       {"reason", kCloseReasonNames.at(static_cast<std::size_t>(reason))},
+       {"is_answered", !owed.HasRequest()},
+       {"undelivered_bytes", owed.Undelivered()},
+       {"unsent_bytes", stream_.UnsentBytes()},
+       {"age_ms", ToMilliseconds(owed.Age(now))},
+       {"without_progress_ms", ToMilliseconds(owed.WithoutProgress(now))}});
 }
 
-void HttpServerConnection::Release() {
+void HttpServerConnection::Release(CloseReason reason) {
   if (listener_ == nullptr) {
     return;
   }
   const auto self = shared_from_this();
+  LogIfOwing(reason);
   if (phase_ == Phase::kServing && on_client_disconnected_) {
     std::exchange(on_client_disconnected_, nullptr)();
   }
   HttpListener& listener = *std::exchange(listener_, nullptr);
   phase_ = Phase::kClosing;
+  // What the kernel holds still reaches the client, unless unread input resets
+  // the connection. One that reads nothing has been given up.
+  if (reason != CloseReason::kNoProgress) {
+    stream_.DiscardInput();
+  }
   stream_.Close();
   listener.loop_.Cancel(deadline_);
   listener.connections_.erase(self);
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
@@ -12,11 +12,23 @@
 
 #include "adapters/event/http_listener.h"
 #include "adapters/event/tcp_stream.h"
+#include "medlarcroft/delivery/response_delivery.h"
 
 namespace medlarcroft::adapters {
 
+/// @brief Why a connection is closed.
+enum class CloseReason {
+  kClientClosed,  ///< The client closed it.
+  kBroken,        ///< It was reset, or the client is not reachable any more.
+  kIdle,          ///< No request came, and nothing was owed.
+  kNoProgress,    ///< The client reads nothing any more.
+  kStop,          ///< This process stops.
+};
+
 /// @brief A client's connection: reads a request, waits for its response,
-/// writes it, and only then parses pipelined bytes.
+/// writes it, and parses what was pipelined once the kernel has taken that.
+///
+/// It stays open while the client reads what it is owed, however slowly.
 class HttpServerConnection final
     : public HttpExchange,
       public StreamHandler,
@@ -34,8 +46,14 @@
 
   [[nodiscard]] bool IsCallerGone() const override;
 
+  /// @return what the client is owed now.
+  [[nodiscard]] const delivery::ResponseDelivery& MeasureDelivery();
+  /// @brief Closes the connection because this process stops.
+  void CloseForStop() { Release(CloseReason::kStop); }
+
   void OnBytes(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
+  void OnSent() override;
 
  private:
   using Parser =
@@ -50,7 +68,16 @@
   void WaitForRequest();
   void SetDeadline(Duration delay, std::function<void()> task);
   void LingerAndClose();
-  void Release();
+  /// @brief Parses pipelined bytes, but not from within the current call.
+  void ParseNextSoon();
+  [[nodiscard]] bool CanParse() const;
+  /// @brief Checks again after `delay` whether the client has what it is owed,
+  /// and closes the connection when there is nothing to wait for any more.
+  void CheckDeliveryAfter(Duration delay);
+  void CheckDelivery();
+  [[nodiscard]] Duration TimeUntilUnused(MonotonicTime now) const;
+  void LogIfOwing(CloseReason reason);
+  void Release(CloseReason reason);
 
   // Null once the listener has released this connection.
   HttpListener* listener_;
@@ -62,6 +89,10 @@
   bool keeps_alive_ = true;
   bool has_handled_header_ = false;
   TimerId deadline_ = 0;
+  delivery::ResponseDelivery delivery_;
+  /// When the client was last known to be owed bytes, or served.
+  MonotonicTime unused_since_;
+  MonotonicTime last_input_at_;
   std::function<void()> on_client_disconnected_;
 };
 
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
@@ -1,18 +1,25 @@
 #include "adapters/event/tcp_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <cerrno>
+#include <utility>
 
 namespace medlarcroft::adapters {
 
 namespace {
 
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+// More than a kernel buffers for one connection.
+constexpr int kMaxDiscardingReads = 512;
+// Below this, what was sent is not worth a copy of the rest.
+constexpr std::size_t kMinTrimmedBytes = std::size_t{64} * 1024;
 
 void SetOption(int descriptor, int level, int name, int value) {
   // Best effort: a kernel that does not support the option works without it.
@@ -78,8 +85,13 @@
   Close();
 }
 
-void TcpStream::Write(std::string_view bytes) {
-  unsent_.append(bytes);
+void TcpStream::Write(std::string bytes) {
+  if (UnsentBytes() == 0) {
+    unsent_ = std::move(bytes);
+    sent_ = 0;
+  } else {
+    unsent_.append(bytes);
+  }
   if (is_connected_) {
     Flush();
   }
@@ -113,6 +125,33 @@
   descriptor_ = -1;
 }
 
+void TcpStream::DiscardInput() {
+  std::array<char, kReadBytes> buffer;
+  for (int i = 0; i < kMaxDiscardingReads && descriptor_ >= 0; ++i) {
+    if (::recv(descriptor_, buffer.data(), buffer.size(), 0) <= 0) {
+      return;
+    }
+  }
+}
+
+void TcpStream::PauseReading() {
+  is_reading_paused_ = true;
+  UpdateInterest();
+}
+
+void TcpStream::ResumeReading() {
+  is_reading_paused_ = false;
+  UpdateInterest();
+}
+
+std::size_t TcpStream::UndeliveredBytes() const {
+  int queued = 0;
+  if (descriptor_ < 0 || ::ioctl(descriptor_, SIOCOUTQ, &queued) != 0) {
+    return UnsentBytes();
+  }
+  return UnsentBytes() + static_cast<std::size_t>(std::max(queued, 0));
+}
+
 void TcpStream::OnReadable() {
   if (!is_connected_) {
     CompleteConnect();
@@ -136,7 +175,11 @@
     CompleteConnect();
     return;
   }
+  const std::size_t before = UnsentBytes();
   Flush();
+  if (UnsentBytes() < before && !has_send_failed_) {
+    handler_.OnSent();
+  }
 }
 
 void TcpStream::CompleteConnect() {
@@ -160,10 +203,9 @@
   if (descriptor_ < 0) {
     return;
   }
-  const bool had_unsent = !unsent_.empty();
-  while (!unsent_.empty()) {
-    const ssize_t count =
-        ::send(descriptor_, unsent_.data(), unsent_.size(), MSG_NOSIGNAL);
+  while (UnsentBytes() > 0) {
+    const ssize_t count = ::send(descriptor_, unsent_.data() + sent_,
+                                 UnsentBytes(), MSG_NOSIGNAL);
     if (count < 0) {
       if (!WouldBlock()) {
         OnSendFailed();
@@ -171,18 +213,23 @@
       break;
     }
     has_sent_ = true;
-    unsent_.erase(0, static_cast<std::size_t>(count));
+    sent_ += static_cast<std::size_t>(count);
   }
+  TrimSent();
   UpdateInterest();
-  if (!IsDrained()) {
-    return;
-  }
-  std::string().swap(unsent_);
-  if (is_finishing_) {
+  if (is_finishing_ && IsDrained()) {
     ::shutdown(descriptor_, SHUT_WR);
   }
-  if (had_unsent) {
-    handler_.OnDrained();
+}
+
+// What a slow peer has read must not go on to take memory.
+void TcpStream::TrimSent() {
+  if (UnsentBytes() == 0) {
+    std::string().swap(unsent_);
+    sent_ = 0;
+  } else if (sent_ >= kMinTrimmedBytes && sent_ >= UnsentBytes()) {
+    unsent_ = unsent_.substr(sent_);
+    sent_ = 0;
   }
 }
 
@@ -193,6 +240,7 @@
 void TcpStream::OnSendFailed() {
   has_send_failed_ = true;
   unsent_.clear();
+  sent_ = 0;
   // The read must come to an end also after an error that leaves the
   // connection up.
   ::shutdown(descriptor_, SHUT_RDWR);
@@ -204,10 +252,15 @@
 }
 
 void TcpStream::UpdateInterest() {
-  const bool wants_write = !is_connected_ || !unsent_.empty();
-  if (wants_write != wants_write_ && descriptor_ >= 0) {
+  if (descriptor_ < 0) {
+    return;
+  }
+  const bool wants_read = !is_reading_paused_;
+  const bool wants_write = !is_connected_ || UnsentBytes() > 0;
+  if (wants_read != wants_read_ || wants_write != wants_write_) {
+    wants_read_ = wants_read;
     wants_write_ = wants_write;
-    loop_.SetInterest(descriptor_, true, wants_write);
+    loop_.SetInterest(descriptor_, wants_read, wants_write);
   }
 }
 
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -50,8 +51,8 @@
   virtual void OnBytes(std::string_view bytes) = 0;
   /// The last callback of a stream.
   virtual void OnEnd(StreamEnd end) = 0;
-  /// All written data has been passed to the kernel.
-  virtual void OnDrained() {}
+  /// The kernel accepted data that it had not accepted when it was written.
+  virtual void OnSent() {}
 };
 
 /// @brief A non-blocking TCP connection on an event loop. Data that the kernel
@@ -72,11 +73,17 @@
   TcpStream(const TcpStream&) = delete;
   TcpStream& operator=(const TcpStream&) = delete;
 
-  void Write(std::string_view bytes);
+  void Write(std::string bytes);
   /// @brief Closes the sending side once all written data has been sent.
   void FinishWriting();
   /// @brief Closes immediately; no callback follows.
   void Close();
+  /// @brief Reads and drops what has arrived: closing with unread data resets
+  /// the connection, and the peer loses what it has not received yet.
+  void DiscardInput();
+  /// @brief Lets the peer wait with further data.
+  void PauseReading();
+  void ResumeReading();
 
   [[nodiscard]] bool IsOpen() const { return descriptor_ >= 0; }
   [[nodiscard]] bool IsConnected() const { return is_connected_; }
@@ -85,8 +92,15 @@
   [[nodiscard]] bool HasSent() const { return has_sent_; }
   /// @return whether all written data has been passed to the kernel.
   [[nodiscard]] bool IsDrained() const {
-    return unsent_.empty() && !has_send_failed_;
+    return UnsentBytes() == 0 && !has_send_failed_;
   }
+  /// @return bytes that the kernel has not accepted yet.
+  [[nodiscard]] std::size_t UnsentBytes() const {
+    return unsent_.size() - sent_;
+  }
+  /// @return bytes that the peer has not acknowledged yet, unsent ones
+  /// included.
+  [[nodiscard]] std::size_t UndeliveredBytes() const;
   /// @return whether the peer has closed or reset the connection, also while
   /// bytes that it sent before are unread.
   [[nodiscard]] bool HasPeerClosed() const;
@@ -100,6 +114,8 @@
   void OnSendFailed();
   void End(StreamEnd end);
   void UpdateInterest();
+  /// @brief Frees the memory of what was sent.
+  void TrimSent();
 
   EventLoop& loop_;
   StreamHandler& handler_;
@@ -108,9 +124,12 @@
   bool has_sent_ = false;
   bool has_send_failed_ = false;
   bool is_finishing_ = false;
+  bool wants_read_ = true;
   bool wants_write_ = false;
+  bool is_reading_paused_ = false;
   TimerId failure_timer_ = 0;
-  std::string unsent_;
+  std::string unsent_;    ///< From `sent_` on.
+  std::size_t sent_ = 0;  ///< At most half of `unsent_`, or little.
   // Lets a member function detect that a callback destroyed the stream.
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/tests/unit/adapters/event/slow_client_test.cc
@@ -0,0 +1,265 @@
+// Clients that read slowly, send on or never read, on real sockets.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+
+#include "adapters/event/http_listener.h"
+#include "adapters/process/socket_address.h"
+#include "adapters/process/system_clock.h"
+
+namespace medlarcroft::adapters {
+namespace {
+
+using std::chrono::milliseconds;
+
+// More than the kernel takes for one connection of `SlowClient`.
+constexpr std::size_t kLargeBytes = std::size_t{1} * 1024 * 1024;
+// As on a network. Loopback's segments make the kernel's buffers large enough
+// for a whole response, which hides what becomes of the rest.
+constexpr int kSegmentBytes = 1460;
+constexpr int kReceiveBufferBytes = 16 * 1024;
+
+/// @brief Answers GET with a large body that ends in the request's target,
+/// "/later" after a while.
+class LargeHandler final : public HttpRequestHandler {
+ public:
+  explicit LargeHandler(EventLoop& loop) : loop_(loop) {}
+
+  void OnRequest(HttpRequest request,
+                 const std::shared_ptr<HttpExchange>& exchange) override {
+    std::string body(request.method == "GET" ? kLargeBytes : 0, 'b');
+    body += request.raw_target;
+    const auto respond = [exchange, body = std::move(body)] {
+      exchange->Respond({.status = 200, .body = body});
+    };
+    if (request.raw_target == "/later") {
+      loop_.After(milliseconds(200), respond);
+    } else {
+      respond();
+    }
+  }
+
+ private:
+  EventLoop& loop_;
+};
+
+class SlowClient {
+ public:
+  explicit SlowClient(std::uint16_t port)
+      : descriptor_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    SetOption(IPPROTO_TCP, TCP_MAXSEG, kSegmentBytes);
+    SetOption(SOL_SOCKET, SO_RCVBUF, kReceiveBufferBytes);
+    // The kernel remembers how fast an address was, and sizes buffers by that.
+    std::random_device random;
+    sockaddr_in own{};
+    own.sin_family = AF_INET;
+    own.sin_addr.s_addr =
+        htonl(0x7f5a0000U + (random() % 160U << 16U) + 1 + random() % 65000U);
+    (void)::bind(descriptor_, reinterpret_cast<sockaddr*>(&own), sizeof(own));
+    const auto address =
+        ParseSocketAddress("127.0.0.1:" + std::to_string(port));
+    (void)::connect(descriptor_, address->Get(), address->length);
+  }
+  ~SlowClient() { ::close(descriptor_); }
+  SlowClient(const SlowClient&) = delete;
+  SlowClient& operator=(const SlowClient&) = delete;
+
+  /// @return whether the server took everything.
+  bool Send(std::string_view bytes) const {
+    while (!bytes.empty()) {
+      const ssize_t count =
+          ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+      if (count <= 0) {
+        return false;
+      }
+      bytes.remove_prefix(static_cast<std::size_t>(count));
+    }
+    return true;
+  }
+
+  /// @brief Reads up to `bytes`.
+  /// @return false at the end of the connection.
+  bool Read(std::size_t bytes) {
+    std::string buffer(bytes, 0);
+    const ssize_t count = ::recv(descriptor_, buffer.data(), bytes, 0);
+    if (count <= 0) {
+      return false;
+    }
+    received.append(buffer, 0, static_cast<std::size_t>(count));
+    return true;
+  }
+  void ReadUntil(std::string_view end) {
+    while (received.find(end) == std::string::npos && Read(65536)) {
+    }
+  }
+
+  std::string received;
+
+ private:
+  void SetOption(int level, int name, int value) const {
+    ::setsockopt(descriptor_, level, name, &value, sizeof(value));
+  }
+
+  int descriptor_;
+};
+
+class SlowClientTest : public testing::Test {
+ protected:
+  SlowClientTest() {
+    listener_ = TakeValue(HttpListener::Open(loop_, "127.0.0.1:0", handler_));
+  }
+
+  /// Runs the loop while a client thread runs `script`.
+  void RunWith(const std::function<void(SlowClient&)>& script) {
+    std::atomic<bool> is_done{false};
+    std::thread thread([&] {
+      SlowClient client(listener_->Port());
+      script(client);
+      is_done = true;
+    });
+    loop_.Every(milliseconds(5), [&] {
+      if (is_done) {
+        loop_.Finish(0);
+      }
+    });
+    loop_.Run();
+    thread.join();
+  }
+
+  SystemClock clock_;
+  EventLoop loop_{clock_};
+  LargeHandler handler_{loop_};
+  std::unique_ptr<HttpListener> listener_;
+};
+
+struct ReadingCase {
+  std::string name;
+  std::string requests;
+  milliseconds first_pause;
+  /// Then reads this much each 10 ms, until all is read.
+  std::size_t piece_bytes;
+  Duration idle_timeout;
+  std::string last_bytes;
+};
+
+class SlowReaderTest : public SlowClientTest,
+                       public testing::WithParamInterface<ReadingCase> {};
+
+// Guards against timers that begin when a response is written, and drop what
+// its client has not read when they end.
+TEST_P(SlowReaderTest, GetsTheWholeResponse) {
+  listener_->SetLimits({.idle_timeout = GetParam().idle_timeout});
+  bool is_whole = false;
+  RunWith([&](SlowClient& client) {
+    client.Send(GetParam().requests);
+    std::this_thread::sleep_for(GetParam().first_pause);
+    do {
+      is_whole = client.received.ends_with(GetParam().last_bytes);
+      std::this_thread::sleep_for(milliseconds(10));
+    } while (!is_whole && client.Read(GetParam().piece_bytes));
+  });
+  EXPECT_TRUE(is_whole);
+  EXPECT_EQ(listener_->Counters().responses_cut, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    SlowReaderTest,
+    testing::Values(
+        ReadingCase{"AfterAResponseThatEndsTheConnection",
+                    "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                    milliseconds(1600), 64U * 1024, std::chrono::seconds(15),
+                    "b/1"},
+        ReadingCase{"OnAKeptConnection", "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n",
+                    milliseconds(0), 6U * 1024, milliseconds(300), "b/1"},
+        ReadingCase{"WithAPipelinedRequest",
+                    "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                    "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                    milliseconds(1200), 64U * 1024, std::chrono::seconds(15),
+                    "b/2"}),
+    [](const auto& tested) { return tested.param.name; });
+
+// Guards against responses that stay in memory for clients that never read.
+TEST_F(SlowClientTest, GivesUpAClientThatReadsNothing) {
+  listener_->SetLimits({.idle_timeout = milliseconds(300)});
+  std::size_t open_connections = 1;
+  RunWith([&](SlowClient& client) {
+    client.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(1500));
+    open_connections = listener_->OpenConnections();
+  });
+  EXPECT_EQ(open_connections, 0U);
+  EXPECT_EQ(listener_->Counters().responses_cut, 1U);
+}
+
+// Guards against memory that grows with each request that a client pipelines
+// without reading the responses.
+TEST_F(SlowClientTest, HoldsOneResponseForAClientThatDoesNotRead) {
+  std::uint64_t served = 0;
+  RunWith([&](SlowClient& client) {
+    for (int i = 0; i < 20; ++i) {
+      client.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+    served = listener_->Counters().requests;
+  });
+  EXPECT_EQ(served, 1U);
+}
+
+// Guards against a connection that is closed, with a request in hand, since its
+// client pipelines more than is kept.
+TEST_F(SlowClientTest, AnswersAClientThatPipelinesMuch) {
+  constexpr int kRequests = 10'000;  // More than the kernel takes.
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    requests += "HEAD /x HTTP/1.1\r\nHost: long-enough-to-fill\r\n\r\n";
+  }
+  requests = "GET /later HTTP/1.1\r\nHost: h\r\n\r\n" + requests +
+             "HEAD /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  bool is_sent = false;
+  std::string received;
+  RunWith([&](SlowClient& client) {
+    std::thread sender([&] { is_sent = client.Send(requests); });
+    std::this_thread::sleep_for(milliseconds(300));
+    client.ReadUntil("Connection: close");
+    sender.join();
+    received = std::move(client.received);
+  });
+  EXPECT_TRUE(is_sent);
+  EXPECT_NE(received.find("b/later"), std::string::npos);
+  EXPECT_NE(received.find("Connection: close"), std::string::npos);
+}
+
+// Guards against a refusal that an uploading client can't read: a close while
+// it still sends resets the connection.
+TEST_F(SlowClientTest, RefusesAnUploadWithoutResettingIt) {
+  listener_->SetLimits({.max_body_bytes = 1000});
+  bool is_sent = false;
+  std::string received;
+  RunWith([&](SlowClient& client) {
+    is_sent = client.Send(
+        "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n");
+    for (int i = 0; i < 20; ++i) {
+      is_sent = is_sent && client.Send(std::string(10'000, 'u'));
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    client.ReadUntil("\r\n\r\n");
+    received = std::move(client.received);
+  });
+  EXPECT_TRUE(is_sent);
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 413"));
+}
+
+}  // namespace
+}  // namespace medlarcroft::adapters
