Stop only when what callers are owed is delivered

Cause: a request left the count of those in flight when its answer was handed to its connection, so answers that wait for slow callers, in the process or in the kernel, did not hold up a stop.

Change: the stop asks the connections what they owe, those of callers and of other hosts: requests in hand and bytes that are not acknowledged. It waits for a client while it reads, and until the caller's deadline also while it does not; so a client that never reads can't hold it up. It looks every 50 ms in place of 250, and cuts what is left when a tenth of the limit remains (0.35 s before, and up to a tick later). Lines at the end of the announcement and at the end (stop-waits, stopped) tell what was owed.

--- a/lib/libmedlarcroft/source/adapters/event/http_listener.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.cc
@@ -15,6 +15,14 @@
 
 }  // namespace
 
+OwedResponses& OwedResponses::operator+=(const OwedResponses& other) {
+  requests += other.requests;
+  responses += other.responses;
+  given_up += other.given_up;
+  bytes += other.bytes;
+  return *this;
+}
+
 Result<std::unique_ptr<HttpListener>, HttpListener::Failure> HttpListener::Open(
     EventLoop& loop,
     const std::string& address,
@@ -61,6 +69,14 @@
   }
 }
 
+OwedResponses HttpListener::MeasureOwed() const {
+  OwedResponses owed;
+  for (const auto& connection : connections_) {
+    owed += connection->MeasureOwed();
+  }
+  return owed;
+}
+
 void HttpListener::StopAccepting() {
   if (descriptor_ < 0) {
     return;
--- a/lib/libmedlarcroft/source/adapters/event/http_listener.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.h
@@ -36,6 +36,10 @@
   /// @brief Runs `task` when the client closes its connection before the
   /// response.
   virtual void OnCallerGone(std::function<void()> task) = 0;
+  /// @brief Names the request in logs, and makes a planned stop wait until its
+  /// response is delivered.
+  /// @param wanted_until when the caller stops waiting.
+  virtual void Identify(std::string request, MonotonicTime wanted_until) = 0;
   /// @return whether the client has closed its connection, also when the event
   /// loop has not come to notice it.
   [[nodiscard]] virtual bool IsCallerGone() const = 0;
@@ -63,6 +67,19 @@
   std::uint64_t responses_cut = 0;
 };
 
+/// @brief What the clients of a listener are owed, for a planned stop.
+struct OwedResponses {
+  std::size_t requests = 0;   ///< Without a response.
+  std::size_t responses = 0;  ///< Written, not delivered yet.
+  /// Not delivered, and not waited for: the client neither reads nor has time
+  /// left.
+  std::size_t given_up = 0;
+  std::size_t bytes = 0;  ///< Not acknowledged, of all of these.
+
+  [[nodiscard]] std::size_t WaitedFor() const { return requests + responses; }
+  OwedResponses& operator+=(const OwedResponses& other);
+};
+
 class HttpServerConnection;
 
 /// @brief HTTP/1.1 server on an event loop; requests are parsed by Boost.Beast.
@@ -95,6 +112,8 @@
   [[nodiscard]] std::size_t OpenConnections() const {
     return connections_.size();
   }
+  /// @brief Asks each connection, and the kernel for each, what it owes.
+  [[nodiscard]] OwedResponses MeasureOwed() const;
   [[nodiscard]] std::uint16_t Port() const { return port_; }
 
   void OnReadable() override;
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -212,6 +212,18 @@
   return delivery_;
 }
 
+OwedResponses HttpServerConnection::MeasureOwed() {
+  const delivery::ResponseDelivery& delivery = MeasureDelivery();
+  const bool is_waited_for = delivery.DelaysStop(listener_->loop_.Now());
+  OwedResponses owed{.bytes = delivery.Undelivered()};
+  if (delivery.HasRequest()) {
+    owed.requests = is_waited_for && !IsCallerGone() ? 1 : 0;
+  } else if (delivery.Undelivered() > 0) {
+    (is_waited_for ? owed.responses : owed.given_up) = 1;
+  }
+  return owed;
+}
+
 void HttpServerConnection::CheckDeliveryAfter(Duration delay) {
   SetDeadline(delay, [this] { CheckDelivery(); });
 }
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "adapters/event/http_listener.h"
 #include "adapters/event/tcp_stream.h"
@@ -44,10 +45,12 @@
     on_client_disconnected_ = std::move(task);
   }
 
+  void Identify(std::string request, MonotonicTime wanted_until) override {
+    delivery_.Identify(std::move(request), wanted_until);
+  }
   [[nodiscard]] bool IsCallerGone() const override;
 
-  /// @return what the client is owed now.
-  [[nodiscard]] const delivery::ResponseDelivery& MeasureDelivery();
+  [[nodiscard]] OwedResponses MeasureOwed();
   /// @brief Closes the connection because this process stops.
   void CloseForStop() { Release(CloseReason::kStop); }
 
@@ -71,6 +74,8 @@
   /// @brief Parses pipelined bytes, but not from within the current call.
   void ParseNextSoon();
   [[nodiscard]] bool CanParse() const;
+  /// @return what the client is owed now.
+  [[nodiscard]] const delivery::ResponseDelivery& MeasureDelivery();
   /// @brief Checks again after `delay` whether the client has what it is owed,
   /// and closes the connection when there is nothing to wait for any more.
   void CheckDeliveryAfter(Duration delay);
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -77,6 +77,7 @@
     exchange->Respond({.status = 400});
     return;
   }
+  exchange->Identify(relay->id, parts_.loop.Now() + relay->time_left);
   if (const auto refusal = RefusalNow()) {
     Fail(*exchange, *refusal);
     return;
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -69,12 +69,14 @@
   active->exchange = exchange;
   active->started_at = now;
   if (!is_accepting_) {
+    exchange->Identify(active->decoded.id, now);
     End(*active, {.reason = request_path::FailureReason::kHostDraining,
                   .retry_after = kRetryAfterWhenLeaving});
     return;
   }
   active->start = parts_.path.Begin(active->decoded.request, now);
   const RequestTicket ticket = active->start.ticket;
+  exchange->Identify(active->decoded.id, now + active->start.time_left);
   if (ticket == 0) {
     End(*active, std::get<RequestFailure>(active->start.step));
     return;
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -24,8 +24,12 @@
 constexpr Duration kLookupTimeToLive = std::chrono::milliseconds(1000);
 // Some callers keep a look-up's result for three times its time to live.
 constexpr Duration kAnnouncementPeriod = std::chrono::milliseconds(2800);
-// Part of the stop limit that is reserved for an orderly exit.
-constexpr Duration kStopReserve = std::chrono::milliseconds(350);
+// Part of the stop limit that is reserved for an orderly exit, on a host that
+// is slow or busy. What is left at its beginning is cut.
+constexpr Duration kMinStopReserve = std::chrono::milliseconds(350);
+constexpr int kStopReserveDivisor = 10;
+// How often a stopping host looks whether all is delivered.
+constexpr Duration kStopCheckPeriod = std::chrono::milliseconds(50);
 // How long a starting host searches for hosts that read the tables for its
 // region. All hosts may start at once, and hundreds of rows are then written
 // one after the other. Each host that finds no reader reads all tables from the
@@ -107,9 +111,13 @@
 
 process::StopSequence::Options StopOptions(
     const adapters::NodeSettings& settings) {
-  const Duration limit = settings.bounds.stop_limit - kStopReserve;
-  const Duration announce = std::min(kAnnouncementPeriod, limit / 2);
-  return {.announce_time = announce, .finish_limit = limit - announce};
+  const Duration limit = settings.bounds.stop_limit;
+  const Duration announce =
+      std::min(kAnnouncementPeriod, (limit - kMinStopReserve) / 2);
+  const Duration reserve =
+      std::max(kMinStopReserve, limit / kStopReserveDivisor);
+  return {.announce_time = announce,
+          .finish_limit = limit - reserve - announce};
 }
 
 }  // namespace
@@ -414,7 +422,6 @@
            peers_.Readers().RefusedElsewhereAgo(operator_follower_.Table())}));
   UpdateFollowTiming();
   UpdatePhase();
-  AdvanceStop();
 }
 
 void Node::UpdateFollowTiming() {
@@ -432,18 +439,37 @@
   }
 }
 
+// Guards against a stop that drops answers: one that has left the forwarder may
+// still wait for a slow caller, in this process or in the kernel. So the stop
+// waits for what the connections owe, of callers and of the hosts that this one
+// sends for.
 void Node::AdvanceStop() {
+  loop_.Cancel(stop_timer_);
+  adapters::OwedResponses owed = caller_listener_->MeasureOwed();
+  owed += peer_listener_->MeasureOwed();
   const StopPhase before = stop_.Phase();
-  if (before == StopPhase::kServing) {
-    return;
+  stop_.Advance(owed.WaitedFor(), loop_.Now());
+  if (stop_.Phase() != before) {
+    OnStopPhase(owed);
   }
-  stop_.Advance(forwarder_.InFlight() + relay_handler_.InFlight(), loop_.Now());
-  if (before == StopPhase::kAnnouncing && stop_.Phase() != before) {
-    caller_listener_->StopAccepting();
-    forwarder_.StopAcceptingRequests();
+  if (stop_.Phase() != StopPhase::kStopped) {
+    stop_timer_ = loop_.After(kStopCheckPeriod, [this] { AdvanceStop(); });
   }
+}
+
+void Node::OnStopPhase(const adapters::OwedResponses& owed) {
+  caller_listener_->StopAccepting();
+  forwarder_.StopAcceptingRequests();
+  Log(LogLevel::kInfo, "stop-waits",
+      {{"requests", owed.requests},
+       {"responses", owed.responses},
+       {"given_up", owed.given_up},
+       {"undelivered_bytes", owed.bytes}});
   if (stop_.Phase() == StopPhase::kStopped) {
-    Log(LogLevel::kInfo, "stopped", {{"requests_cut", stop_.Cut()}});
+    Log(LogLevel::kInfo, "stopped",
+        {{"requests_cut", stop_.Cut()},
+         {"given_up", owed.given_up},
+         {"undelivered_bytes", owed.bytes}});
     loop_.Finish(0);
   }
 }
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -84,7 +84,9 @@
   void UpdateFollowTiming();
   void OnConfiguration();
   void UpdatePhase();
+  /// @brief Advances a planned stop, again and again until it has ended.
   void AdvanceStop();
+  void OnStopPhase(const adapters::OwedResponses& owed);
   void RegisterGauges();
 
   adapters::NodeSettings settings_;
@@ -123,6 +125,7 @@
   adapters::ReachMonitor reach_monitor_;
   PeerRequestHandler peer_handler_;
   process::StopSequence stop_;
+  adapters::TimerId stop_timer_ = 0;
   std::unique_ptr<adapters::HttpListener> caller_listener_;
   std::unique_ptr<adapters::HttpListener> readiness_listener_;
   std::unique_ptr<adapters::HttpListener> lookup_listener_;
--- a/tests/unit/adapters/event/slow_client_test.cc
+++ b/tests/unit/adapters/event/slow_client_test.cc
@@ -30,15 +30,22 @@
 constexpr int kSegmentBytes = 1460;
 constexpr int kReceiveBufferBytes = 16 * 1024;
 
+// What the kernel takes, but not the client.
+constexpr std::size_t kSmallBytes = std::size_t{60} * 1024;
+
 /// @brief Answers GET with a large body that ends in the request's target,
-/// "/later" after a while.
+/// "/small" with a smaller one, "/later" after a while.
 class LargeHandler final : public HttpRequestHandler {
  public:
   explicit LargeHandler(EventLoop& loop) : loop_(loop) {}
 
   void OnRequest(HttpRequest request,
                  const std::shared_ptr<HttpExchange>& exchange) override {
-    std::string body(request.method == "GET" ? kLargeBytes : 0, 'b');
+    exchange->Identify(request.raw_target,
+                       loop_.Now() + std::chrono::seconds(4));
+    const std::size_t size =
+        request.raw_target == "/small" ? kSmallBytes : kLargeBytes;
+    std::string body(request.method == "GET" ? size : 0, 'b');
     body += request.raw_target;
     const auto respond = [exchange, body = std::move(body)] {
       exchange->Respond({.status = 200, .body = body});
@@ -190,6 +197,58 @@
                     "b/2"}),
     [](const auto& tested) { return tested.param.name; });
 
+struct OwedCase {
+  std::string name;
+  std::string target;  ///< Of the request; "/small" has a small response.
+  bool is_read;
+  OwedResponses owed;
+};
+
+class OwedResponsesTest : public SlowClientTest,
+                          public testing::WithParamInterface<OwedCase> {};
+
+// Guards against a stop that ends while responses wait for slow clients, in
+// this process or in the kernel.
+TEST_P(OwedResponsesTest, CountWhatTheClientHasNotReceived) {
+  OwedResponses owed;
+  RunWith([&](SlowClient& client) {
+    client.Send("GET " + GetParam().target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    if (GetParam().is_read) {
+      client.ReadUntil("b" + GetParam().target);
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    owed = listener_->MeasureOwed();
+  });
+  EXPECT_EQ(owed.requests, GetParam().owed.requests);
+  EXPECT_EQ(owed.responses, GetParam().owed.responses);
+  EXPECT_EQ(owed.bytes > 0, GetParam().owed.responses > 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    OwedResponsesTest,
+    testing::Values(OwedCase{"InHand", "/later", false, {.requests = 1}},
+                    OwedCase{"InThisProcess", "/1", false, {.responses = 1}},
+                    OwedCase{"InTheKernel", "/small", false, {.responses = 1}},
+                    OwedCase{"Delivered", "/1", true, {}}),
+    [](const auto& tested) { return tested.param.name; });
+
+// Guards against a close with unread input, which resets the connection and
+// drops what the kernel holds for a slow client.
+TEST_F(SlowClientTest, EndOfTheListenerDropsNothingThatTheKernelHolds) {
+  std::string received;
+  std::unique_ptr<SlowClient> client;
+  RunWith([&](SlowClient&) {
+    client = std::make_unique<SlowClient>(listener_->Port());
+    client->Send("GET /small HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(100));
+  });
+  client->Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  listener_.reset();
+  client->ReadUntil("never");
+  EXPECT_TRUE(client->received.ends_with("b/small"));
+}
+
 // Guards against responses that stay in memory for clients that never read.
 TEST_F(SlowClientTest, GivesUpAClientThatReadsNothing) {
   listener_->SetLimits({.idle_timeout = milliseconds(300)});
--- a/tests/unit/adapters/forward/single_loop_deployment.h
+++ b/tests/unit/adapters/forward/single_loop_deployment.h
@@ -295,6 +295,10 @@
     loop_.Run();
   }
   void Run() { loop_.Run(); }
+  /// @return what the host owes its callers, other hosts included.
+  [[nodiscard]] OwedResponses Owed() const {
+    return host_listener_->MeasureOwed();
+  }
   void Stop() { loop_.Finish(0); }
 
   /// @brief All targets end at once, after the current event.
