Bound what slow clients hold in memory

Answers that clients do not read stay in memory, one for each connection, without any bound in sum: enough slow clients end a host.

Change: unsent answers should take an eighth of the process's memory at most. Before that bound is passed, clients lose theirs who have read nothing for 3 s; then new requests are refused, not run (slow-callers, Retry-After); answers that arrive beyond twice the bound cost the client its answer that has read nothing for longest.

Evidence: UnsentMemoryTest, four cases: with room; full, where clients that are slow lose nothing and new requests are refused; full of silent clients, which are given up; exceeded. The stop's two lines are one each now.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
@@ -64,6 +64,7 @@
                          ///< other host sent for it.
   kTargetsResting,       ///< All targets that may run it asked for rest.
   kRegionsUnknown,       ///< The regions in which it may run may have changed.
+  kSlowCallers,  ///< Answers that callers have not read take the memory.
 };
 
 /// @brief The limit by which a request was refused.
--- a/lib/libmedlarcroft/source/adapters/event/http_listener.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.cc
@@ -4,6 +4,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 #include "adapters/event/http_server_connection.h"
 #include "adapters/process/socket_address.h"
 
@@ -12,6 +14,11 @@
 namespace {
 
 constexpr int kBacklog = 1024;
+// How long a client may read nothing while unsent responses take more than they
+// should. A slow client acknowledges something every second.
+constexpr Duration kPatienceWithoutRoom = std::chrono::seconds(3);
+// Beyond this times what unsent responses should take, patience ends.
+constexpr std::size_t kUnsentBytesFactor = 2;
 
 }  // namespace
 
@@ -77,6 +84,38 @@
   return owed;
 }
 
+// Guards against a host that runs out of memory since clients don't read: each
+// holds a whole response. What slow clients hold is bounded: before the bound
+// those lose theirs who read nothing, then new requests are refused, and only
+// responses that arrive beyond that cost a client its response.
+bool HttpListener::MakeRoom() {
+  GiveUpSilentClients(limits_.max_unsent_bytes, kPatienceWithoutRoom);
+  return unsent_bytes_ <= limits_.max_unsent_bytes;
+}
+
+void HttpListener::OnUnsent(std::size_t before, std::size_t now) {
+  unsent_bytes_ += now;
+  unsent_bytes_ -= before;
+  GiveUpSilentClients(kUnsentBytesFactor * limits_.max_unsent_bytes,
+                      Duration(0));
+}
+
+void HttpListener::GiveUpSilentClients(std::size_t bytes, Duration patience) {
+  while (unsent_bytes_ > bytes) {
+    const MonotonicTime now = loop_.Now();
+    const auto silent_for = [now](const auto& connection) {
+      return connection->UnsentBytes() == 0 ? Duration(-1)
+                                            : connection->WithoutProgress(now);
+    };
+    const auto longest = std::ranges::max_element(connections_, {}, silent_for);
+    if (longest == connections_.end() || silent_for(*longest) < patience) {
+      return;
+    }
+    const auto connection = *longest;
+    connection->GiveUpForMemory();
+  }
+}
+
 void HttpListener::StopAccepting() {
   if (descriptor_ < 0) {
     return;
--- a/lib/libmedlarcroft/source/adapters/event/http_listener.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.h
@@ -23,6 +23,9 @@
   Duration header_timeout = std::chrono::seconds(3);
   /// For a connection without a request, and for receiving a request's body.
   Duration idle_timeout = std::chrono::seconds(15);
+  /// What responses that the kernel has not taken should take together; see
+  /// `HttpListener::MakeRoom`.
+  std::size_t max_unsent_bytes = std::size_t{32} * 1024 * 1024;
 };
 
 /// @brief A request that awaits its response.
@@ -114,6 +117,12 @@
   }
   /// @brief Asks each connection, and the kernel for each, what it owes.
   [[nodiscard]] OwedResponses MeasureOwed() const;
+  /// @return bytes of responses that the kernel has not taken.
+  [[nodiscard]] std::size_t UnsentBytes() const { return unsent_bytes_; }
+  /// @brief Makes room for further responses by giving up clients that read
+  /// nothing.
+  /// @return whether there is room; if not, a new request should be refused.
+  [[nodiscard]] bool MakeRoom();
   [[nodiscard]] std::uint16_t Port() const { return port_; }
 
   void OnReadable() override;
@@ -124,6 +133,13 @@
 
   HttpListener(EventLoop& loop, int descriptor, HttpRequestHandler& handler);
 
+  /// @brief Counts what a connection holds unsent in place of what it did
+  /// before.
+  void OnUnsent(std::size_t before, std::size_t now);
+  /// @brief While more than `bytes` are unsent, closes the connection whose
+  /// client has read nothing for longest, if that is at least `patience`.
+  void GiveUpSilentClients(std::size_t bytes, Duration patience);
+
   EventLoop& loop_;
   HttpRequestHandler& handler_;
   int descriptor_;
@@ -131,6 +147,7 @@
   HttpLimits limits_;
   bool is_draining_ = false;
   HttpListenerCounters counters_;
+  std::size_t unsent_bytes_ = 0;
   std::unordered_set<std::shared_ptr<HttpServerConnection>> connections_;
 };
 
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -24,8 +24,8 @@
 // How much a client may pipeline while its request is served.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
 
-constexpr std::array<std::string_view, 5> kCloseReasonNames = {
-    "client-closed", "broken", "idle", "no-progress", "stop"};
+constexpr std::array<std::string_view, 6> kCloseReasonNames = {
+    "client-closed", "broken", "idle", "no-progress", "memory", "stop"};
 
 bool IsOwnDecision(CloseReason reason) {
   return reason != CloseReason::kClientClosed && reason != CloseReason::kBroken;
@@ -169,6 +169,10 @@
   unused_since_ = listener_->loop_.Now();
   delivery_.OnResponse(stream_.UnsentBytes() + text.size(), unused_since_);
   stream_.Write(std::move(text));
+  CountUnsent();
+  if (listener_ == nullptr) {
+    return;
+  }
   if (!keeps_alive) {
     LingerAndClose();
     return;
@@ -182,8 +186,10 @@
 }
 
 void HttpServerConnection::OnSent() {
+  const auto self = shared_from_this();
   delivery_.OnProgress(listener_->loop_.Now());
-  if (stream_.IsDrained() && !input_.empty()) {
+  CountUnsent();
+  if (listener_ != nullptr && stream_.IsDrained() && !input_.empty()) {
     ParseNextSoon();
   }
 }
@@ -293,6 +299,12 @@
                                     : CloseReason::kBroken);
 }
 
+void HttpServerConnection::CountUnsent() {
+  const std::size_t before =
+      std::exchange(counted_unsent_bytes_, stream_.UnsentBytes());
+  listener_->OnUnsent(before, counted_unsent_bytes_);
+}
+
 void HttpServerConnection::LogIfOwing(CloseReason reason) {
   const MonotonicTime now = listener_->loop_.Now();
   const delivery::ResponseDelivery& owed = MeasureDelivery();
@@ -324,12 +336,13 @@
   phase_ = Phase::kClosing;
   // What the kernel holds still reaches the client, unless unread input resets
   // the connection. One that reads nothing has been given up.
-  if (reason != CloseReason::kNoProgress) {
+  if (reason != CloseReason::kNoProgress && reason != CloseReason::kMemory) {
     stream_.DiscardInput();
   }
   stream_.Close();
   listener.loop_.Cancel(deadline_);
   listener.connections_.erase(self);
+  listener.OnUnsent(std::exchange(counted_unsent_bytes_, 0), 0);
 }
 
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
@@ -23,6 +23,7 @@
   kBroken,        ///< It was reset, or the client is not reachable any more.
   kIdle,          ///< No request came, and nothing was owed.
   kNoProgress,    ///< The client reads nothing any more.
+  kMemory,        ///< The same, while unsent responses take too much.
   kStop,          ///< This process stops.
 };
 
@@ -51,6 +52,13 @@
   [[nodiscard]] bool IsCallerGone() const override;
 
   [[nodiscard]] OwedResponses MeasureOwed();
+  [[nodiscard]] std::size_t UnsentBytes() const {
+    return stream_.UnsentBytes();
+  }
+  [[nodiscard]] Duration WithoutProgress(MonotonicTime now) const {
+    return delivery_.WithoutProgress(now);
+  }
+  void GiveUpForMemory() { Release(CloseReason::kMemory); }
   /// @brief Closes the connection because this process stops.
   void CloseForStop() { Release(CloseReason::kStop); }
 
@@ -81,6 +89,9 @@
   void CheckDeliveryAfter(Duration delay);
   void CheckDelivery();
   [[nodiscard]] Duration TimeUntilUnused(MonotonicTime now) const;
+  /// @brief Tells the listener what this connection holds now, which may
+  /// release it.
+  void CountUnsent();
   void LogIfOwing(CloseReason reason);
   void Release(CloseReason reason);
 
@@ -95,6 +106,7 @@
   bool has_handled_header_ = false;
   TimerId deadline_ = 0;
   delivery::ResponseDelivery delivery_;
+  std::size_t counted_unsent_bytes_ = 0;
   /// When the client was last known to be owed bytes, or served.
   MonotonicTime unused_since_;
   MonotonicTime last_input_at_;
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -19,6 +19,9 @@
 
 // Callers of a draining host can use another host at once.
 constexpr Duration kRetryAfterWhenLeaving = std::chrono::milliseconds(50);
+// Clients that read nothing are given up within seconds; until then other hosts
+// have room.
+constexpr Duration kRetryAfterWithoutRoom = std::chrono::milliseconds(500);
 
 AttemptEnd AttemptEndOf(const RelayResult& result) {
   switch (result.end) {
@@ -74,6 +77,12 @@
                   .retry_after = kRetryAfterWhenLeaving});
     return;
   }
+  if (!parts_.has_room()) {
+    exchange->Identify(active->decoded.id, now);
+    End(*active, {.reason = request_path::FailureReason::kSlowCallers,
+                  .retry_after = kRetryAfterWithoutRoom});
+    return;
+  }
   active->start = parts_.path.Begin(active->decoded.request, now);
   const RequestTicket ticket = active->start.ticket;
   exchange->Identify(active->decoded.id, now + active->start.time_left);
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -43,6 +43,8 @@
         on_load_report;
     /// Called for each send whose target crashed.
     CrashProbe::OnCrash on_crash;
+    /// @return whether there is memory for another answer.
+    std::function<bool()> has_room = [] { return true; };
     /// Sends while this host is cut off from the targets.
     RelaySender& relays;
   };
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -39,7 +39,7 @@
 constexpr MetricDescription kAnswerLatency = {
     "medlar_answer_seconds", "From a request's arrival to its whole answer."};
 
-constexpr std::array<std::string_view, 19> kEndReasonNames = {
+constexpr std::array<std::string_view, 20> kEndReasonNames = {
     "not-configured",
     "no-route",
     "no-route-yet",
@@ -58,7 +58,8 @@
     "region-forbidden",
     "targets-out-of-reach",
     "targets-resting",
-    "regions-unknown"};
+    "regions-unknown",
+    "slow-callers"};
 constexpr std::array<std::string_view, 10> kAttemptEndNames = {
     "answered", "target-failed", "not-run",   "other-target", "never-sent",
     "lost",     "timed-out",     "no-helper", "helper-lost",  "withheld"};
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -43,6 +43,9 @@
 constexpr std::size_t kAnswerMemoryDivisor = 16;
 // The same for those of the store, which may be whole tables.
 constexpr std::size_t kStoreAnswerMemoryDivisor = 8;
+// Responses that callers have not read should take at most the host's memory
+// divided by this, together; never more than twice that.
+constexpr std::size_t kUnsentMemoryDivisor = 8;
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 
 // Memory that relays for other hosts may use, and what one of them holds: the
@@ -180,6 +183,7 @@
                       [this](const adapters::InterruptedSend& interrupted) {
                         crash_sharing_.OnCrash(interrupted);
                       },
+                  .has_room = [this] { return caller_listener_->MakeRoom(); },
                   .relays = relay_sender_}),
       store_(loop,
              {.address = settings.store_address,
@@ -460,18 +464,19 @@
 void Node::OnStopPhase(const adapters::OwedResponses& owed) {
   caller_listener_->StopAccepting();
   forwarder_.StopAcceptingRequests();
-  Log(LogLevel::kInfo, "stop-waits",
-      {{"requests", owed.requests},
-       {"responses", owed.responses},
-       {"given_up", owed.given_up},
-       {"undelivered_bytes", owed.bytes}});
-  if (stop_.Phase() == StopPhase::kStopped) {
-    Log(LogLevel::kInfo, "stopped",
-        {{"requests_cut", stop_.Cut()},
+  if (stop_.Phase() != StopPhase::kStopped) {
+    Log(LogLevel::kInfo, "stop-waits",
+        {{"requests", owed.requests},
+         {"responses", owed.responses},
          {"given_up", owed.given_up},
          {"undelivered_bytes", owed.bytes}});
-    loop_.Finish(0);
+    return;
   }
+  Log(LogLevel::kInfo, "stopped",
+      {{"requests_cut", stop_.Cut()},
+       {"given_up", owed.given_up},
+       {"undelivered_bytes", owed.bytes}});
+  loop_.Finish(0);
 }
 
 void Node::OnConfiguration() {
@@ -482,11 +487,13 @@
       {.max_header_bytes = limits.max_header_bytes,
        .max_body_bytes = std::min(limits.max_body_bytes, memory_limit),
        .header_timeout = limits.header_timeout,
-       .idle_timeout = limits.idle_timeout});
+       .idle_timeout = limits.idle_timeout,
+       .max_unsent_bytes = MemoryPart(settings_, kUnsentMemoryDivisor)});
   // A relayed request comes with its head in the body.
   peer_listener_->SetLimits(
       {.max_body_bytes = std::min(limits.max_body_bytes, memory_limit) +
-                         limits.max_header_bytes + kMaxAddedHeaderBytes});
+                         limits.max_header_bytes + kMaxAddedHeaderBytes,
+       .max_unsent_bytes = MemoryPart(settings_, kUnsentMemoryDivisor)});
 }
 
 void Node::OnTargetChange(TargetChange change,
--- a/programs/node/node_gauges.cc
+++ b/programs/node/node_gauges.cc
@@ -55,6 +55,20 @@
   add({"medlar_caller_connections", "Open connections of callers."}, [this] {
     return static_cast<double>(caller_listener_->OpenConnections());
   });
+  add({"medlar_unsent_response_bytes",
+       "What answers that callers have not read take in this process."},
+      [this] { return static_cast<double>(caller_listener_->UnsentBytes()); });
+  add({"medlar_undelivered_responses",
+       "Answers that callers have not acknowledged whole."},
+      [this] {
+        const adapters::OwedResponses owed = caller_listener_->MeasureOwed();
+        return static_cast<double>(owed.responses + owed.given_up);
+      });
+  add({"medlar_responses_cut",
+       "Connections of callers that were closed while something was owed."},
+      [this] {
+        return static_cast<double>(caller_listener_->Counters().responses_cut);
+      });
   add({"medlar_target_connections_opened", "Connections opened to targets."},
       [this] {
         return static_cast<double>(caller_.Counters().connections_opened);
--- a/tests/unit/adapters/event/slow_client_test.cc
+++ b/tests/unit/adapters/event/slow_client_test.cc
@@ -10,9 +10,11 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "adapters/event/http_listener.h"
 #include "adapters/process/socket_address.h"
@@ -39,10 +41,18 @@
  public:
   explicit LargeHandler(EventLoop& loop) : loop_(loop) {}
 
+  HttpListener* listener = nullptr;
+  std::optional<bool> has_room;
+
   void OnRequest(HttpRequest request,
                  const std::shared_ptr<HttpExchange>& exchange) override {
     exchange->Identify(request.raw_target,
                        loop_.Now() + std::chrono::seconds(4));
+    if (request.raw_target == "/room") {
+      has_room = listener->MakeRoom();
+      exchange->Respond({.status = 200});
+      return;
+    }
     const std::size_t size =
         request.raw_target == "/small" ? kSmallBytes : kLargeBytes;
     std::string body(request.method == "GET" ? size : 0, 'b');
@@ -125,6 +135,7 @@
  protected:
   SlowClientTest() {
     listener_ = TakeValue(HttpListener::Open(loop_, "127.0.0.1:0", handler_));
+    handler_.listener = listener_.get();
   }
 
   /// Runs the loop while a client thread runs `script`.
@@ -276,6 +287,52 @@
   EXPECT_EQ(served, 1U);
 }
 
+struct MemoryCase {
+  std::string name;
+  std::size_t max_unsent_bytes;
+  /// How long the clients read nothing before `MakeRoom`.
+  milliseconds pause;
+  bool has_room;
+  bool is_any_cut;
+};
+
+class UnsentMemoryTest : public SlowClientTest,
+                         public testing::WithParamInterface<MemoryCase> {};
+
+// Guards against a host that runs out of memory since many clients don't read.
+TEST_P(UnsentMemoryTest, IsBoundedForAllClientsTogether) {
+  constexpr int kClients = 8;
+  listener_->SetLimits({.max_unsent_bytes = GetParam().max_unsent_bytes});
+  std::size_t unsent_bytes = 0;
+  RunWith([&](SlowClient& client) {
+    std::vector<std::unique_ptr<SlowClient>> others;
+    for (int i = 0; i < kClients; ++i) {
+      others.push_back(std::make_unique<SlowClient>(listener_->Port()));
+      others.back()->Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    std::this_thread::sleep_for(GetParam().pause);
+    client.Send("GET /room HTTP/1.1\r\nHost: h\r\n\r\n");
+    client.ReadUntil("\r\n\r\n");
+    unsent_bytes = listener_->UnsentBytes();
+  });
+  EXPECT_EQ(handler_.has_room, GetParam().has_room);
+  EXPECT_LE(unsent_bytes, 2 * GetParam().max_unsent_bytes);
+  EXPECT_EQ(listener_->Counters().responses_cut > 0, GetParam().is_any_cut);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    UnsentMemoryTest,
+    testing::Values(
+        MemoryCase{"Enough", 16 * kLargeBytes, milliseconds(300), true, false},
+        // Slow clients lose nothing while new requests can be refused.
+        MemoryCase{"Full", 5 * kLargeBytes, milliseconds(300), false, false},
+        MemoryCase{"FullOfSilentClients", 5 * kLargeBytes, milliseconds(3700),
+                   true, true},
+        MemoryCase{"Exceeded", 2 * kLargeBytes, milliseconds(300), false,
+                   true}),
+    [](const auto& tested) { return tested.param.name; });
+
 // Guards against a connection that is closed, with a request in hand, since its
 // client pipelines more than is kept.
 TEST_F(SlowClientTest, AnswersAClientThatPipelinesMuch) {
