Teach the soak slow callers, early answers and stops amid them

Change: in some rounds a node stops while callers read slowly, from before the stop and after its signal, or never; targets answer uploads early, without a length, and one of them breaks off halfway. Violations: an answer that was ready and is not whole, an answer that broke off and looks whole, a stop that takes longer than its limit. These targets have new addresses, small segments and buffers, as otherwise the kernel takes whole bodies; they are there in such a round only, since links do not lead to them.

--- a/lib/libmedlarcroft/source/adapters/event/http_listener.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.cc
@@ -111,8 +111,7 @@
     if (longest == connections_.end() || silent_for(*longest) < patience) {
       return;
     }
-    const auto connection = *longest;
-    connection->GiveUpForMemory();
+    (*longest)->GiveUpForMemory();
   }
 }
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,9 @@
 - a response that is truncated or belongs to another request;
 - a route that is rejected although it is active, or that is not active in time after the store hung;
 - a draining target that receives new requests;
-- a request that a planned stop interrupts;
+- a request that a planned stop interrupts, or an answer that a stopping node does not deliver to a slow caller;
+- an answer that broke off and looks whole, of a target that answers before it has read an upload;
+- a stop that callers who never read hold up;
 - a request that is still sent to targets after it crashed three of them;
 - a target that receives more requests than its rate limit;
 - a target that receives requests from a node that it asked for rest, or told that it leaves;
@@ -20,8 +22,10 @@
 import argparse
 import http.client
 import pathlib
+import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import threading
@@ -30,9 +34,10 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "tests/system"))
 
-from faulty_link import FaultyLink, cut_links  # noqa: E402
+from faulty_link import LINGER_RESET, FaultyLink, cut_links  # noqa: E402
 from platform_standins import Store, Target  # noqa: E402
 import platform_test  # noqa: E402
+from slow_reader_test import STOP_LIMIT_S, LargeTarget, SlowCaller  # noqa: E402
 from platform_test import WAIT_LIMIT_S, ROUTES, Node, make_configuration, make_route, wait_for  # noqa: E402
 
 # Differs from the networks of the system tests, so that both can run at the same time.
@@ -55,6 +60,47 @@
 ACTIVE_LIMIT_S = 5.0  # Hosts are up to date 4 s after the store hung; plus a margin of 1 s.
 
 
+# Served by targets of their own, to which no link leads: a link's own resets close in order first.
+PRESS_ROUTES = [make_route("packs", "/packs/", "download", "press", timeout="4000ms"),
+                make_route("uploads", "/early/", "upload", "press", timeout="4000ms")]
+UPLOAD_BYTES, EARLY_BYTES, EARLY_PAUSE_S, SLOW_CALLERS = 1_000_000, 2400, 1.5, 4
+
+
+def early_answer(request):
+    return ((request + ".").encode() * EARLY_BYTES)[:EARLY_BYTES]
+
+
+class PressTarget(LargeTarget):
+    """Answers uploads before it has read them, without a length; while `breaks`, it breaks off halfway."""
+
+    breaks = False
+
+    def _start(self, address):
+        super()._start(address)
+        # As on a network; the kernel would take whole uploads otherwise.
+        self.server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        self.server.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
+
+    def _serve(self, handler):
+        if not handler.path.startswith("/early/"):
+            super()._serve(handler)
+            return
+        request = handler.headers["X-Medlarcroft-Attempt-Id"]
+        body = early_answer(request)
+        handler.close_connection = True
+        with self.lock:
+            self.executed_requests.append(request)
+        handler.wfile.write((f"HTTP/1.1 200 OK\r\nX-Medlarcroft-Attempt-Id: {request}\r\nX-Medlarcroft-Server-Seal: seal\r\n"
+                             "Connection: close\r\n\r\n").encode() + body[:EARLY_BYTES // 2])
+        time.sleep(EARLY_PAUSE_S)
+        if self.breaks:
+            handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            os.close(handler.connection.detach())
+            return
+        handler.body()
+        handler.wfile.write(body[EARLY_BYTES // 2:])
+
+
 class Observations:
     """Results that callers observed."""
 
@@ -84,7 +130,7 @@
         self.folder, self.port = folder, 20000 + seed % 50 * 200
         self.version, self.routes = 1, list(ROUTES)
         self.store = Store((f"{NET}.0.1", 0))
-        self.store.put_json("op", "config", make_configuration(1, self.routes))
+        self.store.put_json("op", "config", make_configuration(1, self.routes + PRESS_ROUTES))
         self.links, self.targets, self.removed_targets = [], {}, []
         self.node_links = {number: {} for number in range(1, NODES + 1)}  # Number -> address of the target -> link.
         self.node_addresses = {number: {} for number in self.node_links}  # Number -> address of the target -> link's.
@@ -94,6 +140,7 @@
             self.store_links.append(self._link(f"{NET}.0.2", view.server_address))
         for service in ("desk", "desk", "ledger", "ledger"):
             self.add_target(service)
+        self.presses = []
         self.nodes = {}
         for number in range(1, NODES + 1):
             self.start(number)
@@ -119,6 +166,22 @@
         self.store.put_json("servers", name, target.entry)
         self.targets[name] = target
 
+    def start_presses(self):
+        """Starts targets without links. While they are there, no node is cut off from all targets."""
+        for number in range(2):
+            self.port += 1
+            # The kernel remembers how fast an address was, so each has one that is new.
+            address = (f"127.{random.randint(90, 250)}.{random.randint(1, 250)}.{random.randint(1, 250)}", self.port)
+            self.presses.append(PressTarget(self.store, f"press-{self.port}", "press", "z1", address, slots=64))
+        for node in self.nodes.values():
+            wait_for(lambda n=node: self._serves(n, "/packs/x"))
+
+    def stop_presses(self):
+        while self.presses:
+            press = self.presses.pop()
+            press.stop()
+            self.store.remove("servers", press.name)
+
     def _add_node_link(self, number, target):
         host, port = target.link.address.rsplit(":", 1)
         link = self._link(f"{NET}.4.{number}", (host, int(port)))
@@ -160,14 +223,14 @@
 
     def write_next_version(self):
         self.version += 1
-        self.store.put_json("op", "config", make_configuration(self.version, self.routes))
+        self.store.put_json("op", "config", make_configuration(self.version, self.routes + PRESS_ROUTES))
 
     def add_route(self):
         self.version += 1
         number = len(self.routes)
         added = make_route(f"added-{self.version}", f"/added-{self.version}/", ADDED_KINDS[number % len(ADDED_KINDS)],
                            "desk", priority=number % 3)
-        self.store.put_json("op", "config", make_configuration(self.version, self.routes + [added]))
+        self.store.put_json("op", "config", make_configuration(self.version, self.routes + PRESS_ROUTES + [added]))
         for node in self.nodes.values():
             wait_for(lambda n=node: self._serves(n, f"/added-{self.version}/x"))
         self.routes.append(added)
@@ -192,7 +255,7 @@
             node.process.wait()
         for link in self.links:
             link.close()
-        for target in list(self.targets.values()) + self.removed_targets:
+        for target in list(self.targets.values()) + self.removed_targets + self.presses:
             target.stop()
         self.store.server.shutdown()
 
@@ -265,6 +328,7 @@
         self.limit_random = random.Random(f"limits of {seed}")
         self.notice_random = random.Random(f"notices of {seed}")
         self.cut_random = random.Random(f"cuts of {seed}")
+        self.slow_random = random.Random(f"slow callers of {seed}")
         self.log = []
 
     def round(self, index):
@@ -298,6 +362,9 @@
         if self.cut_random.random() < 0.4:
             self.log.append(f"round {index}: cut")
             self.cut_off_nodes()
+        if self.slow_random.random() < 0.4:
+            self.log.append(f"round {index}: slow")
+            self.stop_node_amid_slow_callers()
 
     def kill_node(self):
         number = self.random.randint(1, NODES)
@@ -488,6 +555,44 @@
         self.deployment.start(numbers[0])
         return lambda: None
 
+    def stop_node_amid_slow_callers(self):
+        """Stops a node while callers read slowly or not at all, and targets answer uploads early, whole or not."""
+        time.sleep(DRAIN_LIMIT_S)
+        self.deployment.start_presses()
+        number, index = self.slow_random.randint(1, NODES), len(self.log)
+        node = self.deployment.nodes[number]
+        breaking = self.slow_random.choice(self.deployment.presses)
+        breaking.breaks = True
+        uploads = [threading.Thread(target=self._upload, args=(node, f"early-{index}-{i}", i)) for i in range(2 * SLOW_CALLERS)]
+        for upload in uploads:
+            upload.start()
+        slow = [SlowCaller(node, f"slow-{index}-{i}", slow_s=self.slow_random.uniform(3.2, 3.5)) for i in range(SLOW_CALLERS)]
+        silent = SlowCaller(node, f"silent-{index}", reads=False, deadline_ms=1500)
+        time.sleep(0.3)
+        started = time.monotonic()
+        node.process.terminate()
+        time.sleep(self.slow_random.uniform(0.1, 0.5))
+        slow += [SlowCaller(node, f"late-{index}-{i}", slow_s=self.slow_random.uniform(1.5, 2.5)) for i in range(SLOW_CALLERS)]
+        if node.process.wait(20) != 0 or time.monotonic() - started > STOP_LIMIT_S:
+            self.observations.add_violation(f"{node.name}: a stop amid slow callers took {time.monotonic() - started:.1f} s")
+        for caller in slow + [silent]:
+            caller.end()
+            if caller is not silent and not caller.is_served():
+                self.observations.add_violation(f"{caller.request}: {len(caller.body)} bytes of an answer that was ready")
+        for upload in uploads:
+            upload.join()
+        self.deployment.stop_presses()
+        self.deployment.start(number)
+        wait_for(self.deployment.nodes[number].is_ready)
+
+    def _upload(self, node, request, key):
+        try:
+            answer, body = node.call(f"/early/{request}", request, "POST", b"u" * UPLOAD_BYTES, object_key=str(key))
+        except (OSError, http.client.HTTPException):
+            return
+        if answer.status == 200 and body != early_answer(request):
+            self.observations.add_violation(f"{request}: {len(body)} bytes of an answer that broke off look whole")
+
     def stop_node(self):
         """Stops a node as planned, without other faults: requests that reached a target must be answered."""
         time.sleep(DRAIN_LIMIT_S)
