Tell of answers whose client resets the connection

Found in reading the diff: an answer that is lost because its client resets the connection wrote no line, as the failed send had dropped it before the connection ended; a stop wrote lines without an id for calls of other hosts that it ends; and the age of a request in hand was that of the answer before it.

Change: unsent bytes are kept until the end; requests that nobody identified are no debt; the age counts from the request.

--- a/lib/libmedlarcroft/include/medlarcroft/delivery/response_delivery.h
+++ b/lib/libmedlarcroft/include/medlarcroft/delivery/response_delivery.h
@@ -19,7 +19,7 @@
 class ResponseDelivery {
  public:
   /// @brief A whole request was read.
-  void OnRequest();
+  void OnRequest(MonotonicTime now);
   /// @brief Names the request in hand.
   /// @param wanted_until when its caller stops waiting.
   void Identify(std::string request, MonotonicTime wanted_until);
@@ -34,9 +34,10 @@
   void OnMeasured(std::size_t undelivered, MonotonicTime now);
 
   [[nodiscard]] bool HasRequest() const { return has_request_; }
+  [[nodiscard]] bool IsIdentified() const { return wanted_until_.has_value(); }
   [[nodiscard]] std::size_t Undelivered() const { return undelivered_; }
   [[nodiscard]] const std::string& Request() const { return request_; }
-  /// @return since when the connection has owed bytes.
+  /// @return the time since the request was read, or its response written.
   [[nodiscard]] Duration Age(MonotonicTime now) const { return now - since_; }
   [[nodiscard]] Duration WithoutProgress(MonotonicTime now) const {
     return now - progressed_at_;
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -47,6 +47,7 @@
 HttpServerConnection::~HttpServerConnection() = default;
 
 void HttpServerConnection::Start() {
+  unused_since_ = listener_->loop_.Now();
   WaitForRequest();
 }
 
@@ -138,7 +139,7 @@
 
 void HttpServerConnection::DispatchRequest() {
   phase_ = Phase::kServing;
-  delivery_.OnRequest();
+  delivery_.OnRequest(listener_->loop_.Now());
   listener_->loop_.Cancel(deadline_);
   deadline_ = 0;
   ++listener_->counters_.requests;
@@ -201,7 +202,7 @@
 
 void HttpServerConnection::RejectRequest(int status) {
   phase_ = Phase::kServing;
-  delivery_.OnRequest();
+  delivery_.OnRequest(listener_->loop_.Now());
   keeps_alive_ = false;
   is_head_request_ = false;
   Respond({.status = status});
@@ -220,6 +221,9 @@
 
 OwedResponses HttpServerConnection::MeasureOwed() {
   const delivery::ResponseDelivery& delivery = MeasureDelivery();
+  if (!delivery.IsIdentified()) {
+    return {};
+  }
   const bool is_waited_for = delivery.DelaysStop(listener_->loop_.Now());
   OwedResponses owed{.bytes = delivery.Undelivered()};
   if (delivery.HasRequest()) {
@@ -308,7 +312,10 @@
 void HttpServerConnection::LogIfOwing(CloseReason reason) {
   const MonotonicTime now = listener_->loop_.Now();
   const delivery::ResponseDelivery& owed = MeasureDelivery();
-  const bool is_cut = IsOwnDecision(reason) && owed.HasRequest();
+  // Others than identified requests are repeated elsewhere, and their callers
+  // learn of the end at once.
+  const bool is_cut =
+      IsOwnDecision(reason) && owed.HasRequest() && owed.IsIdentified();
   if (!is_cut && owed.Undelivered() == 0) {
     return;
   }
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
@@ -177,7 +177,7 @@
   }
   const std::size_t before = UnsentBytes();
   Flush();
-  if (UnsentBytes() < before && !has_send_failed_) {
+  if (UnsentBytes() < before) {
     handler_.OnSent();
   }
 }
@@ -203,7 +203,7 @@
   if (descriptor_ < 0) {
     return;
   }
-  while (UnsentBytes() > 0) {
+  while (UnsentBytes() > 0 && !has_send_failed_) {
     const ssize_t count = ::send(descriptor_, unsent_.data() + sent_,
                                  UnsentBytes(), MSG_NOSIGNAL);
     if (count < 0) {
@@ -239,8 +239,6 @@
 // says. What the peer sent before is still read: it may be a whole answer.
 void TcpStream::OnSendFailed() {
   has_send_failed_ = true;
-  unsent_.clear();
-  sent_ = 0;
   // The read must come to an end also after an error that leaves the
   // connection up.
   ::shutdown(descriptor_, SHUT_RDWR);
@@ -256,7 +254,8 @@
     return;
   }
   const bool wants_read = !is_reading_paused_;
-  const bool wants_write = !is_connected_ || UnsentBytes() > 0;
+  const bool wants_write =
+      !is_connected_ || (UnsentBytes() > 0 && !has_send_failed_);
   if (wants_read != wants_read_ || wants_write != wants_write_) {
     wants_read_ = wants_read;
     wants_write_ = wants_write;
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
@@ -94,7 +94,7 @@
   [[nodiscard]] bool IsDrained() const {
     return UnsentBytes() == 0 && !has_send_failed_;
   }
-  /// @return bytes that the kernel has not accepted yet.
+  /// @return bytes that the kernel has not accepted, also after the end.
   [[nodiscard]] std::size_t UnsentBytes() const {
     return unsent_.size() - sent_;
   }
--- a/lib/libmedlarcroft/source/delivery/response_delivery.cc
+++ b/lib/libmedlarcroft/source/delivery/response_delivery.cc
@@ -12,8 +12,10 @@
 
 }  // namespace
 
-void ResponseDelivery::OnRequest() {
+void ResponseDelivery::OnRequest(MonotonicTime now) {
   has_request_ = true;
+  since_ = now;
+  progressed_at_ = now;
   request_.clear();
   wanted_until_.reset();
 }
