Show that medlar-entryd's server keeps what slow readers are owed

The three faults of medlar-node were looked for in the other server, built on libmicrohttpd: a response that is read slowly counts as in flight until the kernel has all of it, and a stop with unread input drops nothing that the kernel holds. Both tests passed at once, so nothing is mended there. The slow client moves to tests/fakes, as both servers are tested with it.

--- a/tests/unit/adapters/event/slow_client_test.cc
+++ b/tests/unit/adapters/event/slow_client_test.cc
@@ -1,37 +1,26 @@
 // Clients that read slowly, send on or never read, on real sockets.
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 #include <thread>
-#include <utility>
 #include <vector>
 
 #include "adapters/event/http_listener.h"
-#include "adapters/process/socket_address.h"
 #include "adapters/process/system_clock.h"
+#include "fakes/slow_client.h"
 
 namespace medlarcroft::adapters {
 namespace {
 
+using fakes::SlowClient;
 using std::chrono::milliseconds;
 
 // More than the kernel takes for one connection of `SlowClient`.
 constexpr std::size_t kLargeBytes = std::size_t{1} * 1024 * 1024;
-// As on a network. Loopback's segments make the kernel's buffers large enough
-// for a whole response, which hides what becomes of the rest.
-constexpr int kSegmentBytes = 1460;
-constexpr int kReceiveBufferBytes = 16 * 1024;
 
 // What the kernel takes, but not the client.
 constexpr std::size_t kSmallBytes = std::size_t{60} * 1024;
@@ -72,69 +61,6 @@
   EventLoop& loop_;
 };
 
-class SlowClient {
- public:
-  explicit SlowClient(std::uint16_t port)
-      : descriptor_(::socket(AF_INET, SOCK_STREAM, 0)) {
-    SetOption(IPPROTO_TCP, TCP_MAXSEG, kSegmentBytes);
-    SetOption(SOL_SOCKET, SO_RCVBUF, kReceiveBufferBytes);
-    // The kernel remembers how fast an address was, and sizes buffers by that.
-    std::random_device random;
-    sockaddr_in own{};
-    own.sin_family = AF_INET;
-    own.sin_addr.s_addr =
-        htonl(0x7f5a0000U + (random() % 160U << 16U) + 1 + random() % 65000U);
-    (void)::bind(descriptor_, reinterpret_cast<sockaddr*>(&own), sizeof(own));
-    const auto address =
-        ParseSocketAddress("127.0.0.1:" + std::to_string(port));
-    (void)::connect(descriptor_, address->Get(), address->length);
-  }
-  ~SlowClient() { Reset(); }
-  SlowClient(const SlowClient&) = delete;
-  SlowClient& operator=(const SlowClient&) = delete;
-
-  /// @return whether the server took everything.
-  bool Send(std::string_view bytes) const {
-    while (!bytes.empty()) {
-      const ssize_t count =
-          ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-      if (count <= 0) {
-        return false;
-      }
-      bytes.remove_prefix(static_cast<std::size_t>(count));
-    }
-    return true;
-  }
-
-  /// @brief Reads up to `bytes`.
-  /// @return false at the end of the connection.
-  bool Read(std::size_t bytes) {
-    std::string buffer(bytes, 0);
-    const ssize_t count = ::recv(descriptor_, buffer.data(), bytes, 0);
-    if (count <= 0) {
-      return false;
-    }
-    received.append(buffer, 0, static_cast<std::size_t>(count));
-    return true;
-  }
-  void ReadUntil(std::string_view end) {
-    while (received.find(end) == std::string::npos && Read(65536)) {
-    }
-  }
-
-  /// @brief Closes with unread data, which resets the connection.
-  void Reset() { ::close(std::exchange(descriptor_, -1)); }
-
-  std::string received;
-
- private:
-  void SetOption(int level, int name, int value) const {
-    ::setsockopt(descriptor_, level, name, &value, sizeof(value));
-  }
-
-  int descriptor_;
-};
-
 class SlowClientTest : public testing::Test {
  protected:
   SlowClientTest() {
--- a/tests/unit/adapters/http_server_test.cc
+++ b/tests/unit/adapters/http_server_test.cc
@@ -10,10 +10,15 @@
 #include "adapters/http/http_client.h"
 #include "adapters/process/socket_address.h"
 #include "fakes/scripted_server.h"
+#include "fakes/slow_client.h"
 
 namespace medlarcroft::adapters {
 namespace {
 
+// More, and less, than the kernel takes for one connection of `SlowClient`.
+constexpr std::size_t kLargeBytes = std::size_t{1} * 1024 * 1024;
+constexpr std::size_t kSmallBytes = std::size_t{60} * 1024;
+
 /// Waits until its client has gone, or for long enough to notice that.
 class DisconnectHandler final : public HttpHandler {
  public:
@@ -36,7 +41,8 @@
 };
 
 /// Answers with the connection's id. For "/cut", the announced length exceeds
-/// the body sent; for "/dropped", there is no answer.
+/// the body sent; for "/dropped", there is no answer; "/large" and "/small" get
+/// that much more.
 class IdHandler final : public HttpHandler {
  public:
   std::optional<HttpResponse> Handle(
@@ -46,6 +52,10 @@
       return std::nullopt;
     }
     HttpResponse response{.body = std::to_string(request.connection_id)};
+    if (request.path == "/large" || request.path == "/small") {
+      response.body.insert(
+          0, request.path == "/large" ? kLargeBytes : kSmallBytes, 'b');
+    }
     if (request.path == "/cut") {
       response.missing_bytes = 10;
     }
@@ -124,5 +134,28 @@
   EXPECT_EQ(ValueOf(result).headers.Find("Medlar-Outcome"), "unknown");
 }
 
+// Guards against a stop that ends while a client reads slowly.
+TEST_F(HttpServerTest, ResponseThatIsReadSlowlyIsInFlight) {
+  fakes::SlowClient client(server_->Port());
+  client.Send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  EXPECT_EQ(server_->Counters().in_flight, 1U);
+  client.ReadUntil("b1");
+  EXPECT_TRUE(client.received.ends_with("b1"));
+}
+
+// Guards against a stop with unread input, which resets the connection and
+// drops what the kernel holds for a slow client.
+TEST_F(HttpServerTest, StopDropsNothingThatTheKernelHolds) {
+  fakes::SlowClient client(server_->Port());
+  client.Send("GET /small HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  client.Send("GET /2");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  server_->Stop();
+  client.ReadUntil("never");
+  EXPECT_TRUE(client.received.ends_with("b1"));
+}
+
 }  // namespace
 }  // namespace medlarcroft::adapters
