Log why the end of a send is believed

The line attempt-failed said not-run and nothing of what proved it, so the eight hypotheses of the REFUSED incident looked alike in a log. No decision changes.

--- a/benchmarks/request_lines.cc
+++ b/benchmarks/request_lines.cc
@@ -55,7 +55,7 @@
     telemetry.OnSend(lines, "9c41d07be2a35f68", route, attempt);
     telemetry.OnAttemptEnd(lines, "9c41d07be2a35f68", attempt,
                            request_path::AttemptEnd::kAnswered,
-                           std::chrono::milliseconds(300));
+                           std::chrono::milliseconds(300), std::nullopt);
     telemetry.OnAnswer(lines, "9c41d07be2a35f68", route, 200,
                        std::chrono::milliseconds(300));
   }
--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.h
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.h
@@ -36,7 +36,19 @@
   bool was_connection_reused = false;
 };
 
-using ExchangeResult = Result<HttpResponse, ExchangeError>;
+/// @brief What the connection of a response had carried before it.
+struct ConnectionUse {
+  bool is_reused = false;  ///< Carried other requests before.
+  /// Final responses that it had brought, to whatever request.
+  std::uint32_t earlier_responses = 0;
+};
+
+/// @brief A complete response and where it came from.
+struct ExchangeResponse : HttpResponse {
+  ConnectionUse connection;
+};
+
+using ExchangeResult = Result<ExchangeResponse, ExchangeError>;
 using ExchangeCallback = std::function<void(ExchangeResult)>;
 using ExchangeId = std::uint64_t;
 
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -211,7 +211,9 @@
     ResetParser();
     return true;
   }
-  HttpResponse response;
+  ExchangeResponse response;
+  response.connection = {.is_reused = is_reused_,
+                         .earlier_responses = responses_++};
   response.status = static_cast<int>(message.result_int());
   response.headers = CopyHeaders(message);
   response.body = std::move(message.body());
@@ -242,7 +244,7 @@
   }
 }
 
-void HttpClientConnection::Succeed(HttpResponse response) {
+void HttpClientConnection::Succeed(ExchangeResponse response) {
   const auto self = shared_from_this();
   StopTimer();
   if (!input_.empty()) {
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
@@ -54,7 +54,7 @@
   /// @return whether another response may follow the one just parsed.
   bool HandleResponse();
   void UpdateIdleLimit(const HttpHeaders& headers);
-  void Succeed(HttpResponse response);
+  void Succeed(ExchangeResponse response);
   /// @brief Tells the client how many bytes the response takes now.
   void CountBuffered();
   void ClearBuffers();
@@ -69,6 +69,7 @@
   std::string input_;  ///< Not parsed yet.
   std::size_t buffered_bytes_ = 0;
   int skipped_responses_ = 0;  ///< Interim, or to other requests.
+  std::uint32_t responses_ = 0;  ///< Final ones, since it was opened.
   bool is_head_reported_ = false;
   bool is_reused_ = false;
   bool is_reusable_ = true;
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -153,8 +153,10 @@
     return;
   }
   Count(RelayEnd::kAnswered);
-  exchange.Respond(
-      EncodeRelayedAnswer(TakeValue(std::move(result)), ended.mapped().notice));
+  ExchangeResponse answer = TakeValue(std::move(result));
+  const ConnectionUse connection = answer.connection;
+  exchange.Respond(EncodeRelayedAnswer(std::move(answer), ended.mapped().notice,
+                                       connection));
 }
 
 void RelayHandler::OnHead(std::uint64_t number,
--- a/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
@@ -20,6 +20,8 @@
 constexpr std::string_view kHeadHeader = "Medlar-Relay-Head";
 constexpr std::string_view kEndHeader = "Medlar-Relay-End";
 constexpr std::string_view kReasonHeader = "Medlar-Relay-Reason";
+constexpr std::string_view kReusedHeader = "Medlar-Relay-Connection-Reused";
+constexpr std::string_view kEarlierHeader = "Medlar-Relay-Earlier-Responses";
 constexpr std::string_view kRestHeader = "Medlar-Relay-Target-Rest-Ms";
 constexpr std::string_view kLeavingHeader = "Medlar-Relay-Target-Leaving";
 
@@ -128,9 +130,13 @@
 }
 
 HttpResponse EncodeRelayedAnswer(HttpResponse answer,
-                                 const request_path::TargetNotice& notice) {
+                                 const request_path::TargetNotice& notice,
+                                 const ConnectionUse& connection) {
   answer.headers = WithoutHopByHopHeaders(answer.headers);
   answer.headers.Set(kEndHeader, NameOf(RelayEnd::kAnswered));
+  answer.headers.Set(kReusedHeader, connection.is_reused ? "1" : "0");
+  answer.headers.Set(kEarlierHeader,
+                     std::to_string(connection.earlier_responses));
   AddNotice(answer.headers, notice);
   return answer;
 }
@@ -149,6 +155,14 @@
   return notice;
 }
 
+ConnectionUse DecodeConnectionUse(const HttpResponse& response) {
+  const std::uint64_t earlier =
+      FindNumber(response.headers, kEarlierHeader).value_or(0);
+  return {.is_reused = FindNumber(response.headers, kReusedHeader) == 1,
+          .earlier_responses = static_cast<std::uint32_t>(
+              std::min<std::uint64_t>(earlier, UINT32_MAX))};
+}
+
 std::optional<RelayEnd> DecodeRelayResponse(HttpResponse& response) {
   auto end = FindEnd(response.headers, kEndHeader);
   if (!end) {
@@ -160,6 +174,8 @@
   }
   response.headers.Remove(kEndHeader);
   response.headers.Remove(kReasonHeader);
+  response.headers.Remove(kReusedHeader);
+  response.headers.Remove(kEarlierHeader);
   response.headers.Remove(kRestHeader);
   response.headers.Remove(kLeavingHeader);
   return end;
--- a/lib/libmedlarcroft/source/adapters/forward/relay_protocol.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "adapters/event/event_http_client.h"
 #include "adapters/http/http_message.h"
 #include "medlarcroft/core/time.h"
 #include "medlarcroft/request_path/target_identity.h"
@@ -56,9 +57,13 @@
 [[nodiscard]] HttpResponse EncodeRelayFailure(
     RelayEnd end,
     const request_path::TargetNotice& notice = {});
+/// @param connection to the target, on which the answer came.
 [[nodiscard]] HttpResponse EncodeRelayedAnswer(
     HttpResponse answer,
-    const request_path::TargetNotice& notice = {});
+    const request_path::TargetNotice& notice = {},
+    const ConnectionUse& connection = {});
+/// @brief Reads what the helper's connection to the target had carried.
+[[nodiscard]] ConnectionUse DecodeConnectionUse(const HttpResponse& response);
 /// @brief Reads what the target says about itself.
 /// @param head status and headers of the helper's response.
 [[nodiscard]] request_path::TargetNotice DecodeRelayedNotice(
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
@@ -129,6 +129,7 @@
   RelayResult relayed{.end = RelayEnd::kLost, .helper = helper.host};
   if (IsOk(result)) {
     relayed.response = TakeValue(std::move(result));
+    relayed.response.connection = DecodeConnectionUse(relayed.response);
     const auto stated = DecodeRelayResponse(relayed.response);
     relayed.end = stated.value_or(RelayEnd::kLost);
     relayed.is_stated = stated.has_value();
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
@@ -26,7 +26,7 @@
   /// Whether `end` is the helper's word. Otherwise it did not answer, which
   /// says nothing of the target.
   bool is_stated = false;
-  HttpResponse response;  ///< The target's, if `end` is `kAnswered`.
+  ExchangeResponse response;  ///< The target's, if `end` is `kAnswered`.
 };
 
 /// @brief Has other hosts send requests, while this host is cut off from the
--- a/lib/libmedlarcroft/source/adapters/forward/request_codec.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_codec.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "adapters/event/event_http_client.h"
 #include "adapters/http/http_message.h"
 #include "medlarcroft/request_path/request_path.h"
 
@@ -15,9 +16,17 @@
   request_path::CallerRequest request;
 };
 
+/// @brief Why a target's complete response is taken for the one to a request.
+struct ResponseProof {
+  int status = 0;
+  bool has_id = false;  ///< Whether it names the request.
+  ConnectionUse connection;
+};
+
 /// @brief A target's complete response, classified.
 struct ClassifiedResponse {
   request_path::AttemptEnd end = request_path::AttemptEnd::kLost;
+  bool has_id = false;  ///< Whether it names a request.
   std::optional<request_path::LoadReport> load;
   /// Requests per second that the target accepts from all hosts together;
   /// nullopt: no limit.
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -280,7 +280,7 @@
 AttemptEnd RequestForwarder::AcceptAnswer(RequestTicket ticket,
                                           ActiveRequest& active,
                                           const SendAttempt& attempt,
-                                          HttpResponse answer) {
+                                          ExchangeResponse answer) {
   const MonotonicTime now = parts_.loop.Now();
   const ClassifiedResponse classified = parts_.codec.ClassifyResponse(answer);
   if (classified.load) {
@@ -294,6 +294,9 @@
     parts_.path.OnRateLimit(ticket, attempt.attempt, classified.rate_limit,
                             now);
   }
+  active.proofs[attempt.attempt] = {.status = answer.status,
+                                    .has_id = classified.has_id,
+                                    .connection = answer.connection};
   active.answers[attempt.attempt] = std::move(answer);
   return classified.end;
 }
@@ -305,8 +308,11 @@
   const MonotonicTime now = parts_.loop.Now();
   active.cancels.erase(attempt.attempt);
   active.trace->OnAttemptEnd(attempt.attempt, end);
-  parts_.telemetry.OnAttemptEnd(active.lines, active.decoded.id, attempt, end,
-                                now - active.started_at);
+  const auto proof = active.proofs.find(attempt.attempt);
+  parts_.telemetry.OnAttemptEnd(
+      active.lines, active.decoded.id, attempt, end, now - active.started_at,
+      proof == active.proofs.end() ? std::nullopt
+                                   : std::optional(proof->second));
   ExecuteStep(ticket,
               parts_.path.OnAttemptEnd(ticket, attempt.attempt, end, now));
 }
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -83,6 +83,8 @@
     std::map<request_path::AttemptNumber, std::function<void()>> cancels;
     /// Complete responses that are not forwarded yet, by attempt.
     std::map<request_path::AttemptNumber, HttpResponse> answers;
+    /// Of the responses, by attempt.
+    std::map<request_path::AttemptNumber, ResponseProof> proofs;
     request_path::AttemptNumber last_attempt = 0;
     /// When a send was interrupted last, and the latest send at that time.
     std::optional<MonotonicTime> interrupted_at;
@@ -126,7 +128,7 @@
       request_path::RequestTicket ticket,
       ActiveRequest& active,
       const request_path::SendAttempt& attempt,
-      HttpResponse answer);
+      ExchangeResponse answer);
   void EndAttempt(request_path::RequestTicket ticket,
                   ActiveRequest& active,
                   const request_path::SendAttempt& attempt,
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -116,7 +116,9 @@
                    std::string_view id,
                    const request_path::SendAttempt& attempt,
                    AttemptEnd end,
-                   Duration since_arrival) {
+                   Duration since_arrival,
+                   const std::optional<ResponseProof>& proof) {
+  const ResponseProof shown = proof.value_or(ResponseProof{});
   LogUnthrottled(
       {.time = at, .level = LogLevel::kWarning, .event = "attempt-failed"},
       {{"request", id},
@@ -125,6 +127,11 @@
        {"incarnation", attempt.target.incarnation},
        {"address", attempt.address},
        {"end", NameOf(end)},
+       {"status", shown.status},
+       {"has_id", shown.has_id},
+       {"is_connection_reused", shown.connection.is_reused},
+       {"earlier_responses", shown.connection.earlier_responses},
+       {"is_relayed", !attempt.helper_regions.empty()},
        {"since_arrival_ms", ToMilliseconds(since_arrival)}});
 }
 
@@ -182,7 +189,7 @@
   for (const BufferedAttempt& buffered : lines.attempts) {
     if (buffered.end) {
       LogAttemptEnd(buffered.at, id, buffered.attempt, *buffered.end,
-                    buffered.since_arrival);
+                    buffered.since_arrival, buffered.proof);
     } else {
       LogSend(buffered.at, id, *route, buffered.attempt);
     }
@@ -213,19 +220,21 @@
                                     std::string_view id,
                                     const request_path::SendAttempt& attempt,
                                     AttemptEnd end,
-                                    Duration since_arrival) {
+                                    Duration since_arrival,
+                                    const std::optional<ResponseProof>& proof) {
   metrics_.CounterOf(kAttemptEnds, {Label::OfConstant("end", NameOf(end))})
       .Add();
   if (end == AttemptEnd::kAnswered) {
     return;
   }
   if (IsSampledById(lines, id)) {
-    LogAttemptEnd(clock_.WallNow(), id, attempt, end, since_arrival);
+    LogAttemptEnd(clock_.WallNow(), id, attempt, end, since_arrival, proof);
   } else {
     lines.attempts.push_back({.at = clock_.WallNow(),
                               .attempt = attempt,
                               .end = end,
-                              .since_arrival = since_arrival});
+                              .since_arrival = since_arrival,
+                              .proof = proof});
   }
 }
 
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.h
@@ -27,6 +27,7 @@
   request_path::SendAttempt attempt;
   std::optional<request_path::AttemptEnd> end;  ///< nullopt: the start.
   Duration since_arrival{0};
+  std::optional<ResponseProof> proof;  ///< nullopt: without a response.
 };
 
 /// @brief The logging state of one request.
@@ -53,7 +54,8 @@
                     std::string_view id,
                     const request_path::SendAttempt& attempt,
                     request_path::AttemptEnd end,
-                    Duration since_arrival);
+                    Duration since_arrival,
+                    const std::optional<ResponseProof>& proof);
   void OnAnswer(RequestLogBuffer& lines,
                 std::string_view id,
                 const routing::Route& route,
--- a/tests/unit/adapters/forward/relay_protocol_test.cc
+++ b/tests/unit/adapters/forward/relay_protocol_test.cc
@@ -92,6 +92,16 @@
   EXPECT_TRUE(DecodeRelayedNotice(EncodeRelayedAnswer(forged)).IsEmpty());
 }
 
+// Guards against a log that shows the connection to the helper as the one on
+// which the target answered.
+TEST(RelayProtocolTest, TheUseOfTheConnectionToTheTargetIsReported) {
+  HttpResponse response = EncodeRelayedAnswer(
+      {.status = 503}, {}, {.is_reused = true, .earlier_responses = 7});
+  const ConnectionUse use = DecodeConnectionUse(response);
+  EXPECT_TRUE(use.is_reused);
+  EXPECT_EQ(use.earlier_responses, 7U);
+}
+
 class RelayEnds : public testing::TestWithParam<RelayEnd> {};
 
 TEST_P(RelayEnds, AreReadFromTheResponse) {
--- a/tests/unit/adapters/forward/request_telemetry_test.cc
+++ b/tests/unit/adapters/forward/request_telemetry_test.cc
@@ -18,6 +18,10 @@
 using request_path::AttemptEnd;
 using std::chrono::milliseconds;
 
+constexpr ResponseProof kRefusal{
+    .status = 503,
+    .connection = {.is_reused = true, .earlier_responses = 3}};
+
 /// @brief The log lines of each request, in order.
 using LinesByRequest = std::map<std::string, std::vector<nlohmann::json>>;
 
@@ -56,7 +60,8 @@
       telemetry_.OnAttemptEnd(
           lines, id, attempt,
           number == 1 ? AttemptEnd::kNotRun : AttemptEnd::kLost,
-          milliseconds(number));
+          milliseconds(number),
+          number == 1 ? std::optional(kRefusal) : std::nullopt);
     }
     DecodedRequest call;
     call.id = id;
@@ -112,6 +117,19 @@
   EXPECT_LT(lines_by_request.size(), std::size_t{kRequests} / 2);
 }
 
+// Guards against a refusal of which the log does not say why it is believed.
+TEST_F(RequestTelemetryTest, ARefusalIsLoggedWithItsProof) {
+  RunFailedOrder("order");
+  const LinesByRequest lines_by_request = ParseLog();
+  const nlohmann::json& refusal = lines_by_request.at("order")[1];
+  EXPECT_EQ(refusal["end"], "not-run");
+  EXPECT_EQ(refusal["target"], "ledger-1");
+  EXPECT_EQ(refusal["status"], kRefusal.status);
+  EXPECT_EQ(refusal["has_id"], false);
+  EXPECT_EQ(refusal["is_connection_reused"], true);
+  EXPECT_EQ(refusal["earlier_responses"], 3);
+}
+
 // Buffered lines have the time of their event, not the time at which the
 // request was selected for the log.
 TEST_F(RequestTelemetryTest, BufferedLinesKeepTheirTimes) {
