Take a refusal without an ID only where it can answer no other request

Callers saw: a non-idempotent request that was told 503, ran, and was sometimes repeated and ran twice.

Cause: an answer without an ID, unless it was a success, counted as the answer to whatever request waited on its connection. A late copy of a refusal, or one that answers nothing, refused the next request, which the target ran.

Change: ResponseAttribution decides for each connection to a target which answer belongs to which send. One that names the request does, if no failure that named it came there before; one that names none does only as the first answer to the first request. Anything else belongs to nobody: the request goes on and its own answer is awaited, for a while if it must not be repeated. After an answer without an ID the connection ends, and the address gets one request a connection for ten minutes, so that its next refusals are proof. The rule holds for own sends and for those made for other hosts.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
@@ -110,6 +110,10 @@
   bool should_announce = false;
   /// Delay after which `OnSlow` must be called unless the attempt has ended.
   std::optional<Duration> hedge_after;
+  /// How long to wait for the target's response after one that names no request
+  /// and may be another's. A request that may be repeated is sent again at
+  /// once.
+  Duration unnamed_patience{0};
   Placement placement;
   std::optional<Duration> report_age;
   PlacementBasis basis;
--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
@@ -20,8 +20,7 @@
 ExchangeId EventHttpClient::Send(OutboundRequest request,
                                  ExchangeCallback callback) {
   const ExchangeId exchange = ++last_exchange_;
-  std::shared_ptr<HttpClientConnection> connection =
-      TakeIdle(request.address, request.max_idle);
+  std::shared_ptr<HttpClientConnection> connection = TakeIdle(request);
   if (!connection) {
     const auto address = ParseSocketAddress(request.address);
     if (!address) {
@@ -70,16 +69,17 @@
 }
 
 std::shared_ptr<HttpClientConnection> EventHttpClient::TakeIdle(
-    const std::string& address,
-    Duration max_idle) {
+    const OutboundRequest& request) {
+  const std::string& address = request.address;
   const auto found = idle_.find(address);
-  if (found == idle_.end()) {
+  if (found == idle_.end() || IsSingleUse(address)) {
     return nullptr;
   }
   const MonotonicTime now = loop_.Now();
   // The most recently used one first, so that surplus connections expire.
   auto connection = found->second.back();
-  if (now - connection->IdleSince() >= max_idle) {
+  if (now - connection->IdleSince() >= request.max_idle ||
+      !connection->MayCarry(request.id)) {
     return nullptr;
   }
   found->second.pop_back();
@@ -96,6 +96,10 @@
 
 void EventHttpClient::AddIdle(
     const std::shared_ptr<HttpClientConnection>& connection) {
+  if (IsSingleUse(connection->Address())) {
+    connection->Close();
+    return;
+  }
   auto& connections = idle_[connection->Address()];
   if (connections.size() >= options_.max_idle_per_address) {
     const auto oldest = connections.front();
@@ -105,6 +109,22 @@
   connections.push_back(connection);
 }
 
+// Guards against responses that can't be attributed: a target that names no
+// request in one refusal names none in the next.
+void EventHttpClient::OnUnnamed(const std::string& address) {
+  ++counters_.unnamed_responses;
+  const MonotonicTime now = loop_.Now();
+  std::erase_if(single_use_until_,
+                [now](const auto& entry) { return entry.second <= now; });
+  single_use_until_[address] = now + options_.single_use_after_unnamed;
+  CloseIdleConnections(address);
+}
+
+bool EventHttpClient::IsSingleUse(const std::string& address) const {
+  const auto found = single_use_until_.find(address);
+  return found != single_use_until_.end() && loop_.Now() < found->second;
+}
+
 // Guards against a host that runs out of memory because responses never end.
 void EventHttpClient::OnBuffered(std::size_t before, std::size_t now) {
   buffered_bytes_ += now;
--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.h
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.h
@@ -13,6 +13,7 @@
 #include "adapters/http/http_message.h"
 #include "medlarcroft/core/result.h"
 #include "medlarcroft/core/time.h"
+#include "medlarcroft/request_path/response_attribution.h"
 
 namespace medlarcroft::adapters {
 
@@ -23,6 +24,8 @@
   kClosed,         ///< The connection ended before any byte of a response.
   kTruncated,      ///< The connection ended within the response.
   kMalformed,      ///< Not a valid response, or none to this request.
+  kUnattributed,   ///< A response that names no request came, and may be
+                   ///< another's; the right one did not follow.
   kTooLarge,       ///< The response exceeds `max_answer_bytes`, or what all
                    ///< responses together may take.
 };
@@ -34,6 +37,10 @@
   /// received any.
   bool is_proved_unsent = false;
   bool was_connection_reused = false;
+  /// Of the response that could not be attributed; 0 if there was none.
+  int status = 0;
+  /// Final responses that the connection had brought before.
+  std::uint32_t earlier_responses = 0;
 };
 
 /// @brief What the connection of a response had carried before it.
@@ -56,6 +63,8 @@
 struct OutboundRequest {
   std::string address;  ///< IP:port.
   std::string text;     ///< Serialized head and body, see FormatRequest.
+  /// As the response may name the request, with `identify`.
+  std::string id;
   bool is_head_request = false;
   Duration connect_timeout = std::chrono::milliseconds(500);
   /// For the exchange once connected. Only an upper bound: the owner cancels
@@ -65,9 +74,13 @@
   /// this; zero always opens a new connection.
   Duration max_idle = std::chrono::seconds(8);
   std::size_t max_answer_bytes = std::size_t{64} * 1024 * 1024;
-  /// Returns whether a response belongs to this request. One that does not is
-  /// discarded, and its connection is not reused.
-  std::function<bool(const HttpResponse&)> is_matching_response;
+  /// Returns which request a response names; unset: every response answers the
+  /// request that waits. A response that does not belong to this request by
+  /// `ResponseAttribution` is discarded, and its connection is not reused.
+  std::function<request_path::ResponseName(const HttpResponse&)> identify;
+  /// How long to wait for the right response after one that names no request
+  /// and may be another's.
+  Duration unnamed_patience{0};
   /// Called with status and headers of each final response that arrives on the
   /// connection until another request takes it: also of one that is incomplete
   /// in the end, that does not match, or that comes when none is due.
@@ -83,6 +96,8 @@
   std::uint64_t connections_reused = 0;
   std::uint64_t connect_failures = 0;
   std::uint64_t mismatched_responses = 0;  ///< Belong to another request.
+  /// Name no request, and no response that does followed.
+  std::uint64_t unnamed_responses = 0;
   /// Given up since they took too much, with no end in sight.
   std::uint64_t endless_responses = 0;
 };
@@ -100,6 +115,11 @@
  public:
   struct Options {
     std::size_t max_idle_per_address = 6;
+    /// For how long connections to an address carry one request each after a
+    /// response from there named no request: the next one like it can be
+    /// attributed only on a new connection. Targets name their requests or not
+    /// by their software, which seldom changes.
+    Duration single_use_after_unnamed = std::chrono::minutes(10);
     /// Closes connections whose peer acknowledges nothing for this long.
     Duration unacknowledged_timeout = std::chrono::seconds(3);
     /// What responses that are not complete yet may take together. Beyond that
@@ -128,10 +148,14 @@
  private:
   friend class HttpClientConnection;
 
-  std::shared_ptr<HttpClientConnection> TakeIdle(const std::string& address,
-                                                 Duration max_idle);
+  std::shared_ptr<HttpClientConnection> TakeIdle(
+      const OutboundRequest& request);
   void AddIdle(const std::shared_ptr<HttpClientConnection>& connection);
   void RemoveIdle(HttpClientConnection& connection);
+  /// @brief A request to `address` got a response that named no request, and
+  /// none that did.
+  void OnUnnamed(const std::string& address);
+  [[nodiscard]] bool IsSingleUse(const std::string& address) const;
   /// @brief Counts what a connection buffers in place of what it did before.
   void OnBuffered(std::size_t before, std::size_t now);
 
@@ -144,6 +168,7 @@
   std::unordered_map<std::string,
                      std::vector<std::shared_ptr<HttpClientConnection>>>
       idle_;
+  std::unordered_map<std::string, MonotonicTime> single_use_until_;
 };
 
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -11,6 +11,7 @@
 namespace {
 
 namespace http = boost::beast::http;
+using request_path::ResponseName;
 
 // A server closes an idle connection after the timeout that it announced; a
 // request sent at that moment reaches a closed connection. So connections
@@ -73,6 +74,8 @@
   has_response_bytes_ = false;
   has_started_sending_ = false;
   skipped_responses_ = 0;
+  unattributed_status_ = 0;
+  attribution_.OnSent(request_.id);
   ResetParser();
   if (is_reused_) {
     ++client_.counters_.connections_reused;
@@ -213,31 +216,60 @@
   }
   ExchangeResponse response;
   response.connection = {.is_reused = is_reused_,
-                         .earlier_responses = responses_++};
+                         .earlier_responses = attribution_.Responses()};
   response.status = static_cast<int>(message.result_int());
   response.headers = CopyHeaders(message);
   response.body = std::move(message.body());
-  if (request_.is_matching_response &&
-      !request_.is_matching_response(response)) {
-    ++client_.counters_.mismatched_responses;
-    ++skipped_responses_;
-    is_reusable_ = false;
-    if (!keeps_alive) {
-      Fail(ExchangeFailure::kMalformed);
-      return false;
-    }
-    ResetParser();
-    return true;
+  const ResponseName name =
+      request_.identify ? request_.identify(response) : ResponseName::kOwn;
+  const bool may_be_sent_again =
+      request_.identify && response.status / 100 != 2;
+  if (!attribution_.OnResponse(name, may_be_sent_again)) {
+    return DiscardResponse(response, name, keeps_alive);
+  }
+  if (name == ResponseName::kUnnamed) {
+    client_.OnUnnamed(address_);
   }
   // After a response that came before the whole request was read, the rest of
   // the request's body is still due on the connection.
-  is_reusable_ =
-      is_reusable_ && keeps_alive && input_.empty() && stream_.IsDrained();
+  is_reusable_ = is_reusable_ && attribution_.IsReusable() && keeps_alive &&
+                 input_.empty() && stream_.IsDrained();
   UpdateIdleLimit(response.headers);
   Succeed(std::move(response));
   return false;
 }
 
+// Guards against a caller that is told that its request did not run because of
+// a refusal that answered an earlier one: the request goes on. Its response may
+// follow. If it does not, the request may have run.
+bool HttpClientConnection::DiscardResponse(const HttpResponse& response,
+                                           ResponseName name,
+                                           bool keeps_alive) {
+  ++client_.counters_.mismatched_responses;
+  ++skipped_responses_;
+  is_reusable_ = false;
+  const bool is_unnamed = name == ResponseName::kUnnamed;
+  if (is_unnamed) {
+    unattributed_status_ = response.status;
+  }
+  if (!keeps_alive ||
+      (is_unnamed && request_.unnamed_patience <= Duration(0))) {
+    Fail(is_unnamed ? ExchangeFailure::kUnattributed
+                    : ExchangeFailure::kMalformed);
+    return false;
+  }
+  if (is_unnamed) {
+    StopTimer();
+    timer_ = client_.loop_.After(
+        std::min(request_.unnamed_patience, request_.timeout), [this] {
+          timer_ = 0;
+          Fail(ExchangeFailure::kUnattributed);
+        });
+  }
+  ResetParser();
+  return true;
+}
+
 void HttpClientConnection::UpdateIdleLimit(const HttpHeaders& headers) {
   if (const auto announced = ParseKeepAliveTimeout(headers)) {
     idle_limit_ = *announced - kIdleExpiryMargin;
@@ -269,10 +301,15 @@
   const auto self = shared_from_this();
   const ExchangeError error{.failure = failure,
                             .is_proved_unsent = !has_started_sending_,
-                            .was_connection_reused = is_reused_};
+                            .was_connection_reused = is_reused_,
+                            .status = unattributed_status_,
+                            .earlier_responses = attribution_.Responses()};
   if (failure == ExchangeFailure::kCannotConnect) {
     ++client_.counters_.connect_failures;
   }
+  if (failure == ExchangeFailure::kUnattributed) {
+    client_.OnUnnamed(address_);
+  }
   const ExchangeCallback callback = std::exchange(callback_, nullptr);
   client_.active_.erase(exchange_);
   Close();
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
@@ -10,6 +10,7 @@
 
 #include "adapters/event/event_http_client.h"
 #include "adapters/event/tcp_stream.h"
+#include "medlarcroft/request_path/response_attribution.h"
 
 namespace medlarcroft::adapters {
 
@@ -33,6 +34,9 @@
   [[nodiscard]] ExchangeId Exchange() const { return exchange_; }
   [[nodiscard]] MonotonicTime IdleSince() const { return idle_since_; }
   [[nodiscard]] MonotonicTime IdleUntil() const { return idle_until_; }
+  [[nodiscard]] bool MayCarry(std::string_view id) const {
+    return attribution_.MayCarry(id);
+  }
   /// @return what the response takes so far.
   [[nodiscard]] std::size_t BufferedBytes() const { return buffered_bytes_; }
   void Fail(ExchangeFailure failure);
@@ -53,6 +57,11 @@
   void ReportExtraHead(std::string_view bytes);
   /// @return whether another response may follow the one just parsed.
   bool HandleResponse();
+  /// @brief Discards a response that does not belong to the request.
+  /// @return whether the right one may follow.
+  bool DiscardResponse(const HttpResponse& response,
+                       request_path::ResponseName name,
+                       bool keeps_alive);
   void UpdateIdleLimit(const HttpHeaders& headers);
   void Succeed(ExchangeResponse response);
   /// @brief Tells the client how many bytes the response takes now.
@@ -65,11 +74,12 @@
   ExchangeId exchange_ = 0;
   OutboundRequest request_;
   ExchangeCallback callback_;
+  request_path::ResponseAttribution attribution_;
+  int unattributed_status_ = 0;
   std::optional<Parser> parser_;
   std::string input_;  ///< Not parsed yet.
   std::size_t buffered_bytes_ = 0;
   int skipped_responses_ = 0;  ///< Interim, or to other requests.
-  std::uint32_t responses_ = 0;  ///< Final ones, since it was opened.
   bool is_head_reported_ = false;
   bool is_reused_ = false;
   bool is_reusable_ = true;
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -112,10 +112,11 @@
                      id = relay.id](const HttpResponse& head) {
     OnHead(number, target, id, head);
   };
-  request.is_matching_response =
-      [this, id = std::move(relay.id)](const HttpResponse& answer) {
-        return parts_.codec.IsResponseTo(answer, id);
-      };
+  request.id = relay.id;
+  request.identify = [this, id = std::move(relay.id)](
+                         const HttpResponse& answer) {
+    return parts_.codec.IdentifyResponse(answer, id);
+  };
   // The other host may have given it up while this one was busy.
   request.on_connected = [this, number](Duration) {
     parts_.on_connected();
--- a/lib/libmedlarcroft/source/adapters/forward/request_codec.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_codec.h
@@ -45,9 +45,11 @@
   [[nodiscard]] virtual std::string EncodeAttempt(
       const HttpRequest& call,
       const request_path::SendAttempt& attempt) const = 0;
-  /// @return whether a response belongs to the request with this identifier.
-  [[nodiscard]] virtual bool IsResponseTo(const HttpResponse& answer,
-                                          const std::string& id) const = 0;
+  /// @param id of the request that waits.
+  /// @return which request a response names.
+  [[nodiscard]] virtual request_path::ResponseName IdentifyResponse(
+      const HttpResponse& answer,
+      const std::string& id) const = 0;
   [[nodiscard]] virtual ClassifiedResponse ClassifyResponse(
       const HttpResponse& answer) const = 0;
   /// @param head status and headers of a target's response.
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -161,10 +161,11 @@
   // The timer of the whole request ends the exchange earlier.
   request.timeout = Duration(std::chrono::hours(1));
   request.max_idle = MaxIdleBeforeSend(attempt.may_repeat);
-  request.is_matching_response =
-      [this, id = active.decoded.id](const HttpResponse& answer) {
-        return parts_.codec.IsResponseTo(answer, id);
-      };
+  request.id = active.decoded.id;
+  request.identify = [this, id = active.decoded.id](const HttpResponse& answer) {
+    return parts_.codec.IdentifyResponse(answer, id);
+  };
+  request.unnamed_patience = attempt.unnamed_patience;
   request.on_head = [this, target = attempt.target,
                      id = active.decoded.id](const HttpResponse& head) {
     const request_path::TargetNotice notice = parts_.codec.ReadNotice(head);
@@ -255,8 +256,13 @@
         AcceptAnswer(ticket, active, attempt, TakeValue(std::move(result))));
     return;
   }
-  OnExchangeFailed(active, attempt, ErrorOf(result));
-  EndAttempt(ticket, active, attempt, AttemptEndOf(ErrorOf(result)));
+  const ExchangeError& error = ErrorOf(result);
+  OnExchangeFailed(active, attempt, error);
+  active.proofs[attempt.attempt] = {
+      .status = error.status,
+      .connection = {.is_reused = error.was_connection_reused,
+                     .earlier_responses = error.earlier_responses}};
+  EndAttempt(ticket, active, attempt, AttemptEndOf(error));
 }
 
 void RequestForwarder::OnRelayResult(RequestTicket ticket,
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -201,10 +201,13 @@
   if (reach_.IsCutOff()) {
     send.helper_regions = HelperRegions(request);
   }
+  const Duration unusually_long =
+      std::max(FromSeconds(kHedgeDelayFactor * ToSeconds(placement.expected)),
+               kMinHedgeDelay);
   if (may_repeat) {
-    send.hedge_after =
-        std::max(FromSeconds(kHedgeDelayFactor * ToSeconds(placement.expected)),
-                 kMinHedgeDelay);
+    send.hedge_after = unusually_long;
+  } else {
+    send.unnamed_patience = unusually_long;
   }
   request.attempts.push_back(
       {.number = number,
--- a/tests/unit/adapters/event/event_http_client_test.cc
+++ b/tests/unit/adapters/event/event_http_client_test.cc
@@ -15,6 +15,7 @@
 
 using fakes::ScriptedConnection;
 using fakes::ScriptedServer;
+using request_path::ResponseName;
 
 constexpr std::string_view kOk =
     "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok";
@@ -29,8 +30,13 @@
     request.text = FormatRequest(body.empty() ? "GET" : "POST", "/",
                                  {{"Host", "h"}}, body);
     request.timeout = std::chrono::seconds(5);
-    request.is_matching_response = [](const HttpResponse& response) {
-      return response.headers.Find("Id") == "1";
+    request.id = "1";
+    request.identify = [](const HttpResponse& response) {
+      const auto id = response.headers.Find("Id");
+      if (!id) {
+        return ResponseName::kUnnamed;
+      }
+      return *id == "1" ? ResponseName::kOwn : ResponseName::kOther;
     };
     return request;
   }
--- a/tests/unit/adapters/forward/single_loop_deployment.h
+++ b/tests/unit/adapters/forward/single_loop_deployment.h
@@ -73,9 +73,10 @@
       const request_path::SendAttempt& /*attempt*/) const override {
     return FormatRequest(call.method, call.raw_target, {{"Host", "h"}}, "");
   }
-  [[nodiscard]] bool IsResponseTo(const HttpResponse& /*answer*/,
-                                  const std::string& /*id*/) const override {
-    return true;
+  [[nodiscard]] request_path::ResponseName IdentifyResponse(
+      const HttpResponse& /*answer*/,
+      const std::string& /*id*/) const override {
+    return request_path::ResponseName::kOwn;
   }
   [[nodiscard]] ClassifiedResponse ClassifyResponse(
       const HttpResponse& answer) const override {
--- a/tests/unit/platform/platform_codec_test.cc
+++ b/tests/unit/platform/platform_codec_test.cc
@@ -12,6 +12,7 @@
 using adapters::HttpResponse;
 using request_path::AttemptEnd;
 using request_path::FailureReason;
+using request_path::ResponseName;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -264,11 +265,15 @@
   const PlatformCodec codec;
   const HttpHeaders own = {{"X-Medlarcroft-Attempt-Id", "id-1"}};
 
-  EXPECT_TRUE(codec.IsResponseTo({.status = 200, .headers = own}, "id-1"));
-  EXPECT_FALSE(codec.IsResponseTo({.status = 200, .headers = own}, "id-2"));
-  EXPECT_FALSE(codec.IsResponseTo({.status = 503, .headers = own}, "id-2"));
-  EXPECT_FALSE(codec.IsResponseTo({.status = 200}, "id-1"));
-  EXPECT_TRUE(codec.IsResponseTo({.status = 503}, "id-1"));
+  const auto identify = [&](int status, const HttpHeaders& headers,
+                            const std::string& id) {
+    return codec.IdentifyResponse({.status = status, .headers = headers}, id);
+  };
+  EXPECT_EQ(identify(200, own, "id-1"), ResponseName::kOwn);
+  EXPECT_EQ(identify(200, own, "id-2"), ResponseName::kOther);
+  EXPECT_EQ(identify(503, own, "id-2"), ResponseName::kOther);
+  EXPECT_EQ(identify(200, {}, "id-1"), ResponseName::kOther);
+  EXPECT_EQ(identify(503, {}, "id-1"), ResponseName::kUnnamed);
 }
 
 struct LoadHeaderCase {
