Accept "not run" only on the statuses that may carry it

Callers saw (in a test; the record fits, and doesn't show it): an order that ran, that its target answered with its own 500 or 504 and marked as not run, was told 503 and repeated elsewhere.

Cause: the mark was taken on any status from 429 on. A 421 was believed without the mark also from the target that was expected, and a 408 with the mark was passed on as a promise.

Change: the mark proves on 429 and 503. A 421 needs it too, or another target's name. A 500 or 504 counts as run whatever it says; a 408 or 421 without proof may have run. One test case is replaced: a bare 421, which named nobody, was "other target"; now it proves nothing, and cases with the name of another and of the expected target stand beside it.

--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -113,8 +113,8 @@
     OnHead(number, target, id, head);
   };
   request.id = relay.id;
-  request.identify = [this, id = std::move(relay.id)](
-                         const HttpResponse& answer) {
+  request.identify = [this,
+                      id = std::move(relay.id)](const HttpResponse& answer) {
     return parts_.codec.IdentifyResponse(answer, id);
   };
   // The other host may have given it up while this one was busy.
--- a/lib/libmedlarcroft/source/adapters/forward/request_codec.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_codec.h
@@ -50,8 +50,10 @@
   [[nodiscard]] virtual request_path::ResponseName IdentifyResponse(
       const HttpResponse& answer,
       const std::string& id) const = 0;
+  /// @param answer to a request that was sent to `target`.
   [[nodiscard]] virtual ClassifiedResponse ClassifyResponse(
-      const HttpResponse& answer) const = 0;
+      const HttpResponse& answer,
+      const request_path::TargetIdentity& target) const = 0;
   /// @param head status and headers of a target's response.
   [[nodiscard]] virtual request_path::TargetNotice ReadNotice(
       const HttpResponse& head) const = 0;
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -162,7 +162,8 @@
   request.timeout = Duration(std::chrono::hours(1));
   request.max_idle = MaxIdleBeforeSend(attempt.may_repeat);
   request.id = active.decoded.id;
-  request.identify = [this, id = active.decoded.id](const HttpResponse& answer) {
+  request.identify = [this,
+                      id = active.decoded.id](const HttpResponse& answer) {
     return parts_.codec.IdentifyResponse(answer, id);
   };
   request.unnamed_patience = attempt.unnamed_patience;
@@ -288,7 +289,8 @@
                                           const SendAttempt& attempt,
                                           ExchangeResponse answer) {
   const MonotonicTime now = parts_.loop.Now();
-  const ClassifiedResponse classified = parts_.codec.ClassifyResponse(answer);
+  const ClassifiedResponse classified =
+      parts_.codec.ClassifyResponse(answer, attempt.target);
   if (classified.load) {
     parts_.path.OnReport(attempt.target, *classified.load, now);
     // A target that turns this host away would look idle to the others.
--- a/tests/property/response_attribution_property_test.cc
+++ b/tests/property/response_attribution_property_test.cc
@@ -171,7 +171,7 @@
             statuses[id] = ErrorOf(result).is_proved_unsent ? 503 : 502;
             return;
           }
-          const auto end = codec_.ClassifyResponse(ValueOf(result)).end;
+          const auto end = codec_.ClassifyResponse(ValueOf(result), {}).end;
           const bool is_not_run = end == request_path::AttemptEnd::kNotRun ||
                                   end == request_path::AttemptEnd::kWrongTarget;
           if (is_not_run && sends_left > 1) {
--- a/tests/system/refused_request_test.py
+++ b/tests/system/refused_request_test.py
@@ -14,7 +14,7 @@
 PAUSE_S = 0.04
 PROMISES = (408, 421, 429, 503)  # Statuses that tell a caller that its request did not run.
 # Case: whether each third request is refused, and with its ID; which answer to no waiting request follows, and how long
-# after the next request.
+# after the next request; or the status with which requests are answered after they ran, against the protocol.
 CASES = {
     "copy_without_id_at_once": dict(refuses=True, has_id=False, extra="copy", delay_s=0),
     "copy_without_id_later": dict(refuses=True, has_id=False, extra="copy", delay_s=0.02),
@@ -22,6 +22,9 @@
     "copy_with_id_later": dict(refuses=True, has_id=True, extra="copy", delay_s=0.02),
     "refusal_without_id_after_a_success": dict(refuses=False, has_id=True, extra="unnamed", delay_s=0),
     "refusals_without_id": dict(refuses=True, has_id=False, extra=None, delay_s=0),
+    "run_and_failure_marked_not_run": dict(refuses=False, has_id=True, extra=None, delay_s=0, after_run=500, is_marked=True),
+    "run_and_deadline_marked_not_run": dict(refuses=False, has_id=True, extra=None, delay_s=0, after_run=504, is_marked=True),
+    "run_and_wrong_target": dict(refuses=False, has_id=True, extra=None, delay_s=0, after_run=421, is_marked=False),
 }
 
 
@@ -58,6 +61,10 @@
         with self.lock:
             self.executed_requests.append(request)
         time.sleep(self.delay_s)
+        if "after_run" in self.plan:
+            mark = [("X-Medlarcroft-Not-Executed", "1")] if self.plan["is_marked"] else []
+            self._write(handler, self.plan["after_run"], identity + mark)
+            return
         self._write(handler, 200, identity + [("X-Medlarcroft-Server-Seal", "seal")], handler.path.encode() + body)
         if self.plan["extra"] == "unnamed":
             handler.extra = (429, [("X-Medlarcroft-Not-Executed", "1")])
--- a/tests/unit/adapters/forward/single_loop_deployment.h
+++ b/tests/unit/adapters/forward/single_loop_deployment.h
@@ -79,7 +79,8 @@
     return request_path::ResponseName::kOwn;
   }
   [[nodiscard]] ClassifiedResponse ClassifyResponse(
-      const HttpResponse& answer) const override {
+      const HttpResponse& answer,
+      const request_path::TargetIdentity& /*target*/) const override {
     return {.end = answer.status == kRejected
                        ? request_path::AttemptEnd::kNotRun
                        : request_path::AttemptEnd::kAnswered};
--- a/tests/unit/platform/platform_codec_test.cc
+++ b/tests/unit/platform/platform_codec_test.cc
@@ -7,6 +7,8 @@
 namespace medlarcroft::platform {
 namespace {
 
+const request_path::TargetIdentity kTarget{TargetName("desk-1")};
+
 using adapters::HttpHeaders;
 using adapters::HttpRequest;
 using adapters::HttpResponse;
@@ -51,11 +53,11 @@
 
 // A malformed limit must not stop all requests to a target.
 TEST_P(LimitHeaderTest, AcceptsOnlyFiniteNonNegativeDecimals) {
-  EXPECT_EQ(
-      PlatformCodec()
-          .ClassifyResponse({.status = 200, .headers = GetParam().headers})
-          .rate_limit,
-      GetParam().limit);
+  EXPECT_EQ(PlatformCodec()
+                .ClassifyResponse(
+                    {.status = 200, .headers = GetParam().headers}, kTarget)
+                .rate_limit,
+            GetParam().limit);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -237,7 +239,8 @@
 TEST_P(ResponseClassificationTest, NotRunNeedsTheTargetsHeader) {
   EXPECT_EQ(PlatformCodec()
                 .ClassifyResponse({.status = GetParam().status,
-                                   .headers = GetParam().headers})
+                                   .headers = GetParam().headers},
+                                  kTarget)
                 .end,
             GetParam().end);
 }
@@ -257,7 +260,26 @@
         ClassificationCase{"Full", 503, kNotRun, AttemptEnd::kNotRun},
         ClassificationCase{"FullWithoutProof", 503, kSealed, AttemptEnd::kLost},
         ClassificationCase{"TooManyWithoutProof", 429, {}, AttemptEnd::kLost},
-        ClassificationCase{"OtherTarget", 421, {}, AttemptEnd::kWrongTarget},
+        ClassificationCase{"TooMany", 429, kNotRun, AttemptEnd::kNotRun},
+        ClassificationCase{"OtherTarget",
+                           421,
+                           {{"X-Medlarcroft-Instance-Id", "desk-2"}},
+                           AttemptEnd::kWrongTarget},
+        ClassificationCase{"OtherTargetSaysNotRun", 421, kNotRun,
+                           AttemptEnd::kWrongTarget},
+        ClassificationCase{"TheExpectedTargetSaysWrongTarget",
+                           421,
+                           {{"X-Medlarcroft-Instance-Id", "desk-1"}},
+                           AttemptEnd::kLost},
+        ClassificationCase{"NobodySaysWrongTarget", 421, {}, AttemptEnd::kLost},
+        ClassificationCase{"FailureMarkedNotRun", 500, kNotRun,
+                           AttemptEnd::kTargetFailed},
+        ClassificationCase{"DeadlineMarkedNotRun", 504, kNotRun,
+                           AttemptEnd::kTargetFailed},
+        ClassificationCase{"SlowRequestMarkedNotRun", 408, kNotRun,
+                           AttemptEnd::kLost},
+        ClassificationCase{"BadRequestMarkedNotRun", 431, kNotRun,
+                           AttemptEnd::kAnswered},
         ClassificationCase{"NoId", 400, kNotRun, AttemptEnd::kAnswered}),
     [](const auto& tested) { return tested.param.name; });
 
@@ -289,7 +311,8 @@
 TEST_P(LoadHeaderTest, ReadsTheLoadAndTheSlowdown) {
   const auto classified = PlatformCodec().ClassifyResponse(
       {.status = 200,
-       .headers = {{"X-Medlarcroft-Server-Load", GetParam().text}}});
+       .headers = {{"X-Medlarcroft-Server-Load", GetParam().text}}},
+      kTarget);
   ASSERT_EQ(classified.load.has_value(), GetParam().is_valid);
   if (GetParam().is_valid) {
     EXPECT_EQ(classified.load->running, 3U);
