Take no head that breaks off for a whole answer

Another operator's report: a target that stops in the middle of its answer's head and closes; callers got a 200 with an empty or short body, framed as whole. It happens in medlar-entryd (and in each client through libcurl: medlar-steerd, the store's client, medlar-load).

Cause: libcurl takes an orderly close for the end of the head, and our check asked only for a length among the fields that had come. An answer to HEAD or a 204 needed none. Likewise an interim answer that nothing followed was whole.

Change: an answer needs the empty line that ends its head, and a final status. medlar-node's client (relays and its store's client too) has no such fault.

--- a/lib/libmedlarcroft/source/adapters/http/http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.cc
@@ -35,6 +35,7 @@
   ClientResponse response;
   std::size_t header_bytes = 0;
   bool is_framed = false;
+  bool is_head_complete = false;
   bool is_too_large = false;
   bool is_withheld = false;
 
@@ -98,8 +99,10 @@
     // counts.
     transfer.response.headers = {};
     transfer.is_framed = false;
+    transfer.is_head_complete = false;
     return line.size();
   }
+  transfer.is_head_complete |= TrimSpace(line).empty();
 
   const auto colon = line.find(':');
   if (colon != std::string_view::npos) {
@@ -122,6 +125,12 @@
   return std::string(url.substr(0, url.find('/', host)));
 }
 
+/// Guards against a head that breaks off and looks like a whole response:
+/// libcurl takes the end of the connection for the end of the head.
+bool HasCompleteHead(const Transfer& transfer) {
+  return transfer.is_head_complete && transfer.response.status / 100 != 1;
+}
+
 bool HasNoBody(const Transfer& transfer) {
   const int status = transfer.response.status;
   return transfer.request.method == "HEAD" || status == 204 || status == 304;
@@ -172,8 +181,11 @@
                           .status = transfer.response.status,
                           .headers = std::move(transfer.response.headers)};
   }
-  if (!transfer.is_framed && !HasNoBody(transfer)) {
-    return TransportError{.failure = TransportFailure::kUnframed,
+  const bool is_head_complete = HasCompleteHead(transfer);
+  if (!is_head_complete || (!transfer.is_framed && !HasNoBody(transfer))) {
+    return TransportError{.failure = is_head_complete
+                                         ? TransportFailure::kUnframed
+                                         : TransportFailure::kTruncated,
                           .is_proved_unsent = false,
                           .was_connection_reused = was_reused,
                           .status = transfer.response.status,
