Take no refusal without an ID on a reused connection in medlar-entryd

The same cause as in medlar-node, on the related path: an idempotent request of medlar-entryd goes over reused connections, and a refusal without an ID counted as its own, so that a caller could be told not-run while it ran. A non-idempotent request has always had a new connection, on which the first answer is its own.

Change: such a refusal is "unproved": the request may have run and is sent again, the target's ramp halves as for a refusal, and its slot returns after the grace period.

Shown by the table of attempt results: a refusal without an ID is proof on a new connection and none on a reused one, one with the attempt's ID is proof on both, a success without an ID is passed on as before.

--- a/lib/libmedlarcroft/include/medlarcroft/decision/request.h
+++ b/lib/libmedlarcroft/include/medlarcroft/decision/request.h
@@ -101,6 +101,7 @@
                       ///< counted as a failure of the target.
   kCancelled,         ///< Cancelled by this host.
   kWithheld,          ///< Not sent: the target asked for rest or leaves.
+  kUnprovedRefusal,   ///< A refusal that may be the one to another request.
 };
 
 /// @brief Instruction to pass the attempt's complete answer to the caller; the
--- a/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
@@ -65,6 +65,11 @@
   return echoed && *echoed != attempt_id;
 }
 
+bool IsNotRun(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kShed ||
+         outcome == AttemptOutcome::kTargetLeaving;
+}
+
 }  // namespace
 
 AttemptResult ClassifyAttempt(ClientResult result,
@@ -84,9 +89,17 @@
     return classified;
   }
 
-  const bool is_not_run = classified.outcome == AttemptOutcome::kShed ||
-                          classified.outcome == AttemptOutcome::kTargetLeaving;
-  if (!is_not_run) {
+  classified.is_unnamed_refusal =
+      IsNotRun(classified.outcome) &&
+      !answer.headers.Find(protocol::kRequestId).has_value();
+  // Guards against a request that runs and counts as not run: on a reused
+  // connection the refusal may be a late one to the request before.
+  if (classified.is_unnamed_refusal && answer.was_connection_reused) {
+    classified.outcome = AttemptOutcome::kUnprovedRefusal;
+    return classified;
+  }
+
+  if (!IsNotRun(classified.outcome)) {
     classified.answer = std::move(answer);
   }
   return classified;
--- a/lib/libmedlarcroft/source/adapters/entry/entry_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/entry_telemetry.cc
@@ -40,10 +40,10 @@
     "Answers in which a target said that it leaves, which was not known."};
 
 /// In the order of `decision::AttemptOutcome`.
-constexpr std::array<std::string_view, 11> kAttemptOutcomeNames = {
+constexpr std::array<std::string_view, 12> kAttemptOutcomeNames = {
     "answered", "server-error", "never-sent",      "shed",
     "leaving",  "truncated",    "connection-lost", "timed-out",
-    "silent",   "cancelled",    "withheld"};
+    "silent",   "cancelled",    "withheld",        "unproved"};
 
 constexpr std::array<std::string_view, 3> kDispatchKindNames = {
     "first", "retry", "hedge"};
--- a/lib/libmedlarcroft/source/adapters/http/http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.cc
@@ -191,6 +191,7 @@
                           .status = transfer.response.status,
                           .headers = std::move(transfer.response.headers)};
   }
+  transfer.response.was_connection_reused = was_reused;
   return std::move(transfer.response);
 }
 
@@ -348,6 +349,9 @@
     if (!options_.ca_file.empty()) {
       curl_easy_setopt(easy, CURLOPT_CAINFO, options_.ca_file.c_str());
     }
+    if (request.ends_connection) {
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
     if (request.needs_fresh_connection) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
       return;
--- a/lib/libmedlarcroft/source/adapters/http/http_client.h
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.h
@@ -25,6 +25,8 @@
   /// the first byte of a response, libcurl by itself resends the request; on a
   /// new connection it never does. Costs a connect, about 1 ms.
   bool needs_fresh_connection = false;
+  /// Whether no other request may use the connection afterwards.
+  bool ends_connection = false;
   std::size_t max_answer_bytes = std::size_t{1024} * 1024;
   /// Asked on the client's thread once there is a connection: whether the
   /// request may still be sent. None: it may.
@@ -36,6 +38,7 @@
   int status = 0;
   HttpHeaders headers;
   std::string body;
+  bool was_connection_reused = false;
 };
 
 /// @brief Why there is no complete response.
--- a/lib/libmedlarcroft/source/decision/attempt_rules.cc
+++ b/lib/libmedlarcroft/source/decision/attempt_rules.cc
@@ -31,15 +31,18 @@
     .is_retryable = true,
     .release = SlotRelease::kAfterDeadline};
 constexpr AttemptRules kWithheld = kTargetLeaving;
+constexpr AttemptRules kUnprovedRefusal{
+    .is_retryable = true,
+    .release = SlotRelease::kAfterGracePeriod};
 constexpr AttemptRules kCancelled{.release = SlotRelease::kAfterGracePeriod};
 
 // Indexed by AttemptOutcome.
 constexpr std::array kRules{kAnswered,       kServerError,   kNeverSent,
                             kNotRunByTarget, kTargetLeaving, kTruncated,
                             kConnectionLost, kTimedOut,      kSilentConnection,
-                            kCancelled,      kWithheld};
+                            kCancelled,      kWithheld,      kUnprovedRefusal};
 static_assert(kRules.size() ==
-              static_cast<std::size_t>(AttemptOutcome::kWithheld) + 1);
+              static_cast<std::size_t>(AttemptOutcome::kUnprovedRefusal) + 1);
 
 }  // namespace
 
--- a/lib/libmedlarcroft/source/decision/request_scheduler_attempts.cc
+++ b/lib/libmedlarcroft/source/decision/request_scheduler_attempts.cc
@@ -84,7 +84,9 @@
     service.OnServiceTime(elapsed, members);
   }
   // A target that asked for rest ramps up after that.
-  if (outcome == AttemptOutcome::kShed && now >= target.rests_until)
+  const bool is_busy = outcome == AttemptOutcome::kShed ||
+                       outcome == AttemptOutcome::kUnprovedRefusal;
+  if (is_busy && now >= target.rests_until)
     target.ramp.Halve(now, kShedRampDuration);
   if (outcome == AttemptOutcome::kTargetLeaving) {
     targets_.MarkLeaving(attempt.target, now);
--- a/tests/unit/adapters/entry/attempt_result_test.cc
+++ b/tests/unit/adapters/entry/attempt_result_test.cc
@@ -40,6 +40,11 @@
                         .was_connection_reused = was_reused};
 }
 
+ClientResult OnReusedConnection(ClientResult result) {
+  std::get<ClientResponse>(result).was_connection_reused = true;
+  return result;
+}
+
 ClientResult BrokenAnswer(int status, HttpHeaders headers) {
   return TransportError{.failure = TransportFailure::kTruncated,
                         .status = status,
@@ -57,6 +62,19 @@
                      true},
         ClassifyCase{"shed", Answer(503, {{"Medlar-Target-Not-Run", "1"}}),
                      AttemptOutcome::kShed},
+        ClassifyCase{
+            "refusal_without_id_on_a_reused_connection",
+            OnReusedConnection(Answer(503, {{"Medlar-Target-Not-Run", "1"}})),
+            AttemptOutcome::kUnprovedRefusal},
+        ClassifyCase{"own_refusal_on_a_reused_connection",
+                     OnReusedConnection(Answer(503,
+                                               {{"Medlar-Target-Not-Run", "1"},
+                                                {"Medlar-Request-Id",
+                                                 std::string(kName)}})),
+                     AttemptOutcome::kShed},
+        ClassifyCase{"whole_on_a_reused_connection",
+                     OnReusedConnection(Answer(200)), AttemptOutcome::kAnswered,
+                     true},
         ClassifyCase{"leaving",
                      Answer(503,
                             {{"Medlar-Target-Not-Run", "1"},
