Count entries of other writers that can't be read

Another operator's report: one odd entry among those of the upstreams made the machines that read the list end again and again, or stop following it. What was missing:

- nothing counted them: medlar_unreadable_entries_total now does, by the event of the line, and all four tables report through one function;

--- a/programs/node/crash_sharing.cc
+++ b/programs/node/crash_sharing.cc
@@ -9,6 +9,7 @@
 #include "medlarcroft/peer_updates/update_timing.h"
 #include "platform/blocked_request_entry.h"
 #include "platform/host_entry.h"
+#include "unreadable_entry.h"
 
 namespace medlarcroft::node {
 
@@ -136,11 +137,8 @@
   }
   const auto decoded = platform::DecodeBlockedRequest(row.key, row.value);
   if (!IsOk(decoded)) {
-    Log(LogLevel::kWarning, "blocked-request-unreadable",
-        {{"key", row.key},
-         {"row_version", row.version},
-         {"field", ErrorOf(decoded).field},
-         {"problem", platform::NameOf(ErrorOf(decoded).problem)}});
+    ReportUnreadable(parts_.metrics, "blocked-request-unreadable", row,
+                     ErrorOf(decoded));
     return;
   }
   const WallTime until = ValueOf(decoded).until;
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -195,6 +195,7 @@
               .max_buffered_bytes = MemoryPart(settings_, kAnswerMemoryDivisor),
               .store = store_,
               .random = random_,
+              .metrics = metrics_,
               .regions = regions_,
               .on_placed =
                   [this](const peer_updates::PlacedObject& placed) {
@@ -253,8 +254,9 @@
       operator_listener_(loop,
                          routes_,
                          targets_,
+                         metrics_,
                          [this] { OnConfiguration(); }),
-      target_listener_(loop, targets_),
+      target_listener_(loop, targets_, metrics_),
       operator_follower_({.timers = loop,
                           .store = store_,
                           .random = random_,
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -23,6 +23,7 @@
 #include "medlarcroft/quota/quota_hosts.h"
 #include "medlarcroft/replication/peer_readers.h"
 #include "medlarcroft/request_path/target_directory.h"
+#include "medlarcroft/telemetry/metrics.h"
 #include "platform/decode_error.h"
 #include "platform/store_client.h"
 
@@ -39,6 +40,7 @@
     std::size_t max_buffered_bytes;
     platform::StoreClient& store;
     ports::RandomSource& random;
+    telemetry::MetricsRegistry& metrics;
     const request_path::DomainRegions& regions;
     /// Called when another host of the region places an object.
     std::function<void(const peer_updates::PlacedObject&)> on_placed;
--- a/programs/node/peer_group_rows.cc
+++ b/programs/node/peer_group_rows.cc
@@ -5,6 +5,7 @@
 #include "peer_group.h"
 #include "platform/blocked_request_entry.h"
 #include "platform/host_entry.h"
+#include "unreadable_entry.h"
 
 namespace medlarcroft::node {
 
@@ -95,11 +96,7 @@
 // and writes it again.
 void PeerGroup::OnUnreadableRow(const replication::Row& row,
                                 const platform::DecodeError& fault) {
-  Log(LogLevel::kWarning, "host-entry-unreadable",
-      {{"peer", row.key},
-       {"row_version", row.version},
-       {"field", fault.field},
-       {"problem", platform::NameOf(fault.problem)}});
+  ReportUnreadable(parts_.metrics, "host-entry-unreadable", row, fault);
   if (row.key == settings_.host) {
     entries_.erase(HostName(row.key));
     return;
--- a/programs/node/routing_table_listeners.cc
+++ b/programs/node/routing_table_listeners.cc
@@ -7,6 +7,7 @@
 #include "adapters/process/log.h"
 #include "platform/configuration_decoder.h"
 #include "platform/operator_keys.h"
+#include "unreadable_entry.h"
 
 namespace medlarcroft::node {
 
@@ -15,16 +16,6 @@
 using adapters::Log;
 using adapters::LogLevel;
 
-void LogUnreadable(std::string_view event,
-                   const replication::Row& row,
-                   const platform::DecodeError& fault) {
-  Log(LogLevel::kError, event,
-      {{"key", row.key},
-       {"row_version", row.version},
-       {"field", fault.field},
-       {"problem", platform::NameOf(fault.problem)}});
-}
-
 void LogUnknownKinds(const routing::RoutingConfiguration& configuration) {
   for (const routing::Route& route : configuration.routes) {
     if (route.unknown_kind) {
@@ -79,7 +70,8 @@
   }
   auto configuration = platform::DecodeConfiguration(row.value);
   if (!IsOk(configuration)) {
-    LogUnreadable("configuration-unreadable", row, ErrorOf(configuration));
+    ReportUnreadable(metrics_, "configuration-unreadable", row,
+                     ErrorOf(configuration));
     return;
   }
   const std::uint64_t version = ValueOf(configuration).version;
@@ -140,7 +132,7 @@
       logged_unreadable_versions_.try_emplace(row.key, row.version);
   if (is_new || logged->second != row.version) {
     logged->second = row.version;
-    LogUnreadable("target-entry-unreadable", row, ErrorOf(target));
+    ReportUnreadable(metrics_, "target-entry-unreadable", row, ErrorOf(target));
   }
   return std::nullopt;
 }
--- a/programs/node/routing_table_listeners.h
+++ b/programs/node/routing_table_listeners.h
@@ -12,6 +12,7 @@
 #include "medlarcroft/ports/timers.h"
 #include "medlarcroft/request_path/target_directory.h"
 #include "medlarcroft/routing/route_table.h"
+#include "medlarcroft/telemetry/metrics.h"
 
 namespace medlarcroft::node {
 
@@ -22,11 +23,13 @@
   OperatorTableListener(adapters::EventLoop& loop,
                         routing::RouteTable& routes,
                         request_path::TargetDirectory& targets,
+                        telemetry::MetricsRegistry& metrics,
                         std::function<void()> on_configuration)
       : LoggingTableListener("operator"),
         loop_(loop),
         routes_(routes),
         targets_(targets),
+        metrics_(metrics),
         on_configuration_(std::move(on_configuration)) {}
 
   void OnTable(std::span<const replication::Row> rows) override;
@@ -40,6 +43,7 @@
   adapters::EventLoop& loop_;
   routing::RouteTable& routes_;
   request_path::TargetDirectory& targets_;
+  telemetry::MetricsRegistry& metrics_;
   std::function<void()> on_configuration_;
   std::set<FailureDomainName> evacuated_;
 };
@@ -48,8 +52,12 @@
 class TargetTableListener final : public LoggingTableListener {
  public:
   TargetTableListener(ports::Timers& timers,
-                      request_path::TargetDirectory& targets)
-      : LoggingTableListener("targets"), timers_(timers), targets_(targets) {}
+                      request_path::TargetDirectory& targets,
+                      telemetry::MetricsRegistry& metrics)
+      : LoggingTableListener("targets"),
+        timers_(timers),
+        targets_(targets),
+        metrics_(metrics) {}
 
   void OnTable(std::span<const replication::Row> rows) override;
   void OnRows(std::span<const replication::Row> rows) override;
@@ -65,6 +73,7 @@
 
   ports::Timers& timers_;
   request_path::TargetDirectory& targets_;
+  telemetry::MetricsRegistry& metrics_;
   std::optional<MonotonicTime> expiry_end_;  ///< As last reported.
   // Versions of the unreadable entries that were logged. Each entry is logged
   // once, although it is seen each time the table is read.
--- a/tests/property/removed_target_property_test.cc
+++ b/tests/property/removed_target_property_test.cc
@@ -96,7 +96,8 @@
     directory = std::make_unique<TargetDirectory>(
         request_path::DomainRegions{{FailureDomainName("z"), RegionName("r")}},
         observer_);
-    return std::make_unique<node::TargetTableListener>(timers, *directory);
+    return std::make_unique<node::TargetTableListener>(timers, *directory,
+                                                       metrics_);
   }
 
   Duration DrawDuration(double least, double most) {
@@ -188,6 +189,7 @@
   ModelStore store_{kEntry};
   ModelNetwork network_;
   IgnoringObserver observer_;
+  telemetry::MetricsRegistry metrics_;
   std::vector<std::unique_ptr<TargetDirectory>> directories_;
   std::unique_ptr<Region> region_;
   std::vector<MonotonicTime> faulty_until_;
@@ -228,8 +230,8 @@
               request_path::DomainRegions{
                   {FailureDomainName("z"), RegionName("r")}},
               observer_);
-          return std::make_unique<node::TargetTableListener>(timers,
-                                                             *directory);
+          return std::make_unique<node::TargetTableListener>(timers, *directory,
+                                                             metrics_);
         },
         RowExpiryFor(milliseconds(1500), seconds(4)));
   }
@@ -254,6 +256,7 @@
   ModelStore store_{kEntry};
   ModelNetwork network_{time_, store_, 1};
   IgnoringObserver observer_;
+  telemetry::MetricsRegistry metrics_;
   std::array<std::unique_ptr<TargetDirectory>, 2> directories_;
   std::unique_ptr<Region> region_;
 };
--- a/tests/unit/node/crash_sharing_test.cc
+++ b/tests/unit/node/crash_sharing_test.cc
@@ -76,6 +76,7 @@
       PeerGroup::Parts{.loop = loop_,
                        .store = store_,
                        .random = random_,
+                       .metrics = metrics_,
                        .regions = regions_,
                        .on_blocked_row = [this](const replication::Row& row) {
                          stored_value_ = row.value;
--- a/tests/unit/node/peer_group_test.cc
+++ b/tests/unit/node/peer_group_test.cc
@@ -66,6 +66,7 @@
             .loop = loop_,
             .store = store_,
             .random = random_,
+            .metrics = metrics_,
             .regions = regions_,
             .on_placed =
                 [receiver =
--- a/tests/unit/node/routing_table_listeners_test.cc
+++ b/tests/unit/node/routing_table_listeners_test.cc
@@ -79,7 +79,8 @@
   request_path::TargetDirectory target_directory_{
       {{FailureDomainName("z"), RegionName("r")}},
       observer_};
-  TargetTableListener listener_{loop_, target_directory_};
+  telemetry::MetricsRegistry metrics_;
+  TargetTableListener listener_{loop_, target_directory_, metrics_};
 };
 
 // During a long outage of the store all entries expire. When it returns, the
--- a/tests/unit/platform/blocked_request_entry_test.cc
+++ b/tests/unit/platform/blocked_request_entry_test.cc
@@ -42,6 +42,8 @@
                     BadEntry{"key_without_number", "blocked-request/xyz",
                              "{\"until_ms\":1}"},
                     BadEntry{"no_expiry", "blocked-request/1f", "{}"},
+                    BadEntry{"expiry_beyond_all_times", "blocked-request/1f",
+                             "{\"until_ms\":9000000000000000}"},
                     BadEntry{"not_json", "blocked-request/1f", "?"}),
     [](const auto& info) { return info.param.name; });
 
--- a/tests/unit/platform/json_reader_test.cc
+++ b/tests/unit/platform/json_reader_test.cc
@@ -79,5 +79,18 @@
   EXPECT_FALSE(IsOk(DecodeHostEntry("h1", "{}")));
 }
 
+// Guards against a host that nobody can reach among those that are asked.
+TEST(HostEntryTest, AnAddressThatIsNoneIsRejected) {
+  for (const std::string address :
+       {"", "127.0.0.1", "127.0.0.1:70000", "127.0.0.1:-1", "host:7000"}) {
+    EXPECT_FALSE(IsOk(DecodeHostEntry(
+        "h1",
+        EncodeHostEntry({.host = {.name = "h1",
+                                  .failure_domain = FailureDomainName("z"),
+                                  .address = address}}))))
+        << address;
+  }
+}
+
 }  // namespace
 }  // namespace medlarcroft::platform
