Follow a list of hosts that has an odd entry

Change: the entry is logged and left out. A list of which no entry can be read is still no list, so that the one before stays.

--- a/lib/libmedlarcroft/source/adapters/platform/platform_json.cc
+++ b/lib/libmedlarcroft/source/adapters/platform/platform_json.cc
@@ -1,6 +1,9 @@
 #include "adapters/platform/platform_json.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
+
+#include "adapters/process/log.h"
 
 namespace medlarcroft::adapters {
 
@@ -89,6 +92,17 @@
           .is_leaving = value.value("is_leaving", false)};
 }
 
+/// @return nullopt for an entry that can't be read. One such entry must not
+/// hide the others.
+std::optional<ports::ListedHost> ReadListedHost(const json& value) {
+  try {
+    return ToListedHost(value);
+  } catch (const json::exception&) {
+    Log(LogLevel::kWarning, "listed-host-unreadable");
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 std::optional<std::string> FormatRow(const ports::Row& row) {
@@ -164,10 +178,14 @@
     std::string_view body) {
   return ParseWith<std::vector<ports::ListedHost>>(body, [](const json& value) {
     std::vector<ports::ListedHost> hosts;
-    for (const json& host : value.at("hosts")) {
-      hosts.push_back(ToListedHost(host));
+    const json& items = value.at("hosts");
+    for (const json& item : items) {
+      if (auto host = ReadListedHost(item)) {
+        hosts.push_back(std::move(*host));
+      }
     }
-    return hosts;
+    const bool is_unreadable = hosts.empty() && !items.empty();
+    return is_unreadable ? std::nullopt : std::optional(std::move(hosts));
   });
 }
 
--- a/tests/unit/adapters/platform/http_platform_test.cc
+++ b/tests/unit/adapters/platform/http_platform_test.cc
@@ -159,6 +159,22 @@
                     MalformedBody{"Truncated", R"({"rows":[)"}),
     [](const auto& tested) { return tested.param.name; });
 
+// Guards against a list of hosts that is not followed for one odd entry.
+TEST(PlatformJsonFormatTest, AnOddHostDoesNotHideTheOthers) {
+  const auto body = FormatHosts({{.name = "a"}, {.name = "b"}});
+  for (const std::string odd :
+       {"1", "null", "[]", "{}", R"({"name":7,"role":"target"})",
+        R"({"name":"c","role":"target","failure_domain":"z","address":70000})",
+        R"({"name":"c","role":"target","failure_domain":"z","address":"x",)"
+        R"("is_leaving":1e300})"}) {
+    const std::size_t first = body->find("{\"address\"");
+    const auto hosts = ParseHosts(std::string(*body).insert(first, odd + ","));
+    ASSERT_TRUE(hosts) << odd;
+    ASSERT_EQ(hosts->size(), 2U) << odd;
+    EXPECT_EQ(hosts->back().name, "b");
+  }
+}
+
 TEST(PlatformJsonFormatTest, RejectsTextThatIsNotUtf8) {
   HttpPlatform platform({.base_url = "http://127.0.0.1:1"});
 
