--- a/tests/property/response_attribution_property_test.cc
+++ b/tests/property/response_attribution_property_test.cc
@@ -165,21 +165,21 @@
     request.identify = [this, id](const HttpResponse& answer) {
       return codec_.IdentifyResponse(answer, id);
     };
-    client_.Send(
-        std::move(request), [this, id, sends_left](ExchangeResult result) {
-          if (!IsOk(result)) {
-            statuses[id] = ErrorOf(result).is_proved_unsent ? 503 : 502;
-            return;
-          }
-          const auto end = codec_.ClassifyResponse(ValueOf(result), {}).end;
-          const bool is_not_run = end == request_path::AttemptEnd::kNotRun ||
-                                  end == request_path::AttemptEnd::kWrongTarget;
-          if (is_not_run && sends_left > 1) {
-            SendToTarget(id, sends_left - 1);
-            return;
-          }
-          statuses[id] = is_not_run ? 503 : 200;
-        });
+    client_.Send(std::move(request), [this, id, sends_left](
+                                         const ExchangeResult& result) {
+      if (!IsOk(result)) {
+        statuses[id] = ErrorOf(result).is_proved_unsent ? 503 : 502;
+        return;
+      }
+      const auto end = codec_.ClassifyResponse(ValueOf(result), {}).end;
+      const bool is_not_run = end == request_path::AttemptEnd::kNotRun ||
+                              end == request_path::AttemptEnd::kWrongTarget;
+      if (is_not_run && sends_left > 1) {
+        SendToTarget(id, sends_left - 1);
+        return;
+      }
+      statuses[id] = is_not_run ? 503 : 200;
+    });
   }
 
   SystemClock clock_;
--- a/tests/unit/adapters/platform/http_platform_test.cc
+++ b/tests/unit/adapters/platform/http_platform_test.cc
@@ -162,11 +162,16 @@
 // Guards against a list of hosts that is not followed for one odd entry.
 TEST(PlatformJsonFormatTest, AnOddHostDoesNotHideTheOthers) {
   const auto body = FormatHosts({{.name = "a"}, {.name = "b"}});
-  for (const std::string odd :
-       {"1", "null", "[]", "{}", R"({"name":7,"role":"target"})",
-        R"({"name":"c","role":"target","failure_domain":"z","address":70000})",
-        R"({"name":"c","role":"target","failure_domain":"z","address":"x",)"
-        R"("is_leaving":1e300})"}) {
+  const std::string target =
+      R"({"name":"c","role":"target","failure_domain":"z","address":)";
+  const std::string odd_hosts[] = {"1",
+                                   "null",
+                                   "[]",
+                                   "{}",
+                                   R"({"name":7,"role":"target"})",
+                                   target + "70000}",
+                                   target + R"("x","is_leaving":1e300})"};
+  for (const std::string& odd : odd_hosts) {
     const std::size_t first = body->find("{\"address\"");
     const auto hosts = ParseHosts(std::string(*body).insert(first, odd + ","));
     ASSERT_TRUE(hosts) << odd;
--- a/tests/unit/adapters/stopped_head_test.cc
+++ b/tests/unit/adapters/stopped_head_test.cc
@@ -69,7 +69,7 @@
   for (std::size_t length = 0; length < GetParam().checked; ++length) {
     ScriptedServer server([&](ScriptedConnection& connection, int) {
       connection.ReadHead();
-      connection.Write(std::string_view(response).substr(0, length));
+      connection.Write(response.substr(0, length));
       if (GetParam().is_reset) {
         connection.Reset();
       }
