Accept medlar-entryd's mark of a refusal only on 429 and 503

The mark proves on the statuses that a refusal has.

The play covers idempotent requests over reused connections too.

--- a/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
@@ -12,6 +12,7 @@
 using decision::AttemptOutcome;
 
 constexpr int kFirstServerError = 500;
+constexpr int kTooMany = 429;
 constexpr int kUnavailable = 503;
 
 AttemptOutcome OutcomeOf(const TransportError& error) {
@@ -40,8 +41,15 @@
   }
 }
 
+/// @return whether the target marks the answer as a refusal. A mark on a status
+/// that no refusal has proves nothing: a target's own 500 counts as run.
+bool IsMarkedNotRun(const ClientResponse& answer) {
+  return answer.headers.Find(protocol::kTargetNotRun) &&
+         (answer.status == kTooMany || answer.status == kUnavailable);
+}
+
 AttemptOutcome OutcomeOf(const ClientResponse& answer) {
-  if (answer.headers.Find(protocol::kTargetNotRun)) {
+  if (IsMarkedNotRun(answer)) {
     return answer.headers.Find(protocol::kTargetDraining)
                ? AttemptOutcome::kTargetLeaving
                : AttemptOutcome::kShed;
--- a/lib/libmedlarcroft/source/adapters/entry/protocol.h
+++ b/lib/libmedlarcroft/source/adapters/entry/protocol.h
@@ -21,7 +21,7 @@
 inline constexpr std::string_view kTarget = "Medlar-Target";
 /// ID of one attempt. A target may echo it; the echoed value must be equal.
 inline constexpr std::string_view kRequestId = "Medlar-Request-Id";
-/// Set by a target that did not run the request.
+/// Set by a target that did not run the request, on a 429 or 503.
 inline constexpr std::string_view kTargetNotRun = "Medlar-Target-Not-Run";
 /// Set by a target that is draining.
 inline constexpr std::string_view kTargetDraining = "Medlar-Target-Draining";
--- a/tests/property/response_attribution_property_test.cc
+++ b/tests/property/response_attribution_property_test.cc
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -15,7 +14,6 @@
 #include "adapters/forward/relay_handler.h"
 #include "adapters/forward/request_forwarder.h"
 #include "adapters/process/system_clock.h"
-#include "fakes/manual_clock.h"
 #include "medlarcroft/decision/attempt_rules.h"
 #include "odd_target.h"
 #include "platform/platform_codec.h"
@@ -24,7 +22,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 constexpr std::uint64_t kSeeds = 40;
 constexpr int kRequests = 60;
@@ -283,5 +280,72 @@
             .play = &OddDeployment::CallThroughHost}),
     [](const auto& tested) { return tested.param.name; });
 
+/// @return whether the request is told not to have run, after a few attempts.
+bool IsRefusedByEntryHost(HttpClient& client,
+                          const std::string& address,
+                          const std::string& request,
+                          bool is_idempotent) {
+  for (int attempt = 1; attempt <= 3; ++attempt) {
+    const std::string id = request + "/" + std::to_string(attempt);
+    const AttemptResult result = ClassifyAttempt(
+        client.SendAndWait({.method = "POST",
+                            .url = "http://" + address + "/x",
+                            .headers = {{"Medlar-Request-Id", id}},
+                            .timeout = milliseconds(60),
+                            .needs_fresh_connection = !is_idempotent}),
+        id);
+    if (decision::RulesFor(result.outcome).run_state !=
+        decision::RunState::kNotRun) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// Guards against the same in medlar-entryd, whose client pools connections by
+// itself.
+TEST(EntryHostRefusalProperty, NoRequestThatWasToldNotRunHasRun) {
+  int odd_answers = 0;
+  std::atomic<int> promises = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    SystemClock clock;
+    EventLoop loop(clock);
+    OddTarget target(loop, seed,
+                     {.id = "Medlar-Request-Id",
+                      .not_run = "Medlar-Target-Not-Run",
+                      .success = ""});
+    std::map<std::string, bool> is_refused;
+    std::atomic<bool> is_done = false;
+    std::thread caller([&] {
+      HttpClient client({});
+      for (int number = 0; number < kRequests / 3; ++number) {
+        const bool is_idempotent = number % 3 != 0;
+        const std::string request =
+            (is_idempotent ? "repeatable" : "once") + std::to_string(number);
+        is_refused[request] = IsRefusedByEntryHost(client, target.Address(),
+                                                   request, is_idempotent);
+        promises += is_refused[request] ? 1 : 0;
+      }
+      is_done = true;
+    });
+    loop.Every(milliseconds(2), [&] {
+      if (is_done) {
+        loop.Finish(0);
+      }
+    });
+    loop.Run();
+    caller.join();
+    for (const auto& [request, refused] : is_refused) {
+      const int runs = target.runs[request];
+      EXPECT_TRUE(!refused || runs == 0) << "seed " << seed << ", " << request;
+      EXPECT_TRUE(request.starts_with("repeatable") || runs <= 1)
+          << "seed " << seed << ", " << request;
+    }
+    odd_answers += target.odd_answers;
+  }
+  EXPECT_GT(odd_answers, kRequests);
+  EXPECT_GT(promises, 0);
+}
+
 }  // namespace
 }  // namespace medlarcroft::adapters
--- a/tests/unit/adapters/entry/attempt_result_test.cc
+++ b/tests/unit/adapters/entry/attempt_result_test.cc
@@ -62,6 +62,9 @@
                      true},
         ClassifyCase{"shed", Answer(503, {{"Medlar-Target-Not-Run", "1"}}),
                      AttemptOutcome::kShed},
+        ClassifyCase{"failure_marked_not_run",
+                     Answer(500, {{"Medlar-Target-Not-Run", "1"}}),
+                     AttemptOutcome::kServerError, true},
         ClassifyCase{
             "refusal_without_id_on_a_reused_connection",
             OnReusedConnection(Answer(503, {{"Medlar-Target-Not-Run", "1"}})),
