Keep medlar-entryd's connections after a refusal without an ID

Since a refusal without an ID, which our stand-in sends, made connections to its target carry one request each for ten minutes.

What the single use bought is small here: orders have a new connection anyway, and other requests may be sent again.

--- a/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
@@ -97,12 +97,11 @@
     return classified;
   }
 
-  classified.is_unnamed_refusal =
-      IsNotRun(classified.outcome) &&
-      !answer.headers.Find(protocol::kRequestId).has_value();
+  const bool is_named = answer.headers.Find(protocol::kRequestId).has_value();
   // Guards against a request that runs and counts as not run: on a reused
   // connection the refusal may be a late one to the request before.
-  if (classified.is_unnamed_refusal && answer.was_connection_reused) {
+  if (IsNotRun(classified.outcome) && !is_named &&
+      answer.was_connection_reused) {
     classified.outcome = AttemptOutcome::kUnprovedRefusal;
     return classified;
   }
--- a/lib/libmedlarcroft/source/adapters/entry/attempt_result.h
+++ b/lib/libmedlarcroft/source/adapters/entry/attempt_result.h
@@ -23,9 +23,6 @@
   /// The answer echoed the ID of another attempt, so it belongs to another
   /// request.
   bool is_id_mismatched = false;
-  /// The target refused, without an ID. The next refusal like it is proof only
-  /// on a new connection.
-  bool is_unnamed_refusal = false;
 };
 
 /// @brief Classifies the transport's result of the attempt with the ID
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine.h
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine.h
@@ -169,8 +169,6 @@
   mutable std::mutex mutex_;
   decision::RequestScheduler scheduler_;
   SharedRoutingTable routes_;
-  /// Until when connections to an address carry one request each.
-  std::unordered_map<std::string, MonotonicTime> single_use_until_;
   std::unordered_map<std::uint64_t, InFlightRequest> in_flight_;
 
   std::condition_variable scheduler_wakeup_;
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine_attempts.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine_attempts.cc
@@ -15,11 +15,6 @@
 /// than a millisecond away is not sent as zero.
 constexpr std::int64_t kMinDeadlineMs = 1;
 
-/// How long connections to a target carry one request each after a refusal of
-/// it named no request. Targets name requests or not by their software, which
-/// seldom changes.
-constexpr Duration kSingleUseTime = std::chrono::minutes(10);
-
 HttpResponse ToResponse(ClientResponse answer,
                         decision::RunState run_state,
                         const TargetName& target) {
@@ -75,11 +70,7 @@
   }
   out.body = request.body;
   out.timeout = std::max<Duration>(time_left, std::chrono::milliseconds(1));
-  const auto single_use = single_use_until_.find(attempt.address);
-  out.ends_connection = single_use != single_use_until_.end() &&
-                        attempt.started < single_use->second;
-  out.needs_fresh_connection =
-      out.ends_connection || !route.config.request_class.IsIdempotent();
+  out.needs_fresh_connection = !route.config.request_class.IsIdempotent();
   out.max_answer_bytes = route.config.request_class.max_answer_bytes;
   // The target may ask for rest while the connection is being established.
   out.may_send = [this, target = dispatch.target] { return MaySend(target); };
@@ -135,11 +126,6 @@
       events_.OnRestStarted(attempt.target, *until - now, FormatAttemptId(id));
     }
   }
-  if (result.is_unnamed_refusal) {
-    std::erase_if(single_use_until_,
-                  [now](const auto& entry) { return entry.second <= now; });
-    single_use_until_[attempt.address] = now + kSingleUseTime;
-  }
   if (result.is_id_mismatched) {
     // The response to this attempt may follow on the same connection.
     client_.RetireConnections("http://" + attempt.address);
--- a/lib/libmedlarcroft/source/adapters/http/http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.cc
@@ -349,9 +349,6 @@
     if (!options_.ca_file.empty()) {
       curl_easy_setopt(easy, CURLOPT_CAINFO, options_.ca_file.c_str());
     }
-    if (request.ends_connection) {
-      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-    }
     if (request.needs_fresh_connection) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
       return;
--- a/lib/libmedlarcroft/source/adapters/http/http_client.h
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.h
@@ -25,8 +25,6 @@
   /// the first byte of a response, libcurl by itself resends the request; on a
   /// new connection it never does. Costs a connect, about 1 ms.
   bool needs_fresh_connection = false;
-  /// Whether no other request may use the connection afterwards.
-  bool ends_connection = false;
   std::size_t max_answer_bytes = std::size_t{1024} * 1024;
   /// Asked on the client's thread once there is a connection: whether the
   /// request may still be sent. None: it may.
