--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -6,6 +6,7 @@
 import os
 import json
 import pathlib
+import resource
 import subprocess
 import tempfile
 import threading
@@ -47,13 +48,20 @@
         time.sleep(0.02)
 
 
+def make_limit(descriptors):
+    """Returns what lowers the limit of descriptors of a new process; None: nothing."""
+    if descriptors is None:
+        return None
+    return lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
+
 class Node:
     """A medlar-node process with its log file."""
 
-    def __init__(self, folder, number, store_port, store=None, telemetry=None, region="r1", memory_mb=256):
+    def __init__(self, folder, number, store_port, store=None, telemetry=None, region="r1", memory_mb=256, descriptors=None):
         ip = f"{NET}.1.{number}"
         self.name, self.caller, self.lookup = f"edge-{number}", (ip, 18100), (ip, 18102)
-        self.readiness, self.metrics = (ip, 18101), (ip, 18104)
+        self.readiness, self.peer, self.metrics = (ip, 18101), (ip, 18103), (ip, 18104)
         self.log = folder / f"{self.name}.log"
         settings = folder / f"{self.name}.yaml"
         settings.write_text(json.dumps({
@@ -63,7 +71,7 @@
             "peer_listen": f"{ip}:18103", "metrics_listen": f"{ip}:18104", "store_address": store or f"{NET}.0.1:{store_port}",
             "memory_mb": memory_mb, "telemetry": telemetry or {}}))
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen([NODE, "--settings", settings], stdout=log)
+            self.process = subprocess.Popen([NODE, "--settings", settings], stdout=log, preexec_fn=make_limit(descriptors))
 
     def get(self, address, path):
         connection = http.client.HTTPConnection(*address, timeout=WAIT_LIMIT_S)
