--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
@@ -65,6 +65,7 @@
   kTargetsResting,       ///< All targets that may run it asked for rest.
   kRegionsUnknown,       ///< The regions in which it may run may have changed.
   kSlowCallers,  ///< Answers that callers have not read take the memory.
+  kNoMemory,     ///< It gave way to others before it arrived whole.
 };
 
 /// @brief The limit by which a request was refused.
--- /dev/null
+++ b/lib/libmedlarcroft/source/adapters/event/client_connections.cc
@@ -0,0 +1,39 @@
+#include "adapters/event/client_connections.h"
+
+#include <utility>
+
+namespace medlarcroft::adapters {
+
+ClientConnections::Id ClientConnections::Add(std::function<void()> close,
+                                             bool is_reserved) {
+  const Id id = limit_.Add();
+  closes_.emplace(id, std::move(close));
+  (void)is_reserved;
+  return id;
+}
+
+void ClientConnections::Remove(Id id) {
+  limit_.Remove(id);
+  closes_.erase(id);
+}
+
+void ClientConnections::FreeOne() {
+  if (const auto least = limit_.FindLeast()) {
+    Close(*least);
+  }
+}
+
+void ClientConnections::Close(Id id) {
+  ++gave_way_;
+  const auto close = closes_.extract(id);
+  limit_.Remove(id);
+  if (!close.empty()) {
+    close.mapped()();
+  }
+}
+
+void ClientConnections::TakeTurn(std::function<void()> task) {
+  loop_.After(Duration(0), std::move(task));
+}
+
+}  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
@@ -8,7 +8,12 @@
 namespace medlarcroft::adapters {
 
 EventHttpClient::EventHttpClient(EventLoop& loop, const Options& options)
-    : loop_(loop), options_(options) {}
+    : loop_(loop), options_(options) {
+  if (!options_.memory) {
+    options_.memory =
+        std::make_shared<HeldMemory>(loop_, resources::MemoryLimits{});
+  }
+}
 
 EventHttpClient::~EventHttpClient() {
   const auto active = std::exchange(active_, {});
@@ -125,23 +130,6 @@
   return found != single_use_until_.end() && loop_.Now() < found->second;
 }
 
-// Guards against a host that runs out of memory because responses never end.
-void EventHttpClient::OnBuffered(std::size_t before, std::size_t now) {
-  buffered_bytes_ += now;
-  buffered_bytes_ -= before;
-  while (buffered_bytes_ > options_.max_buffered_bytes) {
-    const auto largest = std::ranges::max_element(
-        active_, {},
-        [](const auto& exchange) { return exchange.second->BufferedBytes(); });
-    if (largest == active_.end() || largest->second->BufferedBytes() == 0) {
-      return;
-    }
-    const auto connection = largest->second;
-    ++counters_.endless_responses;
-    connection->Fail(ExchangeFailure::kTooLarge);
-  }
-}
-
 void EventHttpClient::RemoveIdle(HttpClientConnection& connection) {
   const auto found = idle_.find(connection.Address());
   if (found != idle_.end()) {
--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.h
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "adapters/event/event_loop.h"
+#include "adapters/event/held_memory.h"
 #include "adapters/http/http_message.h"
 #include "medlarcroft/core/result.h"
 #include "medlarcroft/core/time.h"
@@ -63,6 +64,8 @@
 struct OutboundRequest {
   std::string address;  ///< IP:port.
   std::string text;     ///< Serialized head and body, see FormatRequest.
+  /// The rest of the body, which others may hold, too; unset: none.
+  std::shared_ptr<HeldBytes> body;
   /// As the response may name the request, with `identify`.
   std::string id;
   bool is_head_request = false;
@@ -122,9 +125,11 @@
     Duration single_use_after_unnamed = std::chrono::minutes(10);
     /// Closes connections whose peer acknowledges nothing for this long.
     Duration unacknowledged_timeout = std::chrono::seconds(3);
-    /// What responses that are not complete yet may take together. Beyond that
-    /// the largest of them fails, so that one that never ends fails first.
-    std::size_t max_buffered_bytes = std::size_t{64} * 1024 * 1024;
+    /// Bounds what responses that are not complete yet take; unset: an account
+    /// of this client's own.
+    std::shared_ptr<HeldMemory> memory;
+    /// As what the account counts them.
+    resources::HolderKind held_as = resources::HolderKind::kAnswer;
   };
 
   EventHttpClient(EventLoop& loop, const Options& options);
@@ -156,13 +161,10 @@
   /// none that did.
   void OnUnnamed(const std::string& address);
   [[nodiscard]] bool IsSingleUse(const std::string& address) const;
-  /// @brief Counts what a connection buffers in place of what it did before.
-  void OnBuffered(std::size_t before, std::size_t now);
 
   EventLoop& loop_;
-  const Options options_;
+  Options options_;
   EventHttpClientCounters counters_;
-  std::size_t buffered_bytes_ = 0;
   ExchangeId last_exchange_ = 0;
   std::unordered_map<ExchangeId, std::shared_ptr<HttpClientConnection>> active_;
   std::unordered_map<std::string,
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -21,6 +21,8 @@
 // The parser takes a body as it comes. What it leaves is a line that has not
 // ended: a head, the size of a chunk, or trailers.
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{64} * 1024;
+// Smaller bodies of unknown length grow as they come.
+constexpr std::size_t kWholeRangeBytes = std::size_t{64} * 1024;
 // Interim responses and late responses to other requests that may precede the
 // response. A server that sends them without end never answers.
 constexpr int kMaxSkippedResponses = 32;
@@ -104,6 +106,47 @@
   });
   has_started_sending_ = true;
   stream_.Write(std::move(request_.text));
+  if (request_.body) {
+    stream_.Write(std::move(request_.body));
+  }
+}
+
+std::size_t HttpClientConnection::RoomToRead(std::size_t most) {
+  if (exchange_ == 0) {
+    return most;
+  }
+  const auto self = shared_from_this();
+  if (!lease_) {
+    lease_ = client_.options_.memory->Open(
+        client_.options_.held_as,
+        {.give_way = [weak = weak_from_this()](resources::GiveWayReason) {
+          if (const auto connection = weak.lock()) {
+            connection->FailForMemory();
+          }
+        }});
+  }
+  std::size_t growth = GrowthOf(input_, most);
+  if (parser_ && parser_->is_header_done()) {
+    growth += GrowthOfBody(
+        parser_->get().body(), most,
+        parser_->content_length().value_or(request_.max_answer_bytes));
+  }
+  // Whoever gives way may end this exchange, too.
+  const auto lease = lease_;
+  const MemoryLease::Room room = lease->Ask(growth);
+  if (exchange_ == 0) {
+    return 0;
+  }
+  if (room != MemoryLease::Room::kGranted) {
+    FailForMemory();
+    return 0;
+  }
+  return most;
+}
+
+void HttpClientConnection::FailForMemory() {
+  ++client_.counters_.endless_responses;
+  Fail(ExchangeFailure::kTooLarge);
 }
 
 void HttpClientConnection::OnBytes(std::string_view bytes) {
@@ -124,7 +167,8 @@
   parser_.emplace();
   parser_->skip(request_.is_head_request);
   parser_->body_limit(
-      std::min(request_.max_answer_bytes, client_.options_.max_buffered_bytes));
+      std::min(request_.max_answer_bytes,
+               client_.options_.memory->Account().Limits().Largest()));
 }
 
 void HttpClientConnection::Parse() {
@@ -149,6 +193,7 @@
       return;
     }
     if (!parser_->is_done()) {
+      ReserveWholeRange();
       if (used == 0) {
         break;
       }
@@ -170,19 +215,30 @@
   CountBuffered();
 }
 
+// Guards against a body of unknown length that is copied each time it grows,
+// and held twice meanwhile: only pages that are written take memory.
+void HttpClientConnection::ReserveWholeRange() {
+  std::string& body = parser_->get().body();
+  if (parser_->is_header_done() && !parser_->content_length() &&
+      body.size() >= kWholeRangeBytes) {
+    body.reserve(std::min(request_.max_answer_bytes,
+                          client_.options_.memory->Account().CeilingOf(
+                              client_.options_.held_as)));
+  }
+}
+
 void HttpClientConnection::CountBuffered() {
-  const std::size_t before = buffered_bytes_;
-  buffered_bytes_ =
-      input_.size() + (parser_ ? parser_->get().body().size() : 0);
-  client_.OnBuffered(before, buffered_bytes_);
+  if (!lease_) {
+    return;
+  }
+  const auto lease = lease_;
+  lease->Set(input_.capacity() + (parser_ ? parser_->get().body().size() : 0));
 }
 
 void HttpClientConnection::ClearBuffers() {
   parser_.reset();
   std::string().swap(input_);
-  if (buffered_bytes_ > 0) {
-    client_.OnBuffered(std::exchange(buffered_bytes_, 0), 0);
-  }
+  lease_.reset();
 }
 
 // Before the body: it may break off, and what the head says holds all the same.
@@ -192,6 +248,17 @@
   }
   is_head_reported_ = true;
   const auto& message = parser_->get();
+  if (lease_ && parser_->content_length() &&
+      client_.options_.held_as == resources::HolderKind::kAnswer) {
+    // What it takes in the end is known, so it can't be endless.
+    lease_->SetKind(
+        resources::HolderKind::kAnnouncedAnswer,
+        {.give_way = [weak = weak_from_this()](resources::GiveWayReason) {
+          if (const auto connection = weak.lock()) {
+            connection->FailForMemory();
+          }
+        }});
+  }
   if (request_.on_head && message.result_int() / 100 != 1) {
     request_.on_head({.status = static_cast<int>(message.result_int()),
                       .headers = CopyHeaders(message)});
@@ -220,6 +287,7 @@
   response.status = static_cast<int>(message.result_int());
   response.headers = CopyHeaders(message);
   response.body = std::move(message.body());
+  response.lease = lease_;
   const ResponseName name =
       request_.identify ? request_.identify(response) : ResponseName::kOwn;
   const bool may_be_sent_again =
@@ -283,6 +351,10 @@
     ReportExtraHead(input_);
   }
   ClearBuffers();
+  if (response.lease) {
+    response.lease->SetKind(resources::HolderKind::kRunning, {});
+    response.lease->Set(response.body.size());
+  }
   client_.active_.erase(exchange_);
   exchange_ = 0;
   request_ = {.on_head = std::move(request_.on_head)};
@@ -313,6 +385,7 @@
   const ExchangeCallback callback = std::exchange(callback_, nullptr);
   client_.active_.erase(exchange_);
   Close();
+  stream_.DropUnsent();
   if (callback) {
     callback(error);
   }
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
@@ -37,11 +37,10 @@
   [[nodiscard]] bool MayCarry(std::string_view id) const {
     return attribution_.MayCarry(id);
   }
-  /// @return what the response takes so far.
-  [[nodiscard]] std::size_t BufferedBytes() const { return buffered_bytes_; }
   void Fail(ExchangeFailure failure);
 
   void OnConnected() override;
+  [[nodiscard]] std::size_t RoomToRead(std::size_t most) override;
   void OnBytes(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
 
@@ -64,7 +63,10 @@
                        bool keeps_alive);
   void UpdateIdleLimit(const HttpHeaders& headers);
   void Succeed(ExchangeResponse response);
-  /// @brief Tells the client how many bytes the response takes now.
+  /// @brief Fails a response that takes more than there is room for.
+  void FailForMemory();
+  void ReserveWholeRange();
+  /// @brief States what the response takes now.
   void CountBuffered();
   void ClearBuffers();
   void StopTimer();
@@ -77,9 +79,9 @@
   request_path::ResponseAttribution attribution_;
   int unattributed_status_ = 0;
   std::optional<Parser> parser_;
-  std::string input_;  ///< Not parsed yet.
-  std::size_t buffered_bytes_ = 0;
-  int skipped_responses_ = 0;  ///< Interim, or to other requests.
+  std::string input_;                   ///< Not parsed yet.
+  std::shared_ptr<MemoryLease> lease_;  ///< For the response.
+  int skipped_responses_ = 0;           ///< Interim, or to other requests.
   bool is_head_reported_ = false;
   bool is_reused_ = false;
   bool is_reusable_ = true;
--- a/lib/libmedlarcroft/source/adapters/event/http_listener.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.cc
@@ -4,7 +4,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
+#include <cerrno>
+#include <utility>
 
 #include "adapters/event/http_server_connection.h"
 #include "adapters/process/socket_address.h"
@@ -14,11 +15,14 @@
 namespace {
 
 constexpr int kBacklog = 1024;
-// How long a client may read nothing while unsent responses take more than they
-// should. A slow client acknowledges something every second.
-constexpr Duration kPatienceWithoutRoom = std::chrono::seconds(3);
-// Beyond this times what unsent responses should take, patience ends.
-constexpr std::size_t kUnsentBytesFactor = 2;
+// Connections accepted before other events get their turn.
+constexpr std::size_t kMaxAcceptedAtOnce = 64;
+// Before the next try after the process had no descriptor left.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+// Connections that each port gets, whatever the others have.
+constexpr std::size_t kReservedConnections = 8;
+// By then those that stall have given way, or other hosts have room.
+constexpr std::string_view kRetryAfterSeconds = "0.5";
 
 }  // namespace
 
@@ -33,7 +37,8 @@
 Result<std::unique_ptr<HttpListener>, HttpListener::Failure> HttpListener::Open(
     EventLoop& loop,
     const std::string& address,
-    HttpRequestHandler& handler) {
+    HttpRequestHandler& handler,
+    const ClientResources& resources) {
   const auto parsed = ParseSocketAddress(address);
   if (!parsed) {
     return Failure::kBadAddress;
@@ -52,13 +57,35 @@
     return Failure::kCannotBind;
   }
   return std::unique_ptr<HttpListener>(
-      new HttpListener(loop, descriptor, handler));
+      new HttpListener(loop, descriptor, handler, resources));
+}
+
+ClientResources ClientResources::Make(EventLoop& loop,
+                                      const resources::MemoryLimits& limits,
+                                      std::size_t descriptors) {
+  return {.memory = std::make_shared<HeldMemory>(loop, limits),
+          .connections = std::make_shared<ClientConnections>(
+              loop, resources::ConnectionLimit::PartOf(descriptors)),
+          .log_budget = std::make_shared<LogBudget>()};
+}
+
+void HttpRequestHandler::OnGaveWay(
+    const HttpRequest& head,
+    const std::shared_ptr<HttpExchange>& exchange) {
+  (void)head;
+  exchange->Respond(
+      {.status = 503,
+       .headers = {{"Retry-After", std::string(kRetryAfterSeconds)}}});
 }
 
 HttpListener::HttpListener(EventLoop& loop,
                            int descriptor,
-                           HttpRequestHandler& handler)
-    : loop_(loop), handler_(handler), descriptor_(descriptor) {
+                           HttpRequestHandler& handler,
+                           ClientResources resources)
+    : loop_(loop),
+      handler_(handler),
+      descriptor_(descriptor),
+      resources_(std::move(resources)) {
   sockaddr_storage bound{};
   socklen_t length = sizeof(bound);
   if (::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&bound),
@@ -84,62 +111,65 @@
   return owed;
 }
 
-// Guards against a host that runs out of memory since clients don't read: each
-// holds a whole response. What slow clients hold is bounded: before the bound
-// those lose theirs who read nothing, then new requests are refused, and only
-// responses that arrive beyond that cost a client its response.
-bool HttpListener::MakeRoom() {
-  GiveUpSilentClients(limits_.max_unsent_bytes, kPatienceWithoutRoom);
-  return unsent_bytes_ <= limits_.max_unsent_bytes;
-}
-
-void HttpListener::OnUnsent(std::size_t before, std::size_t now) {
-  unsent_bytes_ += now;
-  unsent_bytes_ -= before;
-  GiveUpSilentClients(kUnsentBytesFactor * limits_.max_unsent_bytes,
-                      Duration(0));
-}
-
-void HttpListener::GiveUpSilentClients(std::size_t bytes, Duration patience) {
-  while (unsent_bytes_ > bytes) {
-    const MonotonicTime now = loop_.Now();
-    const auto silent_for = [now](const auto& connection) {
-      return connection->UnsentBytes() == 0 ? Duration(-1)
-                                            : connection->WithoutProgress(now);
-    };
-    const auto longest = std::ranges::max_element(connections_, {}, silent_for);
-    if (longest == connections_.end() || silent_for(*longest) < patience) {
-      return;
-    }
-    (*longest)->GiveUpForMemory();
-  }
-}
-
 void HttpListener::StopAccepting() {
   if (descriptor_ < 0) {
     return;
   }
   // Accepts the connections that the kernel has already established; closing
   // the socket would reset them.
-  OnReadable();
+  while (Accept(kMaxAcceptedAtOnce)) {
+  }
+  loop_.Cancel(std::exchange(accept_timer_, 0));
   loop_.Unwatch(descriptor_);
   ::close(descriptor_);
   descriptor_ = -1;
 }
 
 void HttpListener::OnReadable() {
-  while (true) {
+  (void)Accept(kMaxAcceptedAtOnce);
+}
+
+// Guards against a host that has no descriptor left: the event of a connection
+// that can't be accepted comes again at once, so the loop would only turn.
+bool HttpListener::Accept(std::size_t most) {
+  for (std::size_t i = 0; i < most; ++i) {
     const int accepted =
         ::accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted < 0) {
-      return;
+      return false;
     }
-    ++counters_.connections;
-    const auto connection =
-        std::make_shared<HttpServerConnection>(*this, accepted);
-    connections_.insert(connection);
-    connection->Start();
+    Add(accepted);
+  }
+  return true;
+}
+
+void HttpListener::PauseAccepting() {
+  if (accept_timer_ != 0) {
+    return;
+  }
+  loop_.SetInterest(descriptor_, false, false);
+  accept_timer_ = loop_.After(kAcceptPause, [this] {
+    accept_timer_ = 0;
+    loop_.SetInterest(descriptor_, true, false);
+  });
+}
+
+void HttpListener::Add(int descriptor) {
+  ++counters_.connections;
+  const auto connection =
+      std::make_shared<HttpServerConnection>(*this, descriptor);
+  const ClientConnections::Id place = resources_.connections->Add(
+      [weak = std::weak_ptr(connection)] {
+        if (const auto open = weak.lock()) {
+          open->CloseForOthers();
+        }
+      },
+      connections_.size() < kReservedConnections);
+  if (place == 0) {
+    return;
   }
+  connections_.insert(connection);
+  connection->Start(place);
 }
 
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/event/http_listener.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.h
@@ -8,7 +8,10 @@
 #include <string>
 #include <unordered_set>
 
+#include "adapters/event/client_connections.h"
 #include "adapters/event/event_loop.h"
+#include "adapters/event/held_memory.h"
+#include "adapters/event/log_budget.h"
 #include "adapters/http/http_message.h"
 #include "medlarcroft/core/result.h"
 #include "medlarcroft/core/time.h"
@@ -23,9 +26,19 @@
   Duration header_timeout = std::chrono::seconds(3);
   /// For a connection without a request, and for receiving a request's body.
   Duration idle_timeout = std::chrono::seconds(15);
-  /// What responses that the kernel has not taken should take together; see
-  /// `HttpListener::MakeRoom`.
-  std::size_t max_unsent_bytes = std::size_t{32} * 1024 * 1024;
+};
+
+/// @brief What all clients of a process share, whatever port they use.
+struct ClientResources {
+  std::shared_ptr<HeldMemory> memory;
+  std::shared_ptr<ClientConnections> connections;
+  std::shared_ptr<LogBudget> log_budget;
+
+  /// @param descriptors that the process may have.
+  [[nodiscard]] static ClientResources Make(
+      EventLoop& loop,
+      const resources::MemoryLimits& limits = {},
+      std::size_t descriptors = 8192);
 };
 
 /// @brief A request that awaits its response.
@@ -57,6 +70,21 @@
   /// request target as the client sent it.
   virtual void OnRequest(HttpRequest request,
                          const std::shared_ptr<HttpExchange>& exchange) = 0;
+  /// @param head of a request whose body has not arrived whole.
+  /// @return whether the body matters; otherwise it is not read, and
+  /// `OnRequest` gets an empty one.
+  [[nodiscard]] virtual bool NeedsBody(const HttpRequest& head) {
+    (void)head;
+    return true;
+  }
+  /// @brief A request gives way before it arrived whole: it did not run.
+  virtual void OnGaveWay(const HttpRequest& head,
+                         const std::shared_ptr<HttpExchange>& exchange);
+  /// @return how logs name the request.
+  [[nodiscard]] virtual std::string RequestNameOf(const HttpRequest& head) {
+    (void)head;
+    return {};
+  }
 };
 
 /// @brief Counters of a listener.
@@ -98,7 +126,15 @@
   static Result<std::unique_ptr<HttpListener>, Failure> Open(
       EventLoop& loop,
       const std::string& address,
-      HttpRequestHandler& handler);
+      HttpRequestHandler& handler,
+      const ClientResources& resources);
+  /// @brief With resources of its own.
+  static Result<std::unique_ptr<HttpListener>, Failure> Open(
+      EventLoop& loop,
+      const std::string& address,
+      HttpRequestHandler& handler) {
+    return Open(loop, address, handler, ClientResources::Make(loop));
+  }
   ~HttpListener() override;
 
   /// @brief Applies to connections, requests and timeouts that start from now
@@ -117,12 +153,6 @@
   }
   /// @brief Asks each connection, and the kernel for each, what it owes.
   [[nodiscard]] OwedResponses MeasureOwed() const;
-  /// @return bytes of responses that the kernel has not taken.
-  [[nodiscard]] std::size_t UnsentBytes() const { return unsent_bytes_; }
-  /// @brief Makes room for further responses by giving up clients that read
-  /// nothing.
-  /// @return whether there is room; if not, a new request should be refused.
-  [[nodiscard]] bool MakeRoom();
   [[nodiscard]] std::uint16_t Port() const { return port_; }
 
   void OnReadable() override;
@@ -131,14 +161,16 @@
  private:
   friend class HttpServerConnection;
 
-  HttpListener(EventLoop& loop, int descriptor, HttpRequestHandler& handler);
+  HttpListener(EventLoop& loop,
+               int descriptor,
+               HttpRequestHandler& handler,
+               ClientResources resources);
 
-  /// @brief Counts what a connection holds unsent in place of what it did
-  /// before.
-  void OnUnsent(std::size_t before, std::size_t now);
-  /// @brief While more than `bytes` are unsent, closes the connection whose
-  /// client has read nothing for longest, if that is at least `patience`.
-  void GiveUpSilentClients(std::size_t bytes, Duration patience);
+  /// @brief Accepts at most `most` connections.
+  /// @return whether there may be more.
+  bool Accept(std::size_t most);
+  void Add(int descriptor);
+  void PauseAccepting();
 
   EventLoop& loop_;
   HttpRequestHandler& handler_;
@@ -147,7 +179,8 @@
   HttpLimits limits_;
   bool is_draining_ = false;
   HttpListenerCounters counters_;
-  std::size_t unsent_bytes_ = 0;
+  ClientResources resources_;
+  TimerId accept_timer_ = 0;
   std::unordered_set<std::shared_ptr<HttpServerConnection>> connections_;
 };
 
--- a/lib/libmedlarcroft/source/adapters/event/http_serialization.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_serialization.cc
@@ -72,28 +72,36 @@
   text.append(name).append(": ").append(value).append("\r\n");
 }
 
-std::string FormatRequest(std::string_view method,
-                          std::string_view target,
-                          const HttpHeaders& headers,
-                          std::string_view body) {
+std::string FormatRequestHead(std::string_view method,
+                              std::string_view target,
+                              const HttpHeaders& headers,
+                              std::string_view body,
+                              std::size_t bytes_apart) {
+  const std::size_t length = body.size() + bytes_apart;
   std::string text;
   text.reserve(512 + body.size());
   text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
   AppendHeaders(text, headers);
-  if (!body.empty() || MethodExpectsBody(method)) {
-    AppendHeader(text, "Content-Length", std::to_string(body.size()));
+  if (length > 0 || MethodExpectsBody(method)) {
+    AppendHeader(text, "Content-Length", std::to_string(length));
   }
   text.append("\r\n").append(body);
   return text;
 }
 
-std::string FormatResponse(const HttpResponse& response,
-                           ResponseFraming framing) {
+std::string FormatRequest(std::string_view method,
+                          std::string_view target,
+                          const HttpHeaders& headers,
+                          std::string_view body) {
+  return FormatRequestHead(method, target, headers, body, 0);
+}
+
+std::string FormatResponseHead(const HttpResponse& response,
+                               ResponseFraming framing) {
   const auto reason =
       boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(
           static_cast<unsigned>(response.status)));
   std::string text;
-  text.reserve(256 + response.body.size());
   text.append("HTTP/1.1 ")
       .append(std::to_string(response.status))
       .append(" ")
@@ -107,6 +115,12 @@
     AppendHeader(text, "Connection", "close");
   }
   text.append("\r\n");
+  return text;
+}
+
+std::string FormatResponse(const HttpResponse& response,
+                           ResponseFraming framing) {
+  std::string text = FormatResponseHead(response, framing);
   if (!HasNoBodyByStatus(response.status) && !framing.is_head_request) {
     text.append(response.body);
   }
--- a/lib/libmedlarcroft/source/adapters/event/http_serialization.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_serialization.h
@@ -25,6 +25,13 @@
                   std::string_view name,
                   std::string_view value);
 
+/// @brief As `FormatRequest`, for a body whose end is sent apart.
+/// @param bytes_apart of the body, beyond `body`.
+[[nodiscard]] std::string FormatRequestHead(std::string_view method,
+                                            std::string_view target,
+                                            const HttpHeaders& headers,
+                                            std::string_view body,
+                                            std::size_t bytes_apart);
 /// @return the serialized head and body of a request, with Content-Length where
 /// the method or the body requires it.
 [[nodiscard]] std::string FormatRequest(std::string_view method,
@@ -38,6 +45,9 @@
   bool is_head_request = false;
 };
 
+/// @return the head of `FormatResponse`, for a body that is sent apart.
+[[nodiscard]] std::string FormatResponseHead(const HttpResponse& response,
+                                             ResponseFraming framing);
 /// @return the serialized head and body of a response.
 [[nodiscard]] std::string FormatResponse(const HttpResponse& response,
                                          ResponseFraming framing);
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -23,9 +23,19 @@
 constexpr Duration kDeliveryCheckPeriod = std::chrono::milliseconds(500);
 // How much a client may pipeline while its request is served.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
-
-constexpr std::array<std::string_view, 6> kCloseReasonNames = {
-    "client-closed", "broken", "idle", "no-progress", "memory", "stop"};
+// What the parser may leave of a line of a body: the size of a chunk with its
+// extensions, or trailers.
+constexpr std::size_t kMaxLineBytes = std::size_t{64} * 1024;
+// Larger bodies are not copied behind the head that is sent before them.
+constexpr std::size_t kSeparateBodyBytes = std::size_t{64} * 1024;
+// From here on a body of unknown length gets its whole address range, of which
+// only the pages that are written take memory: it would be copied each time it
+// grows, and held twice meanwhile.
+constexpr std::size_t kWholeRangeBytes = std::size_t{64} * 1024;
+
+constexpr std::array<std::string_view, 7> kCloseReasonNames = {
+    "client-closed", "broken",      "idle", "no-progress",
+    "memory",        "descriptors", "stop"};
 
 bool IsOwnDecision(CloseReason reason) {
   return reason != CloseReason::kClientClosed && reason != CloseReason::kBroken;
@@ -46,23 +56,163 @@
 
 HttpServerConnection::~HttpServerConnection() = default;
 
-void HttpServerConnection::Start() {
+void HttpServerConnection::Start(ClientConnections::Id place) {
+  place_ = place;
   unused_since_ = listener_->loop_.Now();
   WaitForRequest();
 }
 
+void HttpServerConnection::OpenLease() {
+  if (!lease_) {
+    const std::weak_ptr<HttpServerConnection> weak = weak_from_this();
+    lease_ = listener_->resources_.memory->Open(
+        resources::HolderKind::kRequest,
+        {.on_room =
+             [weak] {
+               if (const auto self = weak.lock()) {
+                 self->stream_.ResumeReading();
+               }
+             },
+         .give_way =
+             [weak](resources::GiveWayReason reason) {
+               if (const auto self = weak.lock()) {
+                 self->OnGiveWay(reason);
+               }
+             }});
+  }
+}
+
+// Guards against a host that runs out of memory because of what clients send:
+// nothing is read for which the account has no room.
+std::size_t HttpServerConnection::RoomToRead(std::size_t most) {
+  if (phase_ == Phase::kClosing) {
+    return most;
+  }
+  const auto self = shared_from_this();
+  OpenLease();
+  std::size_t growth = GrowthOf(input_, most);
+  if (parser_ && parser_->is_header_done()) {
+    growth += GrowthOfBody(
+        parser_->get().body(), most,
+        parser_->content_length().value_or(listener_->limits_.max_body_bytes));
+  }
+  // Whoever gives way may end this connection, too.
+  const auto lease = lease_;
+  const MemoryLease::Room room = lease->Ask(growth);
+  if (listener_ == nullptr || phase_ == Phase::kClosing) {
+    return 0;
+  }
+  if (room == MemoryLease::Room::kWait) {
+    stream_.PauseReading();
+  } else if (room == MemoryLease::Room::kRefused) {
+    OnGiveWay(resources::GiveWayReason::kTooLarge);
+  }
+  return room == MemoryLease::Room::kGranted ? most : 0;
+}
+
 void HttpServerConnection::OnBytes(std::string_view bytes) {
   if (phase_ == Phase::kClosing) {
     last_input_at_ = listener_->loop_.Now();
     return;
   }
   const auto self = shared_from_this();
+  lease_->OnProgress(bytes.size());
   input_.append(bytes);
   if (CanParse()) {
     Parse();
   } else if (input_.size() >= kMaxPipelinedBytes) {
     stream_.PauseReading();
   }
+  CountInput();
+}
+
+void HttpServerConnection::CountInput() {
+  if (!lease_) {
+    return;
+  }
+  std::size_t bytes = input_.capacity();
+  if (parser_) {
+    bytes += head_bytes_ + parser_->get().body().size();
+  }
+  if (input_.empty() && !parser_) {
+    lease_.reset();
+  } else {
+    lease_->Set(bytes);
+  }
+}
+
+void HttpServerConnection::OnGiveWay(resources::GiveWayReason reason) {
+  const auto self = shared_from_this();
+  if (listener_ == nullptr) {
+    return;
+  }
+  if (phase_ == Phase::kReading) {
+    RefuseForOthers(reason);
+    return;
+  }
+  // What was sent ahead was not read; a request that is served goes on.
+  LogGaveWay(resources::NameOf(reason), {});
+  std::string().swap(input_);
+  lease_.reset();
+  if (phase_ == Phase::kServing) {
+    keeps_alive_ = false;
+    stream_.PauseReading();
+  } else {
+    Release(CloseReason::kMemory);
+  }
+}
+
+void HttpServerConnection::RefuseForOthers(resources::GiveWayReason reason) {
+  HttpRequest head;
+  const bool is_head_done = parser_ && parser_->is_header_done();
+  if (is_head_done) {
+    head = CopyHead();
+  }
+  LogGaveWay(resources::NameOf(reason), head);
+  parser_.reset();
+  std::string().swap(input_);
+  lease_.reset();
+  phase_ = Phase::kServing;
+  delivery_.OnRequest(listener_->loop_.Now());
+  listener_->loop_.Cancel(std::exchange(deadline_, 0));
+  keeps_alive_ = false;
+  is_head_request_ = is_head_done && head.method == "HEAD";
+  if (is_head_done) {
+    listener_->handler_.OnGaveWay(head, shared_from_this());
+  } else {
+    listener_->handler_.HttpRequestHandler::OnGaveWay(head, shared_from_this());
+  }
+}
+
+void HttpServerConnection::LogGaveWay(std::string_view reason,
+                                      const HttpRequest& head) {
+  LogBudget& budget = *listener_->resources_.log_budget;
+  if (!budget.Take(listener_->loop_.Now())) {
+    return;
+  }
+  Log(LogLevel::kWarning, "client-gave-way",
+      {{"reason", reason},
+       {"request", listener_->handler_.RequestNameOf(head)},
+       {"port", listener_->port_},
+       {"held_bytes", lease_ ? lease_->Bytes() : 0},
+       {"held_bytes_of_all", listener_->resources_.memory->Account().Total()},
+       {"connections", listener_->resources_.connections->Size()},
+       {"lines_left_out", budget.TakeLeftOut()}});
+}
+
+void HttpServerConnection::CloseForOthers() {
+  if (listener_ != nullptr) {
+    LogGaveWay(kCloseReasonNames.at(
+                   static_cast<std::size_t>(CloseReason::kDescriptors)),
+               {});
+    Release(CloseReason::kDescriptors);
+  }
+}
+
+void HttpServerConnection::SetState(resources::ConnectionState state) {
+  if (listener_ != nullptr) {
+    listener_->resources_.connections->SetState(place_, state);
+  }
 }
 
 // Guards against memory that grows with each pipelined request of a client that
@@ -74,11 +224,16 @@
 }
 
 void HttpServerConnection::ParseNextSoon() {
-  listener_->loop_.After(Duration(0), [self = shared_from_this()] {
+  if (std::exchange(is_turn_due_, true)) {
+    return;
+  }
+  listener_->resources_.connections->TakeTurn([self = shared_from_this()] {
+    self->is_turn_due_ = false;
     if (self->listener_ != nullptr && self->phase_ == Phase::kIdle &&
         !self->input_.empty() && self->CanParse()) {
       self->stream_.ResumeReading();
       self->Parse();
+      self->CountInput();
     }
   });
 }
@@ -88,6 +243,9 @@
     phase_ = Phase::kReading;
     keeps_alive_ = true;
     has_handled_header_ = false;
+    head_bytes_ = 0;
+    SetState(has_served_ ? resources::ConnectionState::kReading
+                         : resources::ConnectionState::kHead);
     parser_.emplace();
     parser_->eager(true);
     parser_->header_limit(
@@ -119,40 +277,87 @@
     DispatchRequest();
     return;
   }
-  if (parser_->is_header_done() && !has_handled_header_) {
-    has_handled_header_ = true;
-    const auto expectation = parser_->get()[http::field::expect];
-    if (boost::beast::iequals(expectation, "100-continue")) {
-      stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
+  if (!parser_->is_header_done()) {
+    return;
+  }
+  if (!std::exchange(has_handled_header_, true)) {
+    head_bytes_ = used;
+    if (!OnHead()) {
+      return;
     }
-    // The head is complete; a body may take as long as an idle period.
-    SetDeadline(listener_->limits_.idle_timeout, [this] {
-      ++listener_->counters_.timed_out;
-      RejectRequest(408);
-    });
+  }
+  std::string& body = parser_->get().body();
+  if (!parser_->content_length() && body.size() >= kWholeRangeBytes) {
+    body.reserve(listener_->limits_.max_body_bytes);
   }
 }
 
-std::size_t HttpServerConnection::MaxUnparsedBytes() const {
-  return std::max(kMaxPipelinedBytes, listener_->limits_.max_header_bytes);
+bool HttpServerConnection::OnHead() {
+  HttpRequest head = CopyHead();
+  if (!listener_->handler_.NeedsBody(head)) {
+    // The rest of the request belongs to nobody.
+    parser_.reset();
+    std::string().swap(input_);
+    keeps_alive_ = false;
+    Dispatch(std::move(head));
+    return false;
+  }
+  const auto length = parser_->content_length();
+  if (length &&
+      *length > listener_->resources_.memory->Account().Limits().Largest()) {
+    RefuseForOthers(resources::GiveWayReason::kTooLarge);
+    return false;
+  }
+  SetState(resources::ConnectionState::kReading);
+  const auto expectation = parser_->get()[http::field::expect];
+  if (boost::beast::iequals(expectation, "100-continue")) {
+    stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  // The head is complete; a body may take as long as an idle period.
+  SetDeadline(listener_->limits_.idle_timeout, [this] {
+    ++listener_->counters_.timed_out;
+    RejectRequest(408);
+  });
+  return true;
 }
 
-void HttpServerConnection::DispatchRequest() {
-  phase_ = Phase::kServing;
-  delivery_.OnRequest(listener_->loop_.Now());
-  listener_->loop_.Cancel(deadline_);
-  deadline_ = 0;
-  ++listener_->counters_.requests;
+std::size_t HttpServerConnection::MaxUnparsedBytes() const {
+  return std::max(kMaxLineBytes, listener_->limits_.max_header_bytes);
+}
 
-  keeps_alive_ = parser_->keep_alive();
-  auto message = parser_->release();
-  parser_.reset();
+HttpRequest HttpServerConnection::CopyHead() const {
+  const auto& message = parser_->get();
   HttpRequest request;
   request.method.assign(message.method_string().data(),
                         message.method_string().size());
   request.raw_target.assign(message.target().data(), message.target().size());
   request.headers = CopyHeaders(message);
-  request.body = std::move(message.body());
+  return request;
+}
+
+void HttpServerConnection::DispatchRequest() {
+  keeps_alive_ = parser_->keep_alive();
+  HttpRequest request = CopyHead();
+  request.body = std::move(parser_->get().body());
+  parser_.reset();
+  if (lease_) {
+    request.lease = std::move(lease_);
+    request.lease->SetKind(resources::HolderKind::kRunning, {});
+    request.lease->Set(request.body.size() + head_bytes_);
+    if (!input_.empty()) {
+      OpenLease();
+      lease_->Set(input_.capacity());
+    }
+  }
+  Dispatch(std::move(request));
+}
+
+void HttpServerConnection::Dispatch(HttpRequest request) {
+  phase_ = Phase::kServing;
+  SetState(resources::ConnectionState::kServing);
+  delivery_.OnRequest(listener_->loop_.Now());
+  listener_->loop_.Cancel(std::exchange(deadline_, 0));
+  ++listener_->counters_.requests;
   is_head_request_ = request.method == "HEAD";
   listener_->handler_.OnRequest(std::move(request), shared_from_this());
 }
@@ -163,14 +368,9 @@
   }
   const auto self = shared_from_this();
   on_client_disconnected_ = nullptr;
+  has_served_ = true;
   const bool keeps_alive = keeps_alive_ && !listener_->is_draining_;
-  std::string text = FormatResponse(
-      response,
-      {.keeps_alive = keeps_alive, .is_head_request = is_head_request_});
-  unused_since_ = listener_->loop_.Now();
-  delivery_.OnResponse(stream_.UnsentBytes() + text.size(), unused_since_);
-  stream_.Write(std::move(text));
-  CountUnsent();
+  WriteResponse(std::move(response), keeps_alive);
   if (listener_ == nullptr) {
     return;
   }
@@ -181,16 +381,62 @@
   WaitForRequest();
   if (input_.empty()) {
     std::string().swap(input_);
+    lease_.reset();
     return;
   }
   ParseNextSoon();
 }
 
+void HttpServerConnection::WriteResponse(HttpResponse response,
+                                         bool keeps_alive) {
+  const ResponseFraming framing = {.keeps_alive = keeps_alive,
+                                   .is_head_request = is_head_request_};
+  unused_since_ = listener_->loop_.Now();
+  if (response.body.size() < kSeparateBodyBytes || is_head_request_ ||
+      HasNoBodyByStatus(response.status)) {
+    std::string text = FormatResponse(response, framing);
+    delivery_.OnResponse(stream_.UnsentBytes() + text.size(), unused_since_);
+    stream_.Write(std::move(text));
+    CountUnsent();
+    return;
+  }
+  std::string head = FormatResponseHead(response, framing);
+  delivery_.OnResponse(
+      stream_.UnsentBytes() + head.size() + response.body.size(),
+      unused_since_);
+  stream_.Write(std::move(head));
+  // From here on the bytes are those of a response that awaits its client.
+  unsent_lease_ = std::move(response.lease);
+  if (unsent_lease_) {
+    unsent_lease_->SetKind(resources::HolderKind::kResponse, UnreadCallbacks());
+  }
+  stream_.Write(std::make_shared<HeldBytes>(
+      HeldBytes{.bytes = std::move(response.body)}));
+  CountUnsent();
+}
+
+HeldMemory::Callbacks HttpServerConnection::UnreadCallbacks() {
+  return {.give_way = [weak = weak_from_this()](resources::GiveWayReason) {
+    if (const auto self = weak.lock()) {
+      self->Release(CloseReason::kMemory);
+    }
+  }};
+}
+
 void HttpServerConnection::OnSent() {
   const auto self = shared_from_this();
   delivery_.OnProgress(listener_->loop_.Now());
+  if (unsent_lease_) {
+    unsent_lease_->OnProgress(1);
+  }
   CountUnsent();
-  if (listener_ != nullptr && stream_.IsDrained() && !input_.empty()) {
+  if (listener_ == nullptr || !stream_.IsDrained()) {
+    return;
+  }
+  if (phase_ == Phase::kIdle) {
+    SetState(resources::ConnectionState::kIdle);
+  }
+  if (!input_.empty()) {
     ParseNextSoon();
   }
 }
@@ -202,6 +448,9 @@
 
 void HttpServerConnection::RejectRequest(int status) {
   phase_ = Phase::kServing;
+  parser_.reset();
+  std::string().swap(input_);
+  lease_.reset();
   delivery_.OnRequest(listener_->loop_.Now());
   keeps_alive_ = false;
   is_head_request_ = false;
@@ -210,6 +459,9 @@
 
 void HttpServerConnection::WaitForRequest() {
   phase_ = Phase::kIdle;
+  if (has_served_ && stream_.IsDrained()) {
+    SetState(resources::ConnectionState::kIdle);
+  }
   CheckDeliveryAfter(stream_.IsDrained() ? listener_->limits_.idle_timeout
                                          : kDeliveryCheckPeriod);
 }
@@ -247,6 +499,10 @@
   const Duration patience = listener_->limits_.idle_timeout;
   if (MeasureDelivery().Undelivered() > 0) {
     unused_since_ = now;
+    if (unsent_lease_ &&
+        delivery_.WithoutProgress(now) < kDeliveryCheckPeriod) {
+      unsent_lease_->OnProgress(1);
+    }
     if (delivery_.WithoutProgress(now) >= patience) {
       Release(CloseReason::kNoProgress);
     } else {
@@ -286,6 +542,11 @@
 
 void HttpServerConnection::LingerAndClose() {
   phase_ = Phase::kClosing;
+  if (stream_.IsDrained()) {
+    SetState(resources::ConnectionState::kIdle);
+  }
+  std::string().swap(input_);
+  lease_.reset();
   stream_.FinishWriting();
   // What is still sent is read and dropped.
   stream_.ResumeReading();
@@ -304,9 +565,17 @@
 }
 
 void HttpServerConnection::CountUnsent() {
-  const std::size_t before =
-      std::exchange(counted_unsent_bytes_, stream_.UnsentBytes());
-  listener_->OnUnsent(before, counted_unsent_bytes_);
+  const std::size_t held = stream_.HeldByUnsent();
+  if (held == 0) {
+    unsent_lease_.reset();
+    return;
+  }
+  if (!unsent_lease_) {
+    unsent_lease_ = listener_->resources_.memory->Open(
+        resources::HolderKind::kResponse, UnreadCallbacks());
+  }
+  const auto lease = unsent_lease_;
+  lease->Set(held);
 }
 
 void HttpServerConnection::LogIfOwing(CloseReason reason) {
@@ -347,9 +616,14 @@
     stream_.DiscardInput();
   }
   stream_.Close();
+  stream_.DropUnsent();
+  parser_.reset();
+  std::string().swap(input_);
+  lease_.reset();
+  unsent_lease_.reset();
   listener.loop_.Cancel(deadline_);
+  listener.resources_.connections->Remove(place_);
   listener.connections_.erase(self);
-  listener.OnUnsent(std::exchange(counted_unsent_bytes_, 0), 0);
 }
 
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
@@ -23,7 +23,8 @@
   kBroken,        ///< It was reset, or the client is not reachable any more.
   kIdle,          ///< No request came, and nothing was owed.
   kNoProgress,    ///< The client reads nothing any more.
-  kMemory,        ///< The same, while unsent responses take too much.
+  kMemory,        ///< The same, while others need the memory.
+  kDescriptors,   ///< Others need the connection more.
   kStop,          ///< This process stops.
 };
 
@@ -39,7 +40,7 @@
   HttpServerConnection(HttpListener& listener, int descriptor);
   ~HttpServerConnection() override;
 
-  void Start();
+  void Start(ClientConnections::Id place);
 
   void Respond(HttpResponse response) override;
   void OnCallerGone(std::function<void()> task) override {
@@ -52,16 +53,12 @@
   [[nodiscard]] bool IsCallerGone() const override;
 
   [[nodiscard]] OwedResponses MeasureOwed();
-  [[nodiscard]] std::size_t UnsentBytes() const {
-    return stream_.UnsentBytes();
-  }
-  [[nodiscard]] Duration WithoutProgress(MonotonicTime now) const {
-    return delivery_.WithoutProgress(now);
-  }
-  void GiveUpForMemory() { Release(CloseReason::kMemory); }
+  /// @brief Closes the connection for those of other clients.
+  void CloseForOthers();
   /// @brief Closes the connection because this process stops.
   void CloseForStop() { Release(CloseReason::kStop); }
 
+  [[nodiscard]] std::size_t RoomToRead(std::size_t most) override;
   void OnBytes(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
   void OnSent() override;
@@ -73,8 +70,25 @@
   enum class Phase { kIdle, kReading, kServing, kClosing };
 
   void Parse();
+  /// @brief Handles a head whose body has not arrived whole.
+  /// @return whether the body is to be read.
+  bool OnHead();
   [[nodiscard]] std::size_t MaxUnparsedBytes() const;
+  [[nodiscard]] HttpRequest CopyHead() const;
   void DispatchRequest();
+  void Dispatch(HttpRequest request);
+  /// @brief Begins to hold bytes of requests in the memory account.
+  void OpenLease();
+  /// @brief States what the request that is read takes.
+  void CountInput();
+  /// @brief Others need the room of the request that is read.
+  void OnGiveWay(resources::GiveWayReason reason);
+  void LogGaveWay(std::string_view reason, const HttpRequest& head);
+  /// @brief Refuses the request that is read: it did not run.
+  void RefuseForOthers(resources::GiveWayReason reason);
+  void WriteResponse(HttpResponse response, bool keeps_alive);
+  [[nodiscard]] HeldMemory::Callbacks UnreadCallbacks();
+  void SetState(resources::ConnectionState state);
   void RejectRequest(int status);
   void WaitForRequest();
   void SetDeadline(Duration delay, std::function<void()> task);
@@ -89,8 +103,8 @@
   void CheckDeliveryAfter(Duration delay);
   void CheckDelivery();
   [[nodiscard]] Duration TimeUntilUnused(MonotonicTime now) const;
-  /// @brief Tells the listener what this connection holds now, which may
-  /// release it.
+  /// @brief States what unread responses take, which may release this
+  /// connection.
   void CountUnsent();
   void LogIfOwing(CloseReason reason);
   void Release(CloseReason reason);
@@ -106,7 +120,14 @@
   bool has_handled_header_ = false;
   TimerId deadline_ = 0;
   delivery::ResponseDelivery delivery_;
-  std::size_t counted_unsent_bytes_ = 0;
+  ClientConnections::Id place_ = 0;
+  bool has_served_ = false;
+  bool is_turn_due_ = false;
+  std::size_t head_bytes_ = 0;  ///< Of the request that is read.
+  /// For the request that is read, and what was sent ahead.
+  std::shared_ptr<MemoryLease> lease_;
+  /// For responses that the kernel has not taken.
+  std::shared_ptr<MemoryLease> unsent_lease_;
   /// When the client was last known to be owed bytes, or served.
   MonotonicTime unused_since_;
   MonotonicTime last_input_at_;
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
+#include <sys/mman.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,8 +19,8 @@
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 // More than a kernel buffers for one connection.
 constexpr int kMaxDiscardingReads = 512;
-// Below this, what was sent is not worth a copy of the rest.
-constexpr std::size_t kMinTrimmedBytes = std::size_t{64} * 1024;
+// Smaller parts of what was sent are not worth a system call.
+constexpr std::size_t kMinFreedBytes = std::size_t{256} * 1024;
 
 void SetOption(int descriptor, int level, int name, int value) {
   // Best effort: a kernel that does not support the option works without it.
@@ -86,12 +87,15 @@
 }
 
 void TcpStream::Write(std::string bytes) {
-  if (UnsentBytes() == 0) {
-    unsent_ = std::move(bytes);
-    sent_ = 0;
-  } else {
-    unsent_.append(bytes);
+  Write(std::make_shared<HeldBytes>(HeldBytes{.bytes = std::move(bytes)}));
+}
+
+void TcpStream::Write(std::shared_ptr<HeldBytes> bytes) {
+  if (bytes->bytes.empty()) {
+    return;
   }
+  unsent_bytes_ += bytes->bytes.size();
+  unsent_.push_back({.data = std::move(bytes)});
   if (is_connected_) {
     Flush();
   }
@@ -144,6 +148,14 @@
   UpdateInterest();
 }
 
+std::size_t TcpStream::HeldByUnsent() const {
+  std::size_t held = 0;
+  for (const Segment& segment : unsent_) {
+    held += segment.data->bytes.size() - segment.freed;
+  }
+  return held;
+}
+
 std::size_t TcpStream::UndeliveredBytes() const {
   int queued = 0;
   if (descriptor_ < 0 || ::ioctl(descriptor_, SIOCOUTQ, &queued) != 0) {
@@ -158,7 +170,12 @@
     return;
   }
   std::array<char, kReadBytes> buffer;
-  const ssize_t count = ::recv(descriptor_, buffer.data(), buffer.size(), 0);
+  const std::weak_ptr<bool> alive = is_alive_;
+  const std::size_t room = handler_.RoomToRead(buffer.size());
+  if (alive.expired() || room == 0 || descriptor_ < 0) {
+    return;
+  }
+  const ssize_t count = ::recv(descriptor_, buffer.data(), room, 0);
   if (count > 0) {
     handler_.OnBytes({buffer.data(), static_cast<std::size_t>(count)});
     return;
@@ -203,9 +220,13 @@
   if (descriptor_ < 0) {
     return;
   }
-  while (UnsentBytes() > 0 && !has_send_failed_) {
-    const ssize_t count = ::send(descriptor_, unsent_.data() + sent_,
-                                 UnsentBytes(), MSG_NOSIGNAL);
+  while (!unsent_.empty() && !has_send_failed_) {
+    Segment& segment = unsent_.front();
+    const std::string& bytes = segment.data->bytes;
+    const int more = unsent_.size() > 1 ? MSG_MORE : 0;
+    const ssize_t count =
+        ::send(descriptor_, bytes.data() + segment.sent,
+               bytes.size() - segment.sent, MSG_NOSIGNAL | more);
     if (count < 0) {
       if (!WouldBlock()) {
         OnSendFailed();
@@ -213,24 +234,38 @@
       break;
     }
     has_sent_ = true;
-    sent_ += static_cast<std::size_t>(count);
+    segment.sent += static_cast<std::size_t>(count);
+    unsent_bytes_ -= static_cast<std::size_t>(count);
+    if (segment.sent == bytes.size()) {
+      unsent_.pop_front();
+    } else {
+      FreeSent(segment);
+    }
   }
-  TrimSent();
   UpdateInterest();
   if (is_finishing_ && IsDrained()) {
     ::shutdown(descriptor_, SHUT_WR);
   }
 }
 
-// What a slow peer has read must not go on to take memory.
-void TcpStream::TrimSent() {
-  if (UnsentBytes() == 0) {
-    std::string().swap(unsent_);
-    sent_ = 0;
-  } else if (sent_ >= kMinTrimmedBytes && sent_ >= UnsentBytes()) {
-    unsent_ = unsent_.substr(sent_);
-    sent_ = 0;
+// What a slow peer has read must not go on to take memory. Bytes that others
+// hold may be sent once more; nobody reads these again.
+void TcpStream::FreeSent(Segment& segment) {
+  if (segment.sent - segment.freed < kMinFreedBytes ||
+      segment.data.use_count() > 1) {
+    return;
+  }
+  const auto page = static_cast<std::uintptr_t>(::sysconf(_SC_PAGESIZE));
+  char* const data = segment.data->bytes.data();
+  const auto begin = reinterpret_cast<std::uintptr_t>(data) + segment.freed;
+  const auto end = reinterpret_cast<std::uintptr_t>(data) + segment.sent;
+  const std::uintptr_t first = (begin + page - 1) / page * page;
+  const std::uintptr_t last = end / page * page;
+  if (first < last) {
+    (void)::madvise(data + (first - reinterpret_cast<std::uintptr_t>(data)),
+                    last - first, MADV_DONTNEED);
   }
+  segment.freed = segment.sent;
 }
 
 // Guards against half an answer that looks whole: a send that meets a reset
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
@@ -5,11 +5,13 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <string>
 #include <string_view>
 
 #include "adapters/event/event_loop.h"
+#include "adapters/event/held_memory.h"
 #include "adapters/process/socket_address.h"
 #include "medlarcroft/core/time.h"
 
@@ -48,6 +50,11 @@
   virtual ~StreamHandler() = default;
 
   virtual void OnConnected() {}
+  /// @return how many bytes may be read now; 0: the handler has paused or ended
+  /// the stream.
+  [[nodiscard]] virtual std::size_t RoomToRead(std::size_t most) {
+    return most;
+  }
   virtual void OnBytes(std::string_view bytes) = 0;
   /// The last callback of a stream.
   virtual void OnEnd(StreamEnd end) = 0;
@@ -74,10 +81,18 @@
   TcpStream& operator=(const TcpStream&) = delete;
 
   void Write(std::string bytes);
+  /// @brief Writes bytes that others may hold, too. Those that nobody else
+  /// holds are freed as they are sent.
+  void Write(std::shared_ptr<HeldBytes> bytes);
   /// @brief Closes the sending side once all written data has been sent.
   void FinishWriting();
   /// @brief Closes immediately; no callback follows.
   void Close();
+  /// @brief Frees what the kernel has not accepted. To be called after `Close`.
+  void DropUnsent() {
+    unsent_.clear();
+    unsent_bytes_ = 0;
+  }
   /// @brief Reads and drops what has arrived: closing with unread data resets
   /// the connection, and the peer loses what it has not received yet.
   void DiscardInput();
@@ -95,9 +110,9 @@
     return UnsentBytes() == 0 && !has_send_failed_;
   }
   /// @return bytes that the kernel has not accepted, also after the end.
-  [[nodiscard]] std::size_t UnsentBytes() const {
-    return unsent_.size() - sent_;
-  }
+  [[nodiscard]] std::size_t UnsentBytes() const { return unsent_bytes_; }
+  /// @return what the bytes that the kernel has not accepted take here.
+  [[nodiscard]] std::size_t HeldByUnsent() const;
   /// @return bytes that the peer has not acknowledged yet, unsent ones
   /// included.
   [[nodiscard]] std::size_t UndeliveredBytes() const;
@@ -114,8 +129,14 @@
   void OnSendFailed();
   void End(StreamEnd end);
   void UpdateInterest();
+  struct Segment {
+    std::shared_ptr<HeldBytes> data;
+    std::size_t sent = 0;
+    std::size_t freed = 0;  ///< Of `sent`, at whole pages.
+  };
+
   /// @brief Frees the memory of what was sent.
-  void TrimSent();
+  static void FreeSent(Segment& segment);
 
   EventLoop& loop_;
   StreamHandler& handler_;
@@ -128,8 +149,8 @@
   bool wants_write_ = false;
   bool is_reading_paused_ = false;
   TimerId failure_timer_ = 0;
-  std::string unsent_;    ///< From `sent_` on.
-  std::size_t sent_ = 0;  ///< At most half of `unsent_`, or little.
+  std::deque<Segment> unsent_;
+  std::size_t unsent_bytes_ = 0;
   // Lets a member function detect that a callback destroyed the stream.
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -70,6 +70,11 @@
   return std::nullopt;
 }
 
+void RelayHandler::OnGaveWay(const HttpRequest& /*head*/,
+                             const std::shared_ptr<HttpExchange>& exchange) {
+  Fail(*exchange, RelayEnd::kBusy);
+}
+
 void RelayHandler::OnRequest(HttpRequest call,
                              const std::shared_ptr<HttpExchange>& exchange) {
   auto relay = DecodeRelayRequest(std::move(call));
@@ -103,7 +108,8 @@
   const std::uint64_t number = ++last_relay_;
   OutboundRequest request;
   request.address = address;
-  request.text = std::move(relay.text);
+  request.body = std::make_shared<HeldBytes>(HeldBytes{
+      .bytes = std::move(relay.text), .lease = std::move(relay.lease)});
   request.is_head_request = relay.is_head_request;
   request.connect_timeout = kMaxRelayConnectTime;
   request.timeout = relay.time_left;
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
@@ -48,6 +48,9 @@
 
   void OnRequest(HttpRequest call,
                  const std::shared_ptr<HttpExchange>& exchange) override;
+  /// The other host can ask a third one: nothing was sent.
+  void OnGaveWay(const HttpRequest& head,
+                 const std::shared_ptr<HttpExchange>& exchange) override;
 
   /// @brief Refuses all new relays from now on, since this host shuts down.
   void StopAccepting() { is_accepting_ = false; }
--- a/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.cc
@@ -87,7 +87,8 @@
               std::to_string(ToMilliseconds(request.time_left)));
   headers.Add(kRepeatableHeader, request.may_repeat ? "1" : "0");
   headers.Add(kHeadHeader, request.is_head_request ? "1" : "0");
-  return FormatRequest("POST", kRelayPath, headers, request.text);
+  return FormatRequestHead("POST", kRelayPath, headers, request.text,
+                           request.body ? request.body->bytes.size() : 0);
 }
 
 std::optional<RelayRequest> DecodeRelayRequest(HttpRequest call) {
@@ -110,7 +111,8 @@
       .time_left = std::chrono::milliseconds(*time_left),
       .may_repeat = *may_repeat == 1,
       .is_head_request = *is_head == 1,
-      .text = std::move(call.body)};
+      .text = std::move(call.body),
+      .lease = std::move(call.lease)};
 }
 
 HttpResponse EncodeRelayFailure(RelayEnd end,
--- a/lib/libmedlarcroft/source/adapters/forward/relay_protocol.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_protocol.h
@@ -30,6 +30,10 @@
   bool may_repeat = false;
   bool is_head_request = false;
   std::string text;  ///< Serialized request for the target.
+  /// The rest of it, which follows `text`; unset: none.
+  std::shared_ptr<HeldBytes> body;
+  /// What a received `text` takes of the memory account.
+  std::shared_ptr<MemoryLease> lease;
 };
 
 /// @brief How a relayed send ended.
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
@@ -98,6 +98,7 @@
   OutboundRequest request;
   request.address = helper->address;
   request.text = EncodeRelayRequest(relay.request, helper->address);
+  request.body = relay.request.body;
   request.connect_timeout = kConnectTimeout;
   request.timeout = time_left + kAnswerMargin;
   request.max_idle = kMaxIdle;
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -22,6 +22,9 @@
 // Clients that read nothing are given up within seconds; until then other hosts
 // have room.
 constexpr Duration kRetryAfterWithoutRoom = std::chrono::milliseconds(500);
+// Larger bodies are held once, whoever sends them. Smaller ones are copied
+// behind the head, so that both are sent at once.
+constexpr std::size_t kApartBytes = std::size_t{64} * 1024;
 
 AttemptEnd AttemptEndOf(const RelayResult& result) {
   switch (result.end) {
@@ -51,6 +54,46 @@
 
 }  // namespace
 
+void RequestForwarder::OnGaveWay(
+    const HttpRequest& head,
+    const std::shared_ptr<HttpExchange>& exchange) {
+  const MonotonicTime now = parts_.loop.Now();
+  ActiveRequest active;
+  active.decoded = parts_.codec.Decode(head);
+  active.trace.emplace(parts_.tracer, head, active.decoded.id);
+  active.exchange = exchange;
+  active.started_at = now;
+  exchange->Identify(active.decoded.id, now);
+  End(active, {.reason = request_path::FailureReason::kNoMemory,
+               .retry_after = kRetryAfterWithoutRoom});
+}
+
+void RequestForwarder::HoldApart(ActiveRequest& active) {
+  HttpRequest& call = active.call;
+  if (call.body.size() < kApartBytes) {
+    return;
+  }
+  call.body_apart = call.body.size();
+  active.body = std::make_shared<HeldBytes>(HeldBytes{
+      .bytes = std::exchange(call.body, {}), .lease = std::move(call.lease)});
+}
+
+void RequestForwarder::OnAnswerBegun(RequestTicket ticket) {
+  const auto found = active_requests_.find(ticket);
+  if (found == active_requests_.end() || !found->second->body ||
+      !found->second->body->lease) {
+    return;
+  }
+  found->second->body->lease->SetKind(
+      resources::HolderKind::kRepeat,
+      {.give_way = [this, ticket](resources::GiveWayReason) {
+        const auto active = active_requests_.find(ticket);
+        if (active != active_requests_.end()) {
+          active->second->body.reset();
+        }
+      }});
+}
+
 RequestForwarder::~RequestForwarder() {
   parts_.loop.Cancel(caller_check_timer_);
   for (auto& [ticket, active] : active_requests_) {
@@ -69,6 +112,7 @@
   active->decoded = parts_.codec.Decode(call);
   active->trace.emplace(parts_.tracer, call, active->decoded.id);
   active->call = std::move(call);
+  HoldApart(*active);
   active->exchange = exchange;
   active->started_at = now;
   if (!is_accepting_) {
@@ -132,6 +176,12 @@
   if (EndIfCallerGone(ticket)) {
     return;
   }
+  if (active.call.body_apart > 0 && !active.body) {
+    // Others needed its room while the target answered.
+    End(active, parts_.path.OnTimeout(ticket, parts_.loop.Now()));
+    Remove(ticket);
+    return;
+  }
   parts_.telemetry.OnSend(active.lines, active.decoded.id, *active.start.route,
                           attempt);
   if (attempt.should_announce && parts_.on_placed) {
@@ -156,6 +206,7 @@
   OutboundRequest request;
   request.address = attempt.address;
   request.text = parts_.codec.EncodeAttempt(active.call, attempt);
+  request.body = active.body;
   request.is_head_request = active.call.method == "HEAD";
   request.connect_timeout = ConnectTimeout(attempt.round_trip);
   // The timer of the whole request ends the exchange earlier.
@@ -167,8 +218,9 @@
     return parts_.codec.IdentifyResponse(answer, id);
   };
   request.unnamed_patience = attempt.unnamed_patience;
-  request.on_head = [this, target = attempt.target,
+  request.on_head = [this, ticket, target = attempt.target,
                      id = active.decoded.id](const HttpResponse& head) {
+    OnAnswerBegun(ticket);
     const request_path::TargetNotice notice = parts_.codec.ReadNotice(head);
     if (!notice.IsEmpty()) {
       parts_.path.OnNotice(target, notice, id, parts_.loop.Now());
@@ -197,7 +249,8 @@
        .target = attempt.target,
        .time_left = attempt.time_left,
        .may_repeat = attempt.may_repeat,
-       .is_head_request = active.call.method == "HEAD"},
+       .is_head_request = active.call.method == "HEAD",
+       .body = active.body},
       attempt.helper_regions,
       {.encode =
            [this, &active, attempt](Duration time_left) {
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -58,6 +58,11 @@
 
   void OnRequest(HttpRequest call,
                  const std::shared_ptr<HttpExchange>& exchange) override;
+  void OnGaveWay(const HttpRequest& head,
+                 const std::shared_ptr<HttpExchange>& exchange) override;
+  [[nodiscard]] std::string RequestNameOf(const HttpRequest& head) override {
+    return parts_.codec.Decode(head).id;
+  }
 
   /// @brief Continues requests of the account that waited for a token.
   void OnTokens(const ClientAccountName& account);
@@ -71,6 +76,8 @@
   struct ActiveRequest {
     DecodedRequest decoded;
     HttpRequest call;
+    /// A large body, held once for all sends; null once others needed the room.
+    std::shared_ptr<HeldBytes> body;
     std::optional<RequestTrace> trace;
     RequestLogBuffer lines;
     std::shared_ptr<HttpExchange> exchange;
@@ -93,6 +100,10 @@
   using ActiveRequests = std::unordered_map<request_path::RequestTicket,
                                             std::unique_ptr<ActiveRequest>>;
 
+  /// @brief Lets a large body be sent by several sends without copies.
+  static void HoldApart(ActiveRequest& active);
+  /// @brief The target has begun to answer: only a repeat needs the body.
+  void OnAnswerBegun(request_path::RequestTicket ticket);
   void ExecuteStep(request_path::RequestTicket ticket,
                    const request_path::Step& step);
   /// @brief Looks for callers that have left, while there are requests.
--- a/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_telemetry.cc
@@ -39,7 +39,7 @@
 constexpr MetricDescription kAnswerLatency = {
     "medlar_answer_seconds", "From a request's arrival to its whole answer."};
 
-constexpr std::array<std::string_view, 20> kEndReasonNames = {
+constexpr std::array<std::string_view, 21> kEndReasonNames = {
     "not-configured",
     "no-route",
     "no-route-yet",
@@ -59,7 +59,8 @@
     "targets-out-of-reach",
     "targets-resting",
     "regions-unknown",
-    "slow-callers"};
+    "slow-callers",
+    "no-memory"};
 constexpr std::array<std::string_view, 10> kAttemptEndNames = {
     "answered", "target-failed", "not-run",   "other-target", "never-sent",
     "lost",     "timed-out",     "no-helper", "helper-lost",  "withheld"};
--- a/lib/libmedlarcroft/source/adapters/http/http_message.h
+++ b/lib/libmedlarcroft/source/adapters/http/http_message.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -11,6 +12,8 @@
 
 namespace medlarcroft::adapters {
 
+class MemoryLease;
+
 /// @brief One header field.
 struct HttpHeader {
   std::string name;
@@ -47,10 +50,14 @@
   std::map<std::string, std::string, std::less<>> query;
   HttpHeaders headers;
   std::string body;
+  /// Of the body, bytes that are held apart and follow `body`.
+  std::size_t body_apart = 0;
   std::string peer_address;  ///< IP address of the client.
   /// Number of the connection on its listener, from 1 in the order of
   /// acceptance.
   std::uint64_t connection_id = 0;
+  /// What the body takes of the process's memory account; unset: not counted.
+  std::shared_ptr<MemoryLease> lease;
 
   /// @return the query parameter, or nullopt.
   [[nodiscard]] std::optional<std::string_view> FindQuery(
@@ -66,6 +73,8 @@
   /// after `body`, as a client sees it when a server crashes while it responds.
   /// Set only by the test stand-ins.
   std::size_t missing_bytes = 0;
+  /// What the body takes of the process's memory account; unset: not counted.
+  std::shared_ptr<MemoryLease> lease;
 };
 
 /// @return the names in the Connection headers: fields that concern only the
--- a/lib/libmedlarcroft/source/adapters/process/node_settings.cc
+++ b/lib/libmedlarcroft/source/adapters/process/node_settings.cc
@@ -108,9 +108,10 @@
   schema
       .Integer(
           "memory_mb", &NodeSettings::memory_mb, {16, 1'000'000},
-          {.description = "memory limit of the process, MB; a request's body "
-                          "uses at most a sixteenth of it, as do the targets' "
-                          "incomplete answers together"})
+          {.description = "memory limit of the process, MB; requests, "
+                          "answers and relays hold at most five eighths of it "
+                          "together, targets' answers of unknown length a "
+                          "sixteenth"})
       .Real("link_mbps", &NodeSettings::link_mbps, {0.001, 1e6},
             {.description =
                  "bandwidth of the host's network link, Mbit/s; hosts with "
--- a/programs/node/main.cc
+++ b/programs/node/main.cc
@@ -5,6 +5,7 @@
 #include "adapters/event/event_loop.h"
 #include "adapters/process/daemon_signals.h"
 #include "adapters/process/log.h"
+#include "adapters/process/memory_return.h"
 #include "adapters/process/node_settings.h"
 #include "adapters/process/process_exit.h"
 #include "adapters/process/program_options.h"
@@ -62,6 +63,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  adapters::ReturnLargeBuffersToSystem();
   adapters::BlockDaemonSignals();
   const std::span<const char* const> arguments(
       argv + 1, static_cast<std::size_t>(argc - 1));
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -36,16 +36,6 @@
 // store.
 constexpr Duration kReaderDiscoveryTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kReaderDiscoveryPollPeriod = std::chrono::milliseconds(20);
-// A request body may take at most the host's memory divided by this.
-constexpr std::size_t kBodyMemoryDivisor = 16;
-// Responses of targets that are not complete yet may take at most the host's
-// memory divided by this, together. Buffers grow to twice what they hold.
-constexpr std::size_t kAnswerMemoryDivisor = 16;
-// The same for those of the store, which may be whole tables.
-constexpr std::size_t kStoreAnswerMemoryDivisor = 8;
-// Responses that callers have not read should take at most the host's memory
-// divided by this, together; never more than twice that.
-constexpr std::size_t kUnsentMemoryDivisor = 8;
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 
 // Memory that relays for other hosts may use, and what one of them holds: the
@@ -132,12 +122,13 @@
 Node::Node(const adapters::NodeSettings& settings, adapters::EventLoop& loop)
     : settings_(settings),
       loop_(loop),
+      resources_(adapters::ClientResources::Make(
+          loop,
+          resources::MemoryLimits::Of(settings_.memory_mb * kMegabyte))),
       regions_(RegionsOf(settings)),
       targets_(regions_, *this),
       path_(PathOptions(settings), routes_, targets_, random_),
-      caller_(
-          loop,
-          {.max_buffered_bytes = MemoryPart(settings_, kAnswerMemoryDivisor)}),
+      caller_(loop, {.memory = resources_.memory}),
       telemetry_(metrics_, loop.Clock()),
       spans_(settings_.telemetry,
              {.program = "medlar-node",
@@ -147,10 +138,9 @@
               random_,
               spans_.Exporter(),
               settings_.telemetry.trace_sampling),
-      relay_caller_(
-          loop,
-          {.max_idle_per_address = kIdleRelayConnections,
-           .max_buffered_bytes = MemoryPart(settings_, kAnswerMemoryDivisor)}),
+      relay_caller_(loop,
+                    {.max_idle_per_address = kIdleRelayConnections,
+                     .memory = resources_.memory}),
       relay_sender_({.loop = loop,
                      .caller = relay_caller_,
                      .random = random_,
@@ -159,40 +149,40 @@
                          [this](const RegionName& region) {
                            return peers_.Helpers(region);
                          }}),
-      forwarder_({.loop = loop,
-                  .caller = caller_,
-                  .path = path_,
-                  .codec = codec_,
-                  .telemetry = telemetry_,
-                  .tracer = tracer_,
-                  .on_placed =
-                      [this](const request_path::TargetIdentity& target,
-                             const std::string& object) {
-                        peers_.PublishPlacement(
-                            {.target = request_path::NumberOf(target),
-                             .object = request_path::ObjectKey(object)});
-                      },
-                  .on_load_report =
-                      [this](const request_path::TargetIdentity& target,
-                             const request_path::LoadReport& report) {
-                        peers_.PublishLoad(
-                            {.target = request_path::NumberOf(target),
-                             .requests = report.running + report.waiting});
-                      },
-                  .on_crash =
-                      [this](const adapters::InterruptedSend& interrupted) {
-                        crash_sharing_.OnCrash(interrupted);
-                      },
-                  .has_room = [this] { return caller_listener_->MakeRoom(); },
-                  .relays = relay_sender_}),
+      forwarder_(
+          {.loop = loop,
+           .caller = caller_,
+           .path = path_,
+           .codec = codec_,
+           .telemetry = telemetry_,
+           .tracer = tracer_,
+           .on_placed =
+               [this](const request_path::TargetIdentity& target,
+                      const std::string& object) {
+                 peers_.PublishPlacement(
+                     {.target = request_path::NumberOf(target),
+                      .object = request_path::ObjectKey(object)});
+               },
+           .on_load_report =
+               [this](const request_path::TargetIdentity& target,
+                      const request_path::LoadReport& report) {
+                 peers_.PublishLoad(
+                     {.target = request_path::NumberOf(target),
+                      .requests = report.running + report.waiting});
+               },
+           .on_crash =
+               [this](const adapters::InterruptedSend& interrupted) {
+                 crash_sharing_.OnCrash(interrupted);
+               },
+           .has_room =
+               [this] { return resources_.memory->MakeRoomForResponses(); },
+           .relays = relay_sender_}),
       store_(loop,
-             {.address = settings.store_address,
-              .max_buffered_bytes =
-                  MemoryPart(settings_, kStoreAnswerMemoryDivisor)},
+             {.address = settings.store_address, .memory = resources_.memory},
              metrics_),
       peers_(settings_,
              {.loop = loop,
-              .max_buffered_bytes = MemoryPart(settings_, kAnswerMemoryDivisor),
+              .memory = resources_.memory,
               .store = store_,
               .random = random_,
               .metrics = metrics_,
@@ -320,8 +310,8 @@
                               StartFailure::kMetricsListener});
   }
   for (const ListenerSpecification& specification : specifications) {
-    auto listener = adapters::HttpListener::Open(loop_, specification.address,
-                                                 specification.handler);
+    auto listener = adapters::HttpListener::Open(
+        loop_, specification.address, specification.handler, resources_);
     if (!IsOk(listener)) {
       return specification.failure;
     }
@@ -484,18 +474,14 @@
 void Node::OnConfiguration() {
   quota_sharing_.SetAccounts(routes_.Accounts().Accounts());
   const routing::CallerLimits& limits = routes_.Limits();
-  const std::size_t memory_limit = MemoryPart(settings_, kBodyMemoryDivisor);
-  caller_listener_->SetLimits(
-      {.max_header_bytes = limits.max_header_bytes,
-       .max_body_bytes = std::min(limits.max_body_bytes, memory_limit),
-       .header_timeout = limits.header_timeout,
-       .idle_timeout = limits.idle_timeout,
-       .max_unsent_bytes = MemoryPart(settings_, kUnsentMemoryDivisor)});
+  caller_listener_->SetLimits({.max_header_bytes = limits.max_header_bytes,
+                               .max_body_bytes = limits.max_body_bytes,
+                               .header_timeout = limits.header_timeout,
+                               .idle_timeout = limits.idle_timeout});
   // A relayed request comes with its head in the body.
-  peer_listener_->SetLimits(
-      {.max_body_bytes = std::min(limits.max_body_bytes, memory_limit) +
-                         limits.max_header_bytes + kMaxAddedHeaderBytes,
-       .max_unsent_bytes = MemoryPart(settings_, kUnsentMemoryDivisor)});
+  peer_listener_->SetLimits({.max_body_bytes = limits.max_body_bytes +
+                                               limits.max_header_bytes +
+                                               kMaxAddedHeaderBytes});
 }
 
 void Node::OnTargetChange(TargetChange change,
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -91,6 +91,8 @@
 
   adapters::NodeSettings settings_;
   adapters::EventLoop& loop_;
+  /// What all ports, sends and relays share.
+  adapters::ClientResources resources_;
   adapters::SystemRandom random_;
   telemetry::MetricsRegistry metrics_;
   request_path::DomainRegions regions_;
--- a/programs/node/node_gauges.cc
+++ b/programs/node/node_gauges.cc
@@ -57,7 +57,35 @@
   });
   add({"medlar_unsent_response_bytes",
        "What answers that callers have not read take in this process."},
-      [this] { return static_cast<double>(caller_listener_->UnsentBytes()); });
+      [this] {
+        return static_cast<double>(resources_.memory->Account().HeldBy(
+            resources::HolderKind::kResponse));
+      });
+  add({"medlar_held_bytes",
+       "What this process holds for others: requests, answers, relays."},
+      [this] {
+        return static_cast<double>(resources_.memory->Account().Total());
+      });
+  add({"medlar_client_connections", "Open connections of clients, all ports."},
+      [this] { return static_cast<double>(resources_.connections->Size()); });
+  for (const resources::GiveWayReason reason : resources::kGiveWayReasons) {
+    metrics_.AddGaugeSource(
+        {"medlar_gave_way", "Holders of memory that gave way to others."},
+        {telemetry::Label::OfConstant("reason", resources::NameOf(reason))},
+        [this, reason] {
+          return static_cast<double>(resources_.memory->GaveWay(reason));
+        });
+  }
+  add({"medlar_connections_gave_way",
+       "Connections of clients that were closed for those of others."},
+      [this] {
+        return static_cast<double>(resources_.connections->GaveWay());
+      });
+  add({"medlar_connections_refused",
+       "Connections of clients that found no room."},
+      [this] {
+        return static_cast<double>(resources_.connections->Refused());
+      });
   add({"medlar_undelivered_responses",
        "Answers that callers have not acknowledged whole."},
       [this] {
--- a/programs/node/peer_group.cc
+++ b/programs/node/peer_group.cc
@@ -70,7 +70,8 @@
              parts.loop.Clock()),
       caller_(parts.loop,
               {.max_idle_per_address = 1,
-               .max_buffered_bytes = parts.max_buffered_bytes}),
+               .memory = parts.memory,
+               .held_as = resources::HolderKind::kStoreAnswer}),
       readers_({.host = HostName(settings.host),
                 .failure_domain = FailureDomainName(settings.failure_domain),
                 .other_readers_asked = replication::OtherReadersAsked(
--- a/programs/node/peer_group.h
+++ b/programs/node/peer_group.h
@@ -37,7 +37,7 @@
   struct Parts {
     adapters::EventLoop& loop;
     /// What answers of other hosts that are not complete yet may take together.
-    std::size_t max_buffered_bytes;
+    std::shared_ptr<adapters::HeldMemory> memory;
     platform::StoreClient& store;
     ports::RandomSource& random;
     telemetry::MetricsRegistry& metrics;
--- a/programs/node/peer_request_handler.h
+++ b/programs/node/peer_request_handler.h
@@ -16,6 +16,13 @@
                      adapters::HttpRequestHandler& relays)
       : rows_(rows), relays_(relays) {}
 
+  void OnGaveWay(
+      const adapters::HttpRequest& head,
+      const std::shared_ptr<adapters::HttpExchange>& exchange) override {
+    const bool is_relay = head.raw_target == adapters::kRelayPath;
+    (is_relay ? relays_ : rows_).OnGaveWay(head, exchange);
+  }
+
   void OnRequest(
       adapters::HttpRequest request,
       const std::shared_ptr<adapters::HttpExchange>& exchange) override {
--- a/tests/unit/adapters/event/event_http_client_test.cc
+++ b/tests/unit/adapters/event/event_http_client_test.cc
@@ -455,7 +455,9 @@
       connection.Write(GetParam().repeated);
     }
   });
-  EventHttpClient client(loop_, {.max_buffered_bytes = kMaxBuffered});
+  EventHttpClient client(
+      loop_, {.memory = std::make_shared<HeldMemory>(
+                  loop_, resources::MemoryLimits{.answers = kMaxBuffered})});
   std::optional<ExchangeResult> result;
   client.Send(MakeRequest(server), [&](ExchangeResult completed) {
     result = std::move(completed);
@@ -521,7 +523,9 @@
       connection.Write(kPiece);
     }
   });
-  EventHttpClient client(loop_, {.max_buffered_bytes = kMaxBuffered});
+  EventHttpClient client(
+      loop_, {.memory = std::make_shared<HeldMemory>(
+                  loop_, resources::MemoryLimits{.answers = kMaxBuffered})});
   std::optional<ExchangeResult> sound_result;
   client.Send(MakeRequest(sound), [&](ExchangeResult completed) {
     sound_result = std::move(completed);
--- a/tests/unit/adapters/event/slow_client_test.cc
+++ b/tests/unit/adapters/event/slow_client_test.cc
@@ -31,7 +31,7 @@
  public:
   explicit LargeHandler(EventLoop& loop) : loop_(loop) {}
 
-  HttpListener* listener = nullptr;
+  std::shared_ptr<HeldMemory> memory;
   std::optional<bool> has_room;
 
   void OnRequest(HttpRequest request,
@@ -39,7 +39,7 @@
     exchange->Identify(request.raw_target,
                        loop_.Now() + std::chrono::seconds(4));
     if (request.raw_target == "/room") {
-      has_room = listener->MakeRoom();
+      has_room = memory->MakeRoomForResponses();
       exchange->Respond({.status = 200});
       return;
     }
@@ -63,9 +63,13 @@
 
 class SlowClientTest : public testing::Test {
  protected:
-  SlowClientTest() {
-    listener_ = TakeValue(HttpListener::Open(loop_, "127.0.0.1:0", handler_));
-    handler_.listener = listener_.get();
+  SlowClientTest() { Open({}); }
+
+  void Open(const resources::MemoryLimits& limits) {
+    resources_ = ClientResources::Make(loop_, limits);
+    listener_ = TakeValue(
+        HttpListener::Open(loop_, "127.0.0.1:0", handler_, resources_));
+    handler_.memory = resources_.memory;
   }
 
   /// Runs the loop while a client thread runs `script`.
@@ -88,6 +92,7 @@
   SystemClock clock_;
   EventLoop loop_{clock_};
   LargeHandler handler_{loop_};
+  ClientResources resources_;
   std::unique_ptr<HttpListener> listener_;
 };
 
@@ -220,7 +225,7 @@
 struct MemoryCase {
   std::string name;
   std::size_t max_unsent_bytes;
-  /// How long the clients read nothing before `MakeRoom`.
+  /// How long the clients read nothing before room is made.
   milliseconds pause;
   bool has_room;
   bool is_any_cut;
@@ -232,7 +237,7 @@
 // Guards against a host that runs out of memory since many clients don't read.
 TEST_P(UnsentMemoryTest, IsBoundedForAllClientsTogether) {
   constexpr int kClients = 8;
-  listener_->SetLimits({.max_unsent_bytes = GetParam().max_unsent_bytes});
+  Open({.responses = GetParam().max_unsent_bytes});
   std::size_t unsent_bytes = 0;
   std::uint64_t cut = 0;
   RunWith([&](SlowClient& client) {
@@ -244,7 +249,8 @@
     std::this_thread::sleep_for(GetParam().pause);
     client.Send("GET /room HTTP/1.1\r\nHost: h\r\n\r\n");
     client.ReadUntil("\r\n\r\n");
-    unsent_bytes = listener_->UnsentBytes();
+    unsent_bytes =
+        resources_.memory->Account().HeldBy(resources::HolderKind::kResponse);
     cut = listener_->Counters().responses_cut;
   });
   EXPECT_EQ(handler_.has_room, GetParam().has_room);
--- a/tests/unit/adapters/forward/single_loop_deployment.h
+++ b/tests/unit/adapters/forward/single_loop_deployment.h
@@ -71,7 +71,8 @@
   [[nodiscard]] std::string EncodeAttempt(
       const HttpRequest& call,
       const request_path::SendAttempt& /*attempt*/) const override {
-    return FormatRequest(call.method, call.raw_target, {{"Host", "h"}}, "");
+    return FormatRequestHead(call.method, call.raw_target, {{"Host", "h"}}, "",
+                             call.body_apart);
   }
   [[nodiscard]] request_path::ResponseName IdentifyResponse(
       const HttpResponse& /*answer*/,
