Read no body that nothing needs

What callers saw: memory went to bodies sent to look-ups, readiness and metrics, to unknown routes, and of requests that are refused by their head.

Cause: a listener read every body whole before it asked its handler.

Change: a handler says by the head whether it needs the body.

--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -98,6 +98,9 @@
   /// @param quotas must outlive this object.
   void EnforceQuotas(quota::QuotaGate& quotas) { quotas_ = &quotas; }
 
+  [[nodiscard]] bool IsRouted(const CallerRequest& request) const {
+    return routes_.Find(request.host, request.target) != nullptr;
+  }
   [[nodiscard]] RequestStart Begin(const CallerRequest& request,
                                    MonotonicTime now);
 
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -54,6 +54,14 @@
 
 }  // namespace
 
+// Guards against bodies that are read, and take memory, only to be refused: the
+// head says all that is needed.
+bool RequestForwarder::NeedsBody(const HttpRequest& head) {
+  const DecodedRequest decoded = parts_.codec.Decode(head);
+  return is_accepting_ && parts_.has_room() &&
+         parts_.path.IsRouted(decoded.request);
+}
+
 void RequestForwarder::OnGaveWay(
     const HttpRequest& head,
     const std::shared_ptr<HttpExchange>& exchange) {
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -58,6 +58,7 @@
 
   void OnRequest(HttpRequest call,
                  const std::shared_ptr<HttpExchange>& exchange) override;
+  [[nodiscard]] bool NeedsBody(const HttpRequest& head) override;
   void OnGaveWay(const HttpRequest& head,
                  const std::shared_ptr<HttpExchange>& exchange) override;
   [[nodiscard]] std::string RequestNameOf(const HttpRequest& head) override {
--- a/programs/node/metrics_handler.h
+++ b/programs/node/metrics_handler.h
@@ -14,6 +14,10 @@
   explicit MetricsHandler(const telemetry::MetricsRegistry& metrics)
       : metrics_(metrics) {}
 
+  [[nodiscard]] bool NeedsBody(const adapters::HttpRequest&) override {
+    return false;
+  }
+
   void OnRequest(
       adapters::HttpRequest request,
       const std::shared_ptr<adapters::HttpExchange>& exchange) override {
--- a/programs/node/peer_request_handler.h
+++ b/programs/node/peer_request_handler.h
@@ -16,6 +16,10 @@
                      adapters::HttpRequestHandler& relays)
       : rows_(rows), relays_(relays) {}
 
+  [[nodiscard]] bool NeedsBody(const adapters::HttpRequest& head) override {
+    return head.raw_target == adapters::kRelayPath && relays_.NeedsBody(head);
+  }
+
   void OnGaveWay(
       const adapters::HttpRequest& head,
       const std::shared_ptr<adapters::HttpExchange>& exchange) override {
