Bound clients' connections, and keep descriptors for targets

What callers saw: 600 connections that send one byte and wait took all 400 descriptors of a node, at each of its ports; ordinary callers timed out.

Cause: nothing counted connections. Without a descriptor accept4 failed, the level-triggered event came again at once, and the loop only turned.

Change: resources::ConnectionLimit, half of the descriptors (max_descriptors, or the system's limit) for the clients of all ports. For one too many the connection goes that has brought least, the longest first: silent, a part of a first head, idle, not whole. One that is served never goes; if there are only such, the new one is closed at once, unread. Each port has eight that it always gets. Without a descriptor the listener pauses for 100 ms.

--- a/lib/libmedlarcroft/source/adapters/event/client_connections.cc
+++ b/lib/libmedlarcroft/source/adapters/event/client_connections.cc
@@ -8,7 +8,18 @@
                                              bool is_reserved) {
   const Id id = limit_.Add();
   closes_.emplace(id, std::move(close));
-  (void)is_reserved;
+  while (limit_.IsExceeded()) {
+    const auto least = limit_.FindExcess();
+    if (!least || *least == id) {
+      if (is_reserved) {
+        return id;
+      }
+      ++refused_;
+      Remove(id);
+      return 0;
+    }
+    Close(*least);
+  }
   return id;
 }
 
--- a/lib/libmedlarcroft/source/adapters/event/http_listener.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.cc
@@ -136,6 +136,11 @@
     const int accepted =
         ::accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted < 0) {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+          errno == ENOMEM) {
+        resources_.connections->FreeOne();
+        PauseAccepting();
+      }
       return false;
     }
     Add(accepted);
--- a/lib/libmedlarcroft/source/adapters/process/node_settings.cc
+++ b/lib/libmedlarcroft/source/adapters/process/node_settings.cc
@@ -112,6 +112,11 @@
                           "answers and relays hold at most five eighths of it "
                           "together, targets' answers of unknown length a "
                           "sixteenth"})
+      .Integer("max_descriptors", &NodeSettings::max_descriptors,
+               {0, 10'000'000},
+               {.description = "limit of open descriptors of the process, of "
+                               "which clients' connections take at most half; "
+                               "0: the system's limit"})
       .Real("link_mbps", &NodeSettings::link_mbps, {0.001, 1e6},
             {.description =
                  "bandwidth of the host's network link, Mbit/s; hosts with "
--- a/lib/libmedlarcroft/source/adapters/process/node_settings.h
+++ b/lib/libmedlarcroft/source/adapters/process/node_settings.h
@@ -58,6 +58,7 @@
   std::string peer_listen;     ///< UDP address.
   std::string store_address;
   std::uint32_t memory_mb = 256;
+  std::uint32_t max_descriptors = 0;  ///< 0: what the system allows.
   double link_mbps = 1000;
   NodeBounds bounds;
   TelemetrySettings telemetry;
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "adapters/process/descriptor_limit.h"
 #include "adapters/process/log.h"
 #include "medlarcroft/replication/store_outage.h"
 #include "platform/operator_keys.h"
@@ -124,7 +125,8 @@
       loop_(loop),
       resources_(adapters::ClientResources::Make(
           loop,
-          resources::MemoryLimits::Of(settings_.memory_mb * kMegabyte))),
+          resources::MemoryLimits::Of(settings_.memory_mb * kMegabyte),
+          adapters::MaxDescriptors(settings_.max_descriptors))),
       regions_(RegionsOf(settings)),
       targets_(regions_, *this),
       path_(PathOptions(settings), routes_, targets_, random_),
--- a/tests/unit/dist/deploy_template_test.cc
+++ b/tests/unit/dist/deploy_template_test.cc
@@ -31,6 +31,7 @@
       {R"(\{\{ip\}\})", "127.0.0.1"},
       {R"(\{\{port_range\.0\}\})", "7540"},
       {R"(\{\{limits\.memory_mb\}\})", "260"},
+      {R"(\{\{limits\.max_fds\}\})", "4100"},
       {R"(\{\{limits\.link_mbps\}\})", "10.5"},
       {R"(\{\{bounds\.(budget_ratio|quota_overage|max_shift)\}\})", "0.2"},
       {R"(\{\{bounds\.\w+\}\})", "5"}};
@@ -43,6 +44,7 @@
 
   ASSERT_TRUE(IsOk(parsed)) << FormatSettingsError(ErrorOf(parsed).front());
   EXPECT_EQ(ValueOf(parsed).memory_mb, 260U);
+  EXPECT_EQ(ValueOf(parsed).max_descriptors, 4100U);
   EXPECT_EQ(ValueOf(parsed).link_mbps, 10.5);
   EXPECT_EQ(ValueOf(parsed).bounds.stop_limit, std::chrono::seconds(5));
   EXPECT_EQ(ValueOf(parsed).bounds.in_touch_after, std::chrono::seconds(5));
