Take turns among clients that send requests ahead

Cause: the loop reads one event in each turn, and runs all timers that are due. Each connection with something ahead had one of these, so an ordinary request waited for one of each of them at each of its events.

Change: of all connections with something ahead one is served in each turn of the loop. A connection is read 16 KiB ahead, in place of 64.

Test: ClientConnectionsTest.OneTurnIsTakenBetweenOtherEvents: at most six turns pass before the third event, of a hundred that wait; all hundred did while each had a timer.

--- a/lib/libmedlarcroft/source/adapters/event/client_connections.cc
+++ b/lib/libmedlarcroft/source/adapters/event/client_connections.cc
@@ -44,7 +44,25 @@
 }
 
 void ClientConnections::TakeTurn(std::function<void()> task) {
-  loop_.After(Duration(0), std::move(task));
+  turns_.push_back(std::move(task));
+  if (turns_.size() == 1) {
+    RunNextTurn();
+  }
+}
+
+void ClientConnections::RunNextTurn() {
+  loop_.After(Duration(0), [self = weak_from_this()] {
+    const auto connections = self.lock();
+    if (!connections) {
+      return;
+    }
+    const std::function<void()> task = std::move(connections->turns_.front());
+    task();
+    connections->turns_.pop_front();
+    if (!connections->turns_.empty()) {
+      connections->RunNextTurn();
+    }
+  });
 }
 
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/event/client_connections.h
+++ b/lib/libmedlarcroft/source/adapters/event/client_connections.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -36,7 +37,8 @@
   /// @brief The process has no descriptor left: closes a connection.
   void FreeOne();
 
-  /// @brief Runs `task` soon.
+  /// @brief Runs `task`, one in each turn of the loop: all that was sent ahead
+  /// would otherwise be served before the requests of others are read.
   void TakeTurn(std::function<void()> task);
 
   [[nodiscard]] std::size_t Size() const { return limit_.Size(); }
@@ -47,10 +49,12 @@
 
  private:
   void Close(Id id);
+  void RunNextTurn();
 
   EventLoop& loop_;
   resources::ConnectionLimit limit_;
   std::unordered_map<Id, std::function<void()>> closes_;
+  std::deque<std::function<void()>> turns_;
   std::uint64_t gave_way_ = 0;
   std::uint64_t refused_ = 0;
 };
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -22,7 +22,7 @@
 // How often to look whether a client reads what it is owed.
 constexpr Duration kDeliveryCheckPeriod = std::chrono::milliseconds(500);
 // How much a client may pipeline while its request is served.
-constexpr std::size_t kMaxPipelinedBytes = std::size_t{64} * 1024;
+constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} * 1024;
 // What the parser may leave of a line of a body: the size of a chunk with its
 // extensions, or trailers.
 constexpr std::size_t kMaxLineBytes = std::size_t{64} * 1024;
--- /dev/null
+++ b/tests/unit/adapters/event/client_connections_test.cc
@@ -0,0 +1,75 @@
+#include "adapters/event/client_connections.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+#include "adapters/process/system_clock.h"
+
+namespace medlarcroft::adapters {
+namespace {
+
+using resources::ConnectionState;
+
+class ClientConnectionsTest : public testing::Test {
+ protected:
+  SystemClock clock_;
+  EventLoop loop_{clock_};
+};
+
+// Guards against ordinary requests that wait for all that others have sent
+// ahead.
+TEST_F(ClientConnectionsTest, OneTurnIsTakenBetweenOtherEvents) {
+  constexpr int kTurns = 100;
+  constexpr int kEvents = 3;
+  const auto connections = std::make_shared<ClientConnections>(loop_, 1);
+  int turns = 0;
+  int turns_before_event = 0;
+  for (int i = 0; i < kTurns; ++i) {
+    connections->TakeTurn([&] {
+      if (++turns == kTurns) {
+        loop_.Finish(0);
+      }
+    });
+  }
+  loop_.After(Duration(0), [&] {
+    loop_.After(Duration(0), [&] {
+      loop_.After(Duration(0), [&] { turns_before_event = turns; });
+    });
+  });
+  loop_.Run();
+  EXPECT_EQ(turns, kTurns);
+  EXPECT_LE(turns_before_event, 2 * kEvents);
+}
+
+// Guards against descriptors that clients who say nothing take from all others.
+TEST_F(ClientConnectionsTest, WhoBroughtLeastIsClosedForANewOne) {
+  const auto connections = std::make_shared<ClientConnections>(loop_, 2);
+  std::vector<int> closed;
+  std::vector<ClientConnections::Id> places;
+  for (int i = 0; i < 2; ++i) {
+    places.push_back(
+        connections->Add([&closed, i] { closed.push_back(i); }, false));
+  }
+  connections->SetState(places[0], ConnectionState::kServing);
+  EXPECT_NE(connections->Add([] {}, false), 0U);
+  EXPECT_EQ(closed, std::vector{1});
+  EXPECT_EQ(connections->GaveWay(), 1U);
+}
+
+// Guards against a probe of readiness that finds no room, so that the platform
+// takes the host for broken.
+TEST_F(ClientConnectionsTest, APortWithFewConnectionsAlwaysGetsOne) {
+  const auto connections = std::make_shared<ClientConnections>(loop_, 1);
+  const auto served = connections->Add([] {}, false);
+  connections->SetState(served, ConnectionState::kServing);
+  const auto probe = connections->Add([] {}, true);
+  ASSERT_NE(probe, 0U);
+  connections->SetState(probe, ConnectionState::kServing);
+  EXPECT_EQ(connections->Add([] {}, false), 0U);
+  EXPECT_EQ(connections->Refused(), 1U);
+}
+
+}  // namespace
+}  // namespace medlarcroft::adapters
