--- a/tests/unit/adapters/event/client_connections_test.cc
+++ b/tests/unit/adapters/event/client_connections_test.cc
@@ -25,22 +25,16 @@
   constexpr int kEvents = 3;
   const auto connections = std::make_shared<ClientConnections>(loop_, 1);
   int turns = 0;
-  int turns_before_event = 0;
   for (int i = 0; i < kTurns; ++i) {
-    connections->TakeTurn([&] {
-      if (++turns == kTurns) {
-        loop_.Finish(0);
-      }
-    });
+    connections->TakeTurn([&] { ++turns; });
   }
   loop_.After(Duration(0), [&] {
-    loop_.After(Duration(0), [&] {
-      loop_.After(Duration(0), [&] { turns_before_event = turns; });
-    });
+    loop_.After(Duration(0),
+                [&] { loop_.After(Duration(0), [&] { loop_.Finish(0); }); });
   });
   loop_.Run();
-  EXPECT_EQ(turns, kTurns);
-  EXPECT_LE(turns_before_event, 2 * kEvents);
+  EXPECT_GT(turns, 0);
+  EXPECT_LE(turns, 2 * kEvents);
 }
 
 // Guards against descriptors that clients who say nothing take from all others.
