Let no new connection give way for itself

What callers saw: with all connections of a port taken by clients that send one byte, a new one was closed at once until those timed out: it is the only one that has brought nothing yet.

Change: the newcomer is not asked.

--- a/lib/libmedlarcroft/include/medlarcroft/resources/connection_limit.h
+++ b/lib/libmedlarcroft/include/medlarcroft/resources/connection_limit.h
@@ -38,13 +38,14 @@
   void SetState(Id id, ConnectionState state);
   void Remove(Id id);
 
-  /// @return who gives way, while there are more than allowed: of those that
-  /// have brought least, the one that has been so for longest. Never one that
-  /// is being served; nullopt also if only such ones are left.
-  [[nodiscard]] std::optional<Id> FindExcess() const;
+  /// @return who gives way for `newcomer`, while there are more than allowed:
+  /// of those that have brought least, the one that has been so for longest.
+  /// Never one that is being served, nor the newcomer, which has had no time to
+  /// bring anything; nullopt also if only such ones are left.
+  [[nodiscard]] std::optional<Id> FindExcess(Id newcomer) const;
   [[nodiscard]] bool IsExceeded() const { return entries_.size() > limit_; }
   /// @return as `FindExcess`, whether or not there are too many.
-  [[nodiscard]] std::optional<Id> FindLeast() const;
+  [[nodiscard]] std::optional<Id> FindLeast(Id newcomer = 0) const;
   [[nodiscard]] std::size_t Size() const { return entries_.size(); }
   [[nodiscard]] std::size_t Limit() const { return limit_; }
 
--- a/lib/libmedlarcroft/source/adapters/event/client_connections.cc
+++ b/lib/libmedlarcroft/source/adapters/event/client_connections.cc
@@ -9,8 +9,8 @@
   const Id id = limit_.Add();
   closes_.emplace(id, std::move(close));
   while (limit_.IsExceeded()) {
-    const auto least = limit_.FindExcess();
-    if (!least || *least == id) {
+    const auto least = limit_.FindExcess(id);
+    if (!least) {
       if (is_reserved) {
         return id;
       }
--- a/lib/libmedlarcroft/source/adapters/event/held_memory.cc
+++ b/lib/libmedlarcroft/source/adapters/event/held_memory.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-using resources::GiveWayReason;
 using resources::HolderKind;
 using resources::MemoryAccount;
 
--- a/lib/libmedlarcroft/source/resources/connection_limit.cc
+++ b/lib/libmedlarcroft/source/resources/connection_limit.cc
@@ -27,15 +27,19 @@
   }
 }
 
-std::optional<ConnectionLimit::Id> ConnectionLimit::FindExcess() const {
-  return IsExceeded() ? FindLeast() : std::nullopt;
+std::optional<ConnectionLimit::Id> ConnectionLimit::FindExcess(
+    Id newcomer) const {
+  return IsExceeded() ? FindLeast(newcomer) : std::nullopt;
 }
 
-std::optional<ConnectionLimit::Id> ConnectionLimit::FindLeast() const {
+std::optional<ConnectionLimit::Id> ConnectionLimit::FindLeast(
+    Id newcomer) const {
   for (std::size_t state = 0;
        state < static_cast<std::size_t>(ConnectionState::kServing); ++state) {
-    if (!by_state_.at(state).empty()) {
-      return by_state_.at(state).front();
+    for (const Id id : by_state_.at(state)) {
+      if (id != newcomer) {
+        return id;
+      }
     }
   }
   return std::nullopt;
--- a/tests/unit/resources/connection_limit_test.cc
+++ b/tests/unit/resources/connection_limit_test.cc
@@ -12,7 +12,8 @@
 
 struct LimitCase {
   std::string name;
-  /// Of the connections, in the order in which they came; one is too many.
+  /// Of the connections, in the order in which they came; the last one is one
+  /// too many.
   std::vector<ConnectionState> states;
   ConnectionLimit::Id expected;  ///< 0: nobody gives way.
 };
@@ -23,12 +24,14 @@
 // bound that closes those of clients that are being served.
 TEST_P(ConnectionLimitTest, WhoBroughtLeastGivesWay) {
   ConnectionLimit limit(GetParam().states.size() - 1);
+  ConnectionLimit::Id newcomer = 0;
   for (const ConnectionState state : GetParam().states) {
-    limit.SetState(limit.Add(), state);
+    newcomer = limit.Add();
+    limit.SetState(newcomer, state);
   }
-  EXPECT_EQ(limit.FindExcess().value_or(0), GetParam().expected);
+  EXPECT_EQ(limit.FindExcess(newcomer).value_or(0), GetParam().expected);
   limit.Remove(1);
-  EXPECT_FALSE(limit.FindExcess());
+  EXPECT_FALSE(limit.FindExcess(newcomer));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -38,9 +41,10 @@
         LimitCase{"TheOldestOfTheSilent", {kServing, kSilent, kSilent}, 2},
         LimitCase{"APartOfAHeadBeforeIdleOnes", {kIdle, kHead, kServing}, 2},
         LimitCase{"IdleOnesBeforeThoseWithARequest",
-                  {kReading, kServing, kIdle},
+                  {kReading, kServing, kIdle, kSilent},
                   3},
-        LimitCase{"NobodyWhoIsServed", {kServing, kServing, kServing}, 0}),
+        LimitCase{"ANewOneIsNotItsOwnVictim", {kHead, kHead, kSilent}, 1},
+        LimitCase{"NobodyWhoIsServed", {kServing, kServing, kSilent}, 0}),
     [](const auto& tested) { return tested.param.name; });
 
 TEST(ConnectionLimitTest, AStateCountsFromItsBegin) {
@@ -49,7 +53,7 @@
   const auto second = limit.Add();
   limit.SetState(second, kIdle);
   limit.SetState(first, kIdle);
-  EXPECT_EQ(limit.FindExcess(), second);
+  EXPECT_EQ(limit.FindExcess(0), second);
 }
 
 }  // namespace
