Bound what medlar-entryd and medlar-steerd hold for their clients

What callers saw: bodies within the limit of their class, and Thrift messages of 4 MB that stop short, took as much memory as there were connections; 700 silent ones took all descriptors, or all of the 256 connections of a Thrift port for a minute.

Cause: HttpServer and ThriftServer had a bound for each body and message and for connections, none in sum, and refused new connections at the bound.

Change: both ask the account of medlar-node (adapters/process/client_bounds, from several threads) before they keep a body or a message of more than 64 KiB; who stalls loses its connection, a body without room gets 503 with Retry-After, code "no-memory". At the bound of connections the one goes that has brought least. New setting memory_mb, 256; connections' buffers take at most a quarter of five eighths of it.

Responses are not counted yet: each is bounded by its class.

--- a/lib/libmedlarcroft/source/adapters/entry/entry_node.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/entry_node.cc
@@ -198,7 +198,9 @@
 
   std::optional<EntryStartError> Open() {
     auto shares = ThriftServer::Start(
-        {.address = settings_.share_listen, .threads = 1},
+        {.address = settings_.share_listen,
+         .threads = 1,
+         .memory = client_memory_},
         std::make_shared<wire::SharesProcessor>(
             std::make_shared<ShareService>(host_, capacity_)));
     if (!IsOk(shares)) {
@@ -217,6 +219,7 @@
          .max_connections = settings_.max_connections,
          .idle_timeout = std::chrono::duration_cast<std::chrono::seconds>(
              settings_.idle_timeout),
+         .memory = client_memory_,
          .tls_certificate_pem = *certificate,
          .tls_key_pem = *key},
         handler_);
@@ -333,6 +336,12 @@
 
   const EntrydSettings settings_;
   const ports::Clock& clock_;
+  /// What all listeners share.
+  const std::shared_ptr<ClientMemory> client_memory_ =
+      std::make_shared<ClientMemory>(
+          clock_,
+          resources::MemoryLimits::Of(std::size_t{settings_.memory_mb} * 1024 *
+                                      1024));
   const HostName host_;
   const std::uint64_t incarnation_;
   SystemRandom trace_random_;
--- a/lib/libmedlarcroft/source/adapters/http/http_server.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_server.cc
@@ -6,11 +6,13 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <mutex>
 #include <set>
 #include <utility>
 #include <vector>
 
+#include "adapters/process/descriptor_limit.h"
 #include "adapters/process/socket_address.h"
 
 namespace medlarcroft::adapters {
@@ -20,6 +22,13 @@
 /// A request's head must fit; libmicrohttpd rejects a larger one with 431.
 constexpr std::size_t kConnectionMemoryBytes = 32 * 1024;
 
+// Each body that is at work is held by the request, and by its send.
+constexpr std::size_t kCopiesOfBody = 2;
+// Of what all requests may take, at most this part is for connections' buffers.
+constexpr std::size_t kBufferMemoryDivisor = 4;
+// By then those that stall have given way, or other hosts have room.
+constexpr std::string_view kRetryAfterSeconds = "1";
+
 constexpr int kFirstClientErrorStatus = 400;
 constexpr int kFirstServerErrorStatus = 500;
 
@@ -68,10 +77,28 @@
   return info ? FormatIpAddress(*info->client_addr) : std::string();
 }
 
-std::uint64_t ConnectionIdOf(MHD_Connection* connection) {
+/// @brief What the server knows of a connection.
+struct ConnectionRecord {
+  std::uint64_t number = 0;
+  ListenerConnections::Id place = 0;
+};
+
+const ConnectionRecord* RecordOf(MHD_Connection* connection) {
   const MHD_ConnectionInfo* info =
       MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-  return info ? *static_cast<const std::uint64_t*>(info->socket_context) : 0;
+  return info ? static_cast<const ConnectionRecord*>(info->socket_context)
+              : nullptr;
+}
+
+std::uint64_t ConnectionIdOf(MHD_Connection* connection) {
+  const ConnectionRecord* const record = RecordOf(connection);
+  return record ? record->number : 0;
+}
+
+int DescriptorOf(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  return info ? info->connect_fd : MHD_INVALID_SOCKET;
 }
 
 /// @brief A response body that ends before its announced length.
@@ -113,9 +140,29 @@
  public:
   RequestContext(HttpServer& server, MHD_Connection* connection)
       : server_(server), connection_(connection) {
-    const MHD_ConnectionInfo* info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    socket_ = info ? info->connect_fd : MHD_INVALID_SOCKET;
+    socket_ = DescriptorOf(connection);
+  }
+  ~RequestContext() override { ReturnMemory(); }
+  RequestContext(const RequestContext&) = delete;
+  RequestContext& operator=(const RequestContext&) = delete;
+
+  /// @brief Asks for room for bytes of the body that have come.
+  [[nodiscard]] bool AskForMemory(ClientMemory& memory, std::size_t bytes) {
+    if (memory_ == nullptr) {
+      memory_ = &memory;
+      holder_ = memory.Open(socket_);
+    }
+    return memory.Ask(holder_, kCopiesOfBody * bytes);
+  }
+  void OnWholeBody() {
+    if (memory_ != nullptr) {
+      memory_->OnWhole(holder_);
+    }
+  }
+  void ReturnMemory() {
+    if (ClientMemory* const memory = std::exchange(memory_, nullptr)) {
+      memory->Close(holder_);
+    }
   }
 
   void Send(HttpResponse response) override {
@@ -170,6 +217,7 @@
   HttpRequest request;
   std::size_t max_body_bytes = 0;
   bool is_body_too_large = false;
+  bool has_no_room = false;
   bool is_dispatched = false;
 
   HttpServer& Server() { return server_; }
@@ -179,6 +227,8 @@
   mutable std::mutex mutex_;
   MHD_Connection* connection_;
   MHD_socket socket_;
+  ClientMemory* memory_ = nullptr;
+  ClientMemory::Id holder_ = 0;
   bool is_suspended_ = false;
   bool has_responded_ = false;
   std::optional<HttpResponse> response_;
@@ -254,6 +304,7 @@
                            const char* url,
                            const char* method,
                            MhdRequestState& state) {
+    SetState(server, connection, resources::ConnectionState::kReading);
     state.context = std::make_shared<RequestContext>(server, connection);
     HttpRequest& request = state.context->request;
     request.method = method;
@@ -282,14 +333,40 @@
       context.is_body_too_large = true;
       body.clear();
     }
-    if (!context.is_body_too_large) {
-      body.append(data, size);
+    if (context.is_body_too_large || context.has_no_room) {
+      return;
+    }
+    // Guards against a process that runs out of memory because of bodies that
+    // are each within their limit.
+    ClientMemory* const memory = context.Server().memory_.get();
+    if (memory != nullptr &&
+        !context.AskForMemory(*memory, GrowthOf(body, size))) {
+      context.has_no_room = true;
+      std::string().swap(body);
+      context.ReturnMemory();
+      return;
     }
+    body.append(data, size);
+  }
+
+  /// @return what a body takes in addition when it grows by `bytes`.
+  static std::size_t GrowthOf(const std::string& body, std::size_t bytes) {
+    const std::size_t needed = body.size() + bytes;
+    return needed <= body.capacity()
+               ? 0
+               : std::max(2 * body.capacity(), needed) - body.capacity();
   }
 
   static MHD_Result Dispatch(const std::shared_ptr<RequestContext>& context,
                              MHD_Connection* connection) {
     HttpServer& server = context->Server();
+    if (context->has_no_room) {
+      HttpResponse refusal = MakeProblemResponse(503, "no-memory");
+      refusal.headers.Add("Retry-After", kRetryAfterSeconds);
+      refusal.headers.Add("Connection", "close");
+      return Queue(connection, server, refusal);
+    }
+    context->OnWholeBody();
     if (context->is_body_too_large) {
       server.counters_.bodies_too_large++;
       return Queue(connection, server,
@@ -307,22 +384,44 @@
     return Queue(connection, server, *context->TakeResponse());
   }
 
+  /// @brief Refuses connections only while those that gave way are not gone.
+  static MHD_Result OnAccept(void* self,
+                             const sockaddr* /*address*/,
+                             socklen_t /*length*/) {
+    return static_cast<HttpServer*>(self)->connections_.IsFull() ? MHD_NO
+                                                                 : MHD_YES;
+  }
+
   static void OnConnection(void* self,
-                           MHD_Connection* /*connection*/,
+                           MHD_Connection* connection,
                            void** socket_context,
                            MHD_ConnectionNotificationCode code) {
+    HttpServer& server = *static_cast<HttpServer*>(self);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-      HttpServerCounters& counters = static_cast<HttpServer*>(self)->counters_;
-      *socket_context = new std::uint64_t(++counters.connections);
+      *socket_context = new ConnectionRecord{
+          .number = ++server.counters_.connections,
+          .place = server.connections_.Add(DescriptorOf(connection))};
     } else {
-      delete static_cast<std::uint64_t*>(*socket_context);
-      *socket_context = nullptr;
+      const std::unique_ptr<ConnectionRecord> record(
+          static_cast<ConnectionRecord*>(
+              std::exchange(*socket_context, nullptr)));
+      if (record) {
+        server.connections_.Remove(record->place);
+      }
+    }
+  }
+
+  static void SetState(HttpServer& server,
+                       MHD_Connection* connection,
+                       resources::ConnectionState state) {
+    if (const ConnectionRecord* const record = RecordOf(connection)) {
+      server.connections_.SetState(record->place, state);
     }
   }
 
-  static void* OnUri(void* /*self*/,
-                     const char* uri,
-                     MHD_Connection* /*connection*/) {
+  static void* OnUri(void* self, const char* uri, MHD_Connection* connection) {
+    SetState(*static_cast<HttpServer*>(self), connection,
+             resources::ConnectionState::kHead);
     return new MhdRequestState{.raw_target = uri, .context = nullptr};
   }
 
@@ -348,6 +447,7 @@
       return MHD_YES;
     }
     if (!std::exchange(context->is_dispatched, true)) {
+      SetState(server, connection, resources::ConnectionState::kServing);
       return Dispatch(context, connection);
     }
     if (auto response = context->TakeResponse()) {
@@ -357,7 +457,7 @@
   }
 
   static void OnCompleted(void* self,
-                          MHD_Connection* /*connection*/,
+                          MHD_Connection* connection,
                           void** opaque_state,
                           MHD_RequestTerminationCode /*code*/) {
     auto& server = *static_cast<HttpServer*>(self);
@@ -367,12 +467,37 @@
     if (!state || !state->context) {
       return;
     }
+    SetState(server, connection, resources::ConnectionState::kIdle);
     state->context->Detach();
+    state->context->ReturnMemory();
     server.pending_requests_->Remove(state->context);
     server.counters_.in_flight--;
   }
 };
 
+namespace {
+
+/// @return the connections that memory and descriptors leave room for.
+std::size_t MaxConnections(const HttpServer::Options& options) {
+  const std::size_t by_descriptors =
+      resources::ConnectionLimit::PartOf(MaxDescriptors(0));
+  std::size_t most =
+      std::min<std::size_t>(options.max_connections, by_descriptors);
+  if (options.memory) {
+    most = std::min(most, options.memory->Limits().total /
+                              kBufferMemoryDivisor / kConnectionMemoryBytes);
+  }
+  return most;
+}
+
+/// @return a limit for libmicrohttpd that it never reaches, since it would stop
+/// to accept. It divides it among its threads.
+std::size_t MhdConnectionLimit(const HttpServer::Options& options) {
+  return (2 * MaxConnections(options) + 128) * std::max(options.threads, 1U);
+}
+
+}  // namespace
+
 Result<std::unique_ptr<HttpServer>, ListenFailure> HttpServer::Start(
     const Options& options,
     HttpHandler& handler) {
@@ -381,7 +506,7 @@
     return ListenFailure::kBadAddress;
   }
 
-  std::unique_ptr<HttpServer> server(new HttpServer(handler));
+  std::unique_ptr<HttpServer> server(new HttpServer(options, handler));
   server->tls_certificate_ = options.tls_certificate_pem;
   server->tls_key_ = options.tls_key_pem;
 
@@ -401,7 +526,7 @@
        reinterpret_cast<std::intptr_t>(&ServerCallbacks::OnUri), server.get()},
       {MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes, nullptr},
       {MHD_OPTION_CONNECTION_LIMIT,
-       static_cast<std::intptr_t>(options.max_connections), nullptr},
+       static_cast<std::intptr_t>(MhdConnectionLimit(options)), nullptr},
       {MHD_OPTION_CONNECTION_TIMEOUT,
        static_cast<std::intptr_t>(options.idle_timeout.count()), nullptr},
       {MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024, nullptr},
@@ -418,10 +543,10 @@
   }
   items.push_back({MHD_OPTION_END, 0, nullptr});
 
-  server->daemon_ =
-      MHD_start_daemon(flags, PortOf(*address->Get()), nullptr, nullptr,
-                       &ServerCallbacks::OnRequest, server.get(),
-                       MHD_OPTION_ARRAY, items.data(), MHD_OPTION_END);
+  server->daemon_ = MHD_start_daemon(
+      flags, PortOf(*address->Get()), &ServerCallbacks::OnAccept, server.get(),
+      &ServerCallbacks::OnRequest, server.get(), MHD_OPTION_ARRAY, items.data(),
+      MHD_OPTION_END);
   if (server->daemon_ == nullptr) {
     return server->tls_certificate_.empty() ? ListenFailure::kCannotBind
                                             : ListenFailure::kBadTlsMaterial;
@@ -432,8 +557,10 @@
   return server;
 }
 
-HttpServer::HttpServer(HttpHandler& handler)
+HttpServer::HttpServer(const Options& options, HttpHandler& handler)
     : handler_(handler),
+      memory_(options.memory),
+      connections_(MaxConnections(options)),
       pending_requests_(std::make_unique<PendingRequests>()) {}
 
 HttpServer::~HttpServer() {
--- a/lib/libmedlarcroft/source/adapters/http/http_server.h
+++ b/lib/libmedlarcroft/source/adapters/http/http_server.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "adapters/http/http_message.h"
+#include "adapters/process/client_bounds.h"
 #include "medlarcroft/core/result.h"
 #include "medlarcroft/core/time.h"
 
@@ -69,11 +70,15 @@
   struct Options {
     std::string address;  ///< IP:port; port 0 picks a free one.
     unsigned threads = 2;
-    /// Bounds memory: each connection has a buffer of at most 32 KB.
+    /// Bounds memory: each connection has a buffer of at most 32 KB. Beyond it
+    /// those that have brought least are closed.
     unsigned max_connections = 4096;
     /// Closes stalled connections; longer than the deadline of any request
     /// class.
     std::chrono::seconds idle_timeout{60};
+    /// Bounds what requests' bodies take; unset: nothing does, but for the
+    /// bound of each.
+    std::shared_ptr<ClientMemory> memory;
     std::string tls_certificate_pem;  ///< Empty: plain HTTP.
     std::string tls_key_pem;
   };
@@ -101,7 +106,7 @@
   friend class RequestContext;
   friend struct ServerCallbacks;
 
-  explicit HttpServer(HttpHandler& handler);
+  HttpServer(const Options& options, HttpHandler& handler);
 
   HttpHandler& handler_;
   MHD_Daemon* daemon_ = nullptr;
@@ -110,6 +115,8 @@
   std::string tls_key_;
   std::atomic<bool> is_draining_{false};
   HttpServerCounters counters_;
+  const std::shared_ptr<ClientMemory> memory_;
+  ListenerConnections connections_;
   std::unique_ptr<class PendingRequests> pending_requests_;
 };
 
--- a/lib/libmedlarcroft/source/adapters/peer/frame.h
+++ b/lib/libmedlarcroft/source/adapters/peer/frame.h
@@ -37,6 +37,9 @@
   /// or the stream is corrupt.
   std::optional<std::string> Next();
 
+  /// @return bytes that are kept until their frame is whole.
+  [[nodiscard]] std::size_t Kept() const { return buffer_.size(); }
+
   /// @return whether a frame had an invalid length; the connection must be
   /// closed.
   [[nodiscard]] bool IsCorrupt() const { return is_corrupt_; }
--- a/lib/libmedlarcroft/source/adapters/peer/thrift_server.cc
+++ b/lib/libmedlarcroft/source/adapters/peer/thrift_server.cc
@@ -40,6 +40,11 @@
 
 constexpr int kListenBacklog = 128;
 
+/// Each message is held by its reader, by itself and by the one who decodes it.
+constexpr std::size_t kCopiesOfMessage = 3;
+/// Messages that are small anyway are not counted.
+constexpr std::size_t kCountedBytes = std::size_t{64} * 1024;
+
 }  // namespace
 
 class ThriftServer::Impl {
@@ -99,7 +104,10 @@
       // returned.
       reference_counting_policy().value(Reference_Counting_Policy::ENABLED);
     }
-    ~Connection() override { stream_.close(); }
+    ~Connection() override {
+      ReturnMemory();
+      stream_.close();
+    }
 
     ACE_SOCK_Stream& Stream() { return stream_; }
     ACE_HANDLE get_handle() const override { return stream_.get_handle(); }
@@ -115,11 +123,24 @@
       }
       has_received_ = true;
       impl_.counters_.bytes_in += static_cast<std::uint64_t>(received_bytes);
+      if (!HasMemoryFor(static_cast<std::size_t>(received_bytes))) {
+        return -1;
+      }
       reader_.Append(
           std::span(chunk).first(static_cast<std::size_t>(received_bytes)));
-      return ServeFrames();
+      const int result = ServeFrames();
+      if (reader_.Kept() == 0) {
+        ReturnMemory();
+      }
+      impl_.SetState(place_, reader_.Kept() == 0
+                                 ? resources::ConnectionState::kIdle
+                                 : resources::ConnectionState::kHead);
+      return result;
     }
 
+    void SetPlace(ListenerConnections::Id place) { place_ = place; }
+    [[nodiscard]] ListenerConnections::Id Place() const { return place_; }
+
     int handle_timeout(const ACE_Time_Value& /*now*/,
                        const void* /*argument*/) override {
       if (!has_received_.exchange(false)) {
@@ -137,6 +158,26 @@
     }
 
    private:
+    // Guards against a process that runs out of memory because of messages that
+    // many peers send together, each within its limit.
+    bool HasMemoryFor(std::size_t bytes) {
+      ClientMemory* const memory = impl_.options_.memory.get();
+      if (memory == nullptr || reader_.Kept() + bytes < kCountedBytes) {
+        return true;
+      }
+      if (holder_ == 0) {
+        holder_ = memory->Open(stream_.get_handle());
+        bytes += reader_.Kept();
+      }
+      return memory->Ask(holder_, kCopiesOfMessage * bytes);
+    }
+
+    void ReturnMemory() {
+      if (holder_ != 0) {
+        impl_.options_.memory->Close(std::exchange(holder_, 0));
+      }
+    }
+
     int ServeFrames() {
       while (const auto payload = reader_.Next()) {
         impl_.counters_.frames++;
@@ -182,6 +223,8 @@
     FrameReader reader_;
     std::atomic<bool> has_received_{true};
     bool is_closed_ = false;
+    ClientMemory::Id holder_ = 0;
+    ListenerConnections::Id place_ = 0;
   };
 
   class Acceptor final : public ACE_Event_Handler {
@@ -240,22 +283,29 @@
 
   void AddConnection(std::unique_ptr<Connection> connection) {
     const std::lock_guard lock(mutex_);
-    if (connections_.size() >= options_.max_connections) {
+    if (places_.IsFull()) {
       counters_.connections_refused++;
       return;
     }
     Connection* raw = connection.release();
+    raw->SetPlace(places_.Add(raw->get_handle()));
     connections_.insert(raw);
     const ACE_Time_Value idle(kIdleTimeoutSeconds);
     reactor_.schedule_timer(raw, nullptr, idle, idle);
     reactor_.register_handler(raw, ACE_Event_Handler::READ_MASK);
   }
 
+  void SetState(ListenerConnections::Id place,
+                resources::ConnectionState state) {
+    places_.SetState(place, state);
+  }
+
   void RemoveConnection(Connection* connection) {
     const std::lock_guard lock(mutex_);
     if (connections_.erase(connection) == 0) {
       return;
     }
+    places_.Remove(connection->Place());
     reactor_.cancel_timer(connection);
     connection->remove_reference();
   }
@@ -268,6 +318,7 @@
   std::vector<std::thread> threads_;
   std::mutex mutex_;
   std::set<Connection*> connections_;
+  ListenerConnections places_{options_.max_connections};
 };
 
 ThriftServer::ThriftServer(std::unique_ptr<Impl> impl)
--- a/lib/libmedlarcroft/source/adapters/peer/thrift_server.h
+++ b/lib/libmedlarcroft/source/adapters/peer/thrift_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "adapters/process/client_bounds.h"
 #include "medlarcroft/core/result.h"
 
 namespace apache::thrift {
@@ -24,6 +25,7 @@
   std::atomic<std::uint64_t> bytes_out{0};
   std::atomic<std::uint64_t> bad_frames{0};
   std::atomic<std::uint64_t> connections_refused{0};
+  std::atomic<std::uint64_t> connections_closed_for_others{0};
 };
 
 /// @brief Serves a Thrift processor with the compact protocol in frames, on a
@@ -37,6 +39,9 @@
     /// More than twice the hosts of a full failure domain (52), with room for
     /// the relays of other domains.
     unsigned max_connections = 256;
+    /// Bounds what messages take; unset: nothing does, but for the bound of
+    /// each.
+    std::shared_ptr<ClientMemory> memory;
   };
 
   static Result<std::unique_ptr<ThriftServer>, ThriftListenFailure> Start(
--- a/lib/libmedlarcroft/source/adapters/process/daemon_main.h
+++ b/lib/libmedlarcroft/source/adapters/process/daemon_main.h
@@ -8,6 +8,7 @@
 
 #include "adapters/process/daemon_loop.h"
 #include "adapters/process/log.h"
+#include "adapters/process/memory_return.h"
 #include "adapters/process/process_exit.h"
 #include "adapters/process/program_options.h"
 #include "adapters/process/settings_schema.h"
@@ -76,6 +77,7 @@
                      const SettingsSchema<Settings>& schema,
                      int argc,
                      const char* const* argv) {
+  ReturnLargeBuffersToSystem();
   BlockDaemonSignals();
   const std::span<const char* const> arguments(
       argv + 1, static_cast<std::size_t>(argc - 1));
--- a/lib/libmedlarcroft/source/adapters/process/entryd_settings.cc
+++ b/lib/libmedlarcroft/source/adapters/process/entryd_settings.cc
@@ -36,6 +36,10 @@
           "max_connections", &EntrydSettings::max_connections, {16, 1'000'000},
           {.description = "maximum number of concurrent caller connections; "
                           "each uses up to 32 KB"})
+      .Integer("memory_mb", &EntrydSettings::memory_mb, {32, 1'000'000},
+               {.description = "memory limit of the process, MB; requests that "
+                               "arrive take at most five eighths of it, and "
+                               "their connections' buffers a quarter of that"})
       .Integer("threads", &EntrydSettings::threads, {1, 64},
                {.description = "number of threads that serve `listen`"})
       .Milliseconds(
--- a/lib/libmedlarcroft/source/adapters/process/entryd_settings.h
+++ b/lib/libmedlarcroft/source/adapters/process/entryd_settings.h
@@ -28,6 +28,7 @@
   std::string platform_url;
   std::vector<std::string> key_secrets;
   std::uint32_t max_connections = 4096;
+  std::uint32_t memory_mb = 256;
   std::uint32_t threads = 2;
   Duration idle_timeout = std::chrono::seconds(60);
   Duration longest_work = std::chrono::seconds(10);
--- a/lib/libmedlarcroft/source/adapters/process/steerd_settings.cc
+++ b/lib/libmedlarcroft/source/adapters/process/steerd_settings.cc
@@ -95,6 +95,10 @@
                {16, 1'000'000},
                {.description = "maximum number of concurrent connections of "
                                "`lookup_listen`; each uses up to 32 KB"})
+      .Integer("memory_mb", &SteerdSettings::memory_mb, {32, 1'000'000},
+               {.description = "memory limit of the process, MB; requests that "
+                               "arrive take at most five eighths of it, and "
+                               "their connections' buffers a quarter of that"})
       .Group("budgets", &SteerdSettings::budgets, MakeBudgetSchema(),
              {.description = "resource budgets of the control plane",
               .is_reloadable = true});
--- a/lib/libmedlarcroft/source/adapters/process/steerd_settings.h
+++ b/lib/libmedlarcroft/source/adapters/process/steerd_settings.h
@@ -38,6 +38,7 @@
   std::vector<OperatorSettings> operators;
   std::uint32_t threads = 2;
   std::uint32_t max_connections = 4096;
+  std::uint32_t memory_mb = 256;
   TelemetrySettings telemetry;
   DrainSettings drain;
   BudgetSettings budgets;
--- a/lib/libmedlarcroft/source/adapters/steer/steer_node.cc
+++ b/lib/libmedlarcroft/source/adapters/steer/steer_node.cc
@@ -176,7 +176,8 @@
     auto routing = ThriftServer::Start(
         {.address = settings_.routing_listen,
          .threads = 1,
-         .max_connections = 8},
+         .max_connections = 8,
+         .memory = client_memory_},
         std::make_shared<wire::RoutingProcessor>(
             std::make_shared<RoutingService>(core_, keys_)));
     if (!IsOk(routing)) {
@@ -185,7 +186,7 @@
     routing_server_ = TakeValue(std::move(routing));
 
     auto peers = ThriftServer::Start(
-        {.address = settings_.peer_listen},
+        {.address = settings_.peer_listen, .memory = client_memory_},
         std::make_shared<wire::PeerProcessor>(std::make_shared<PeerService>(
             core_, catalogue_sync_, PacingOf(settings_).message_bytes)));
     if (!IsOk(peers)) {
@@ -201,6 +202,7 @@
     auto http = HttpServer::Start({.address = settings_.lookup_listen,
                                    .threads = settings_.threads,
                                    .max_connections = settings_.max_connections,
+                                   .memory = client_memory_,
                                    .tls_certificate_pem = *certificate,
                                    .tls_key_pem = *key},
                                   handler_);
@@ -249,6 +251,12 @@
  private:
   const SteerdSettings settings_;
   const ports::Clock& clock_;
+  /// What all listeners share.
+  const std::shared_ptr<ClientMemory> client_memory_ =
+      std::make_shared<ClientMemory>(
+          clock_,
+          resources::MemoryLimits::Of(std::size_t{settings_.memory_mb} * 1024 *
+                                      1024));
   SystemRandom catalogue_poller_random_;
   SystemRandom store_random_;
   SystemRandom core_random_;
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -138,7 +138,8 @@
         drain = self.plan.get("drain")
         if drain:
             steerd["drain"] = entryd["drain"] = drain
-        return steerd, entryd
+        more = self.plan.get("settings", {})
+        return steerd | more, entryd | more
 
     def start_hosts(self):
         for domain, host, address in self.hosts():
--- a/tests/system/small_deployment.py
+++ b/tests/system/small_deployment.py
@@ -19,7 +19,7 @@
 OWNER, TOKEN, BRAND = "small", "small-deployment-token", "brand-a"
 
 
-def _entries(network, copies):
+def _entries(network, copies, max_request_bytes):
     for domain, (region, _, hosts) in DOMAINS.items():
         yield {"kind": "failure-domain", "entry": f"failure-domain.{domain}", "owner": OWNER,
                "failure_domain": domain, "region": region, "seats": hosts,
@@ -34,7 +34,7 @@
         yield {"kind": "service", "entry": f"service.{service}", "owner": OWNER,
                "service": service,
                "request_class": {"name": name, "key_mode": mode, "deadline_ms": deadline,
-                                 "queue_limit_ms": 500, "max_request_bytes": 16384,
+                                 "queue_limit_ms": 500, "max_request_bytes": max_request_bytes,
                                  "max_answer_bytes": 65536, "may_hedge": mode == "none",
                                  "expected_service_time_us": 15000},
                "weights": {"latency": 1.0, "headroom": 1.0, "drain_time": 1.0},
@@ -56,13 +56,13 @@
                        "slots": SLOTS, "service_time_ms": service_time}
 
 
-def make_small_deployment(work, network, copies=1):
+def make_small_deployment(work, network, copies=1, max_request_bytes=16384, settings=None):
     """Writes the files of a deployment below `work`. Its addresses are 127.{network}.*, and each
-    failure domain has `copies` targets per service."""
+    failure domain has `copies` targets per service. `settings` apply to each daemon."""
     work = pathlib.Path(work)
     (work / "catalogue").mkdir(parents=True, exist_ok=True)
     files = []
-    for entry in _entries(network, copies):
+    for entry in _entries(network, copies, max_request_bytes):
         file = f"catalogue/{entry['entry']}.json"
         (work / file).write_text(json.dumps(entry))
         files.append(file)
@@ -76,18 +76,18 @@
                                   "address": f"127.{network}.{number}.{host}"}
                                  for host in range(1, hosts + 1)]}
                 for domain, (region, number, hosts) in DOMAINS.items()],
-            "drain": {"pause_ms": 3000, "limit_ms": 20000},
+            "drain": {"pause_ms": 3000, "limit_ms": 20000}, "settings": settings or {},
             "targets": list(_targets(network, copies)), "catalogue": files}
     (work / "deployment.yaml").write_text(yaml.safe_dump(plan))
     return Deployment(work, work)
 
 
-def start_small_deployment(name, network, copies=1):
+def start_small_deployment(name, network, copies=1, **options):
     """Starts a deployment below build/`name`; stops all its processes if that fails."""
     work = ROOT / "build" / name
     for log in (work / "logs").glob("*.log"):
         log.unlink()
-    deployment = make_small_deployment(work, network, copies)
+    deployment = make_small_deployment(work, network, copies, **options)
     try:
         deployment.start()
     except BaseException:
