--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 - a request that is still sent to targets after it crashed three of them;
 - a target that receives more requests than its rate limit;
 - a target that receives requests from a node that it asked for rest, or told that it leaves;
+- a node that passes its memory while clients that don't behave crowd in beside the other faults;
 - a node that is cut off from all targets and serves first tries far worse than the others.
 Time limits are generous, so that a slow machine causes no violations.
 """
@@ -34,6 +35,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "tests/system"))
 
+from client_crowds import Crowd, Watch  # noqa: E402
 from faulty_link import LINGER_RESET, FaultyLink, cut_links  # noqa: E402
 from platform_standins import Store, Target  # noqa: E402
 import platform_test  # noqa: E402
@@ -50,6 +52,10 @@
 
 
 NODES = 3
+NODE_MEMORY_MB = 64
+# Connections of a crowd, by what they send.
+CROWDS = {"large_chunks": 25, "tiny_chunks": 40, "short_lengths": 25, "trailers_without_end": 60, "whole_bodies": 20,
+          "pipelined": 60, "silent": 300}
 CALLERS = 6
 DRAIN_LIMIT_S = 4.0  # A draining target receives no new requests after this time.
 BLOCK_LIMIT_S = 5.0  # Counted from the third crash: 4 s in-touch bound plus a margin.
@@ -216,7 +222,8 @@
         return cut_links(list(self.node_links[number].values()), how)
 
     def start(self, number):
-        self.nodes[number] = Node(self.folder, number, 0, store=self.store_links[number - 1].address)
+        self.nodes[number] = Node(self.folder, number, 0, store=self.store_links[number - 1].address,
+                                  memory_mb=NODE_MEMORY_MB)
 
     def targets_of_service(self, service):
         return [target for target in self.targets.values() if target.entry["info"]["service"] == service]
@@ -329,9 +336,11 @@
         self.notice_random = random.Random(f"notices of {seed}")
         self.cut_random = random.Random(f"cuts of {seed}")
         self.slow_random = random.Random(f"slow callers of {seed}")
+        self.crowd_random = random.Random(f"crowds of {seed}")
         self.log = []
 
     def round(self, index):
+        end_crowd = self.start_crowd(index) if self.crowd_random.random() < 0.4 else lambda: None
         faults = self.random.sample([self.kill_node, self.pause_node, self.degrade_store, self.degrade_target,
                                      self.reject_store_calls], 2)
         overlaps = self.random.random() < 0.5
@@ -341,6 +350,7 @@
         time.sleep(self.random.uniform(0.5, 2.0))
         for undo in undo_functions:
             undo()
+        end_crowd()
         for node in self.deployment.nodes.values():
             wait_for(node.is_ready)
         planned = [self.stop_node, self.drain_target, self.deployment.add_route][index % 3]
@@ -366,6 +376,24 @@
             self.log.append(f"round {index}: slow")
             self.stop_node_amid_slow_callers()
 
+    def start_crowd(self, index):
+        """Lets clients that don't behave crowd in at one port of a node."""
+        node = self.deployment.nodes[self.crowd_random.randint(1, NODES)]
+        kind = self.crowd_random.choice(list(CROWDS))
+        address = self.crowd_random.choice([node.caller, node.lookup, node.peer])
+        self.log.append(f"round {index}: {kind} at {node.name}")
+        process, watch = node.process, Watch(node.process.pid)
+        crowd = Crowd(address, kind, "/v1/relay" if address == node.peer else "/lookup/crowd", CROWDS[kind])
+
+        def end():
+            crowd.has_sent.wait(5)
+            watch.stop()
+            if process.poll() is None and watch.most_memory_mb() > NODE_MEMORY_MB:
+                self.observations.add_violation(f"{node.name}: {watch.most_memory_mb():.0f} MB amid {kind}")
+            crowd.is_over.set()
+            crowd.join()
+        return end
+
     def kill_node(self):
         number = self.random.randint(1, NODES)
         node = self.deployment.nodes[number]
