Count a body at work until its request ends, and slow uploads as progress

Found in reading. In medlar-entryd a request that goes on after its client has left gave back the room of its body while it held it, and bytes that fit in a body's buffer were no progress, so an upload that comes slowly could count as stalled after a second. In medlar-node a request is served from the moment it is whole, so that whoever gives way meanwhile can't refuse it.

--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -336,6 +336,8 @@
 }
 
 void HttpServerConnection::DispatchRequest() {
+  // From here on the request is served, whoever gives way.
+  phase_ = Phase::kServing;
   keeps_alive_ = parser_->keep_alive();
   HttpRequest request = CopyHead();
   request.body = std::move(parser_->get().body());
--- a/lib/libmedlarcroft/source/adapters/http/http_server.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_server.cc
@@ -146,13 +146,15 @@
   RequestContext(const RequestContext&) = delete;
   RequestContext& operator=(const RequestContext&) = delete;
 
-  /// @brief Asks for room for bytes of the body that have come.
-  [[nodiscard]] bool AskForMemory(ClientMemory& memory, std::size_t bytes) {
+  /// @brief Asks for room for a body that grows, since bytes of it arrived.
+  [[nodiscard]] bool AskForMemory(ClientMemory& memory,
+                                  std::size_t growth,
+                                  std::size_t arrived) {
     if (memory_ == nullptr) {
       memory_ = &memory;
       holder_ = memory.Open(socket_);
     }
-    return memory.Ask(holder_, kCopiesOfBody * bytes);
+    return memory.Ask(holder_, kCopiesOfBody * growth, arrived);
   }
   void OnWholeBody() {
     if (memory_ != nullptr) {
@@ -340,7 +342,7 @@
     // are each within their limit.
     ClientMemory* const memory = context.Server().memory_.get();
     if (memory != nullptr &&
-        !context.AskForMemory(*memory, GrowthOf(body, size))) {
+        !context.AskForMemory(*memory, GrowthOf(body, size), size)) {
       context.has_no_room = true;
       std::string().swap(body);
       context.ReturnMemory();
@@ -469,7 +471,11 @@
     }
     SetState(server, connection, resources::ConnectionState::kIdle);
     state->context->Detach();
-    state->context->ReturnMemory();
+    // A request that is at work holds its body until it ends, whether or not
+    // its client has left.
+    if (!state->context->is_dispatched) {
+      state->context->ReturnMemory();
+    }
     server.pending_requests_->Remove(state->context);
     server.counters_.in_flight--;
   }
--- a/lib/libmedlarcroft/source/adapters/peer/thrift_server.cc
+++ b/lib/libmedlarcroft/source/adapters/peer/thrift_server.cc
@@ -169,7 +169,7 @@
         holder_ = memory->Open(stream_.get_handle());
         bytes += reader_.Kept();
       }
-      return memory->Ask(holder_, kCopiesOfMessage * bytes);
+      return memory->Ask(holder_, kCopiesOfMessage * bytes, bytes);
     }
 
     void ReturnMemory() {
--- a/lib/libmedlarcroft/source/adapters/process/client_bounds.cc
+++ b/lib/libmedlarcroft/source/adapters/process/client_bounds.cc
@@ -49,9 +49,9 @@
   descriptors_.erase(id);
 }
 
-bool ClientMemory::Ask(Id id, std::size_t bytes) {
+bool ClientMemory::Ask(Id id, std::size_t bytes, std::size_t arrived) {
   const std::lock_guard lock(mutex_);
-  account_.OnProgress(id, bytes, clock_.Now());
+  account_.OnProgress(id, arrived, clock_.Now());
   while (true) {
     const MemoryAccount::Decision decision =
         account_.Ask(id, bytes, clock_.Now());
--- a/lib/libmedlarcroft/source/adapters/process/client_bounds.h
+++ b/lib/libmedlarcroft/source/adapters/process/client_bounds.h
@@ -31,9 +31,10 @@
   /// must stay open until `Close`.
   [[nodiscard]] Id Open(int descriptor);
   void Close(Id id);
-  /// @brief Asks for `bytes` more, which the peer has sent.
+  /// @brief Asks for `bytes` more.
+  /// @param arrived what the peer has sent.
   /// @return whether they are charged.
-  [[nodiscard]] bool Ask(Id id, std::size_t bytes);
+  [[nodiscard]] bool Ask(Id id, std::size_t bytes, std::size_t arrived);
   /// @brief All of the request is there, and is at work.
   void OnWhole(Id id);
 
