--- a/tests/unit/dist/deploy_template_test.cc
+++ b/tests/unit/dist/deploy_template_test.cc
@@ -20,7 +20,8 @@
   text << file.rdbuf();
   std::string settings = text.str();
   const std::vector<std::pair<std::string, std::string>> values = {
-      {R"(\{\{[#/](zones|heartbeat|bounds\.quota_window)\}\})", ""},
+      {R"(\{\{[#/](zones|heartbeat|bounds\.quota_window|limits\.max_fds)\}\})",
+       ""},
       {R"(\{\{@\}\})", "zone-a"},
       {R"(\{\{\.\}\})", "region-a"},
       {R"(\{\{(listen\.\w+|platform\.address)\|json\}\})", "\"127.0.0.1:80\""},
