--- a/tests/unit/adapters/event/client_connections_test.cc
+++ b/tests/unit/adapters/event/client_connections_test.cc
@@ -42,6 +42,7 @@
   const auto connections = std::make_shared<ClientConnections>(loop_, 2);
   std::vector<int> closed;
   std::vector<ClientConnections::Id> places;
+  places.reserve(2);
   for (int i = 0; i < 2; ++i) {
     places.push_back(
         connections->Add([&closed, i] { closed.push_back(i); }, false));
