Log what a close drops, loops that are late and requests that are overdue

No line told why: response-cut is silent where no request was parsed, nothing said that a loop was late, and a caller that leaves an overdue request left no line. Change: input-dropped with the reason and the bytes when this process closes a connection with input that it has not parsed (medlar_inputs_dropped counts them), loop-late when a timer runs half a second late, response-cut also where a client closes a request that is half a second overdue. Each is bounded by the log budget, or by one line a second.

--- a/lib/libmedlarcroft/include/medlarcroft/delivery/response_delivery.h
+++ b/lib/libmedlarcroft/include/medlarcroft/delivery/response_delivery.h
@@ -42,6 +42,10 @@
   [[nodiscard]] Duration WithoutProgress(MonotonicTime now) const {
     return now - progressed_at_;
   }
+  /// @return whether the request in hand has no response although its caller's
+  /// time is over.
+  [[nodiscard]] bool IsOverdue(MonotonicTime now) const;
+
   /// @brief Whether a planned stop waits for this connection.
   ///
   /// Slow clients lose nothing by a stop: it waits while a client reads, and
--- a/lib/libmedlarcroft/source/adapters/event/event_loop.cc
+++ b/lib/libmedlarcroft/source/adapters/event/event_loop.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "adapters/process/daemon_signals.h"
+#include "adapters/process/log.h"
 
 namespace medlarcroft::adapters {
 
@@ -20,6 +21,9 @@
 // signal during the poll interrupts it. A longer wait would delay a shutdown, a
 // shorter one costs wake-ups.
 constexpr Duration kMaxPollWait = std::chrono::milliseconds(250);
+// From here on callers notice.
+constexpr Duration kLoggedLateness = std::chrono::milliseconds(500);
+constexpr Duration kLateLinePeriod = std::chrono::seconds(1);
 
 /// Rounds up to whole milliseconds: the reactor truncates fractions, and the
 /// loop would busy-wait for the last one before a timer is due.
@@ -137,6 +141,7 @@
 
   void RunDueTimers() {
     const MonotonicTime now = clock_.Now();
+    LogIfLate(now);
     while (!timers_.empty() && timers_.begin()->first.first <= now) {
       const auto first = timers_.begin();
       const std::function<void()> task = std::move(first->second);
@@ -146,8 +151,22 @@
     }
   }
 
+  // While the loop is late nothing is read or answered: callers leave, and
+  // other hosts take this one for dead.
+  void LogIfLate(MonotonicTime now) {
+    if (timers_.empty() || now < next_late_line_) {
+      return;
+    }
+    const Duration late = now - timers_.begin()->first.first;
+    if (late >= kLoggedLateness) {
+      next_late_line_ = now + kLateLinePeriod;
+      Log(LogLevel::kWarning, "loop-late", {{"late_ms", ToMilliseconds(late)}});
+    }
+  }
+
   const ports::Clock& clock_;
   ACE_Reactor reactor_;
+  MonotonicTime next_late_line_{};
   std::unordered_map<int, DescriptorHandler*> handlers_;
   std::map<std::pair<MonotonicTime, TimerId>, std::function<void()>> timers_;
   std::unordered_map<TimerId, MonotonicTime> timer_due_times_;
--- a/lib/libmedlarcroft/source/adapters/event/http_listener.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.h
@@ -96,6 +96,8 @@
   std::uint64_t disconnected_before_response = 0;
   /// Closed while the client was owed something.
   std::uint64_t responses_cut = 0;
+  /// Closed by this process with input that was not parsed.
+  std::uint64_t inputs_dropped = 0;
 };
 
 /// @brief What the clients of a listener are owed, for a planned stop.
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -585,8 +585,8 @@
   const delivery::ResponseDelivery& owed = MeasureDelivery();
   // Others than identified requests are repeated elsewhere, and their callers
   // learn of the end at once.
-  const bool is_cut =
-      IsOwnDecision(reason) && owed.HasRequest() && owed.IsIdentified();
+  const bool is_cut = owed.HasRequest() && owed.IsIdentified() &&
+                      (IsOwnDecision(reason) || owed.IsOverdue(now));
   if (!is_cut && owed.Undelivered() == 0) {
     return;
   }
@@ -601,12 +601,34 @@
        {"without_progress_ms", ToMilliseconds(owed.WithoutProgress(now))}});
 }
 
+// Tells a request that a close drops from one that its client takes back: no
+// other line says so, since nothing of it was parsed.
+void HttpServerConnection::LogIfDropping(CloseReason reason) {
+  const std::size_t unread = input_.size() + stream_.UnreadBytes();
+  if (unread == 0 || phase_ == Phase::kClosing || !IsOwnDecision(reason)) {
+    return;
+  }
+  ++listener_->counters_.inputs_dropped;
+  LogBudget& budget = *listener_->resources_.log_budget;
+  const MonotonicTime now = listener_->loop_.Now();
+  if (!budget.Take(now)) {
+    return;
+  }
+  Log(LogLevel::kWarning, "input-dropped",
+      {{"reason", kCloseReasonNames.at(static_cast<std::size_t>(reason))},
+       {"port", listener_->port_},
+       {"unread_bytes", unread},
+       {"unused_ms", ToMilliseconds(now - unused_since_)},
+       {"lines_left_out", budget.TakeLeftOut()}});
+}
+
 void HttpServerConnection::Release(CloseReason reason) {
   if (listener_ == nullptr) {
     return;
   }
   const auto self = shared_from_this();
   LogIfOwing(reason);
+  LogIfDropping(reason);
   if (phase_ == Phase::kServing && on_client_disconnected_) {
     std::exchange(on_client_disconnected_, nullptr)();
   }
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
@@ -107,6 +107,7 @@
   /// connection.
   void CountUnsent();
   void LogIfOwing(CloseReason reason);
+  void LogIfDropping(CloseReason reason);
   void Release(CloseReason reason);
 
   // Null once the listener has released this connection.
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
@@ -164,6 +164,14 @@
   return UnsentBytes() + static_cast<std::size_t>(std::max(queued, 0));
 }
 
+std::size_t TcpStream::UnreadBytes() const {
+  int unread = 0;
+  if (descriptor_ < 0 || ::ioctl(descriptor_, FIONREAD, &unread) != 0) {
+    return 0;
+  }
+  return static_cast<std::size_t>(std::max(unread, 0));
+}
+
 void TcpStream::OnReadable() {
   if (!is_connected_) {
     CompleteConnect();
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
@@ -116,6 +116,8 @@
   /// @return bytes that the peer has not acknowledged yet, unsent ones
   /// included.
   [[nodiscard]] std::size_t UndeliveredBytes() const;
+  /// @return bytes that have arrived and were not read.
+  [[nodiscard]] std::size_t UnreadBytes() const;
   /// @return whether the peer has closed or reset the connection, also while
   /// bytes that it sent before are unread.
   [[nodiscard]] bool HasPeerClosed() const;
--- a/lib/libmedlarcroft/source/delivery/response_delivery.cc
+++ b/lib/libmedlarcroft/source/delivery/response_delivery.cc
@@ -9,6 +9,8 @@
 // A client that reads a few kilobytes a second acknowledges at least every
 // second; its window opens by a segment or half its buffer at a time.
 constexpr Duration kStopPatience = std::chrono::seconds(2);
+// Callers leave at their deadline, just when its timer is due here.
+constexpr Duration kOverdueSlack = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -40,6 +42,10 @@
   undelivered_ = undelivered;
 }
 
+bool ResponseDelivery::IsOverdue(MonotonicTime now) const {
+  return has_request_ && wanted_until_ && now >= *wanted_until_ + kOverdueSlack;
+}
+
 bool ResponseDelivery::DelaysStop(MonotonicTime now) const {
   if (!wanted_until_) {
     return false;
--- a/programs/node/node_gauges.cc
+++ b/programs/node/node_gauges.cc
@@ -97,6 +97,13 @@
       [this] {
         return static_cast<double>(caller_listener_->Counters().responses_cut);
       });
+  add({"medlar_inputs_dropped",
+       "Connections of callers and hosts that this process closed with input "
+       "that it had not parsed."},
+      [this] {
+        return static_cast<double>(caller_listener_->Counters().inputs_dropped +
+                                   peer_listener_->Counters().inputs_dropped);
+      });
   add({"medlar_target_connections_opened", "Connections opened to targets."},
       [this] {
         return static_cast<double>(caller_.Counters().connections_opened);
