Read what has arrived before a client's time counts as over

Callers on kept connections of a host that was held up saw their connection end without an answer: the loop handles one event and then all timers that are due, an idle timeout closed what waited to be read, and Release read and dropped it. Time for a head or a body ended in 408 in the same way, and memory's give-way closed connections whose request waited for room. Change: every deadline of a client's connection passes SetDeadline, which first reads what has arrived (TcpStream::CatchUp) and counts only if nothing changed; a connection with input that waits is not idle; memory refuses such a request with 503. Why it works: what is judged is the socket, not what the loop has come to.

--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -150,7 +150,12 @@
     RefuseForOthers(reason);
     return;
   }
-  // What was sent ahead was not read; a request that is served goes on.
+  if (IsRequestWaiting()) {
+    RefuseForOthers(reason);
+    return;
+  }
+  // What was sent ahead was not read; a request that is served goes on, and its
+  // response says that none follows.
   LogGaveWay(resources::NameOf(reason), {});
   std::string().swap(input_);
   lease_.reset();
@@ -513,11 +518,26 @@
     return;
   }
   const Duration time_left = TimeUntilUnused(now);
-  if (time_left <= Duration(0)) {
-    Release(CloseReason::kIdle);
-  } else {
+  if (time_left > Duration(0)) {
     CheckDeliveryAfter(time_left);
+  } else if (IsRequestWaiting()) {
+    CheckDeliveryAfter(kDeliveryCheckPeriod);
+  } else {
+    Release(CloseReason::kIdle);
+  }
+}
+
+bool HttpServerConnection::IsRequestWaiting() const {
+  switch (phase_) {
+    case Phase::kIdle:
+      return !input_.empty() || stream_.UnreadBytes() > 0;
+    case Phase::kReading:
+      return stream_.UnreadBytes() > 0;
+    case Phase::kServing:
+    case Phase::kClosing:
+      break;
   }
+  return false;
 }
 
 Duration HttpServerConnection::TimeUntilUnused(MonotonicTime now) const {
@@ -536,12 +556,24 @@
   deadline_ = listener_->loop_.After(
       delay, [self = weak_from_this(), task = std::move(task)] {
         if (const auto connection = self.lock();
-            connection && connection->listener_ != nullptr) {
+            connection && connection->listener_ != nullptr &&
+            connection->IsStillDue()) {
           task();
         }
       });
 }
 
+// Guards against requests that are dropped unread, with no answer: on a host
+// that was held up, the time of all connections is over before the loop comes
+// to what arrived on them. What arrives after this is not lost by the close:
+// the kernel resets the connection, and nothing of it was read.
+bool HttpServerConnection::IsStillDue() {
+  deadline_ = 0;
+  const Phase phase = phase_;
+  stream_.CatchUp();
+  return listener_ != nullptr && phase_ == phase && deadline_ == 0;
+}
+
 void HttpServerConnection::LingerAndClose() {
   phase_ = Phase::kClosing;
   if (stream_.IsDrained()) {
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
@@ -92,6 +92,12 @@
   void RejectRequest(int status);
   void WaitForRequest();
   void SetDeadline(Duration delay, std::function<void()> task);
+  /// @brief Reads what has arrived.
+  /// @return whether the deadline that has just passed still counts.
+  [[nodiscard]] bool IsStillDue();
+  /// @return whether a request has arrived, in part at least, that is not read
+  /// yet.
+  [[nodiscard]] bool IsRequestWaiting() const;
   void LingerAndClose();
   /// @brief Parses pipelined bytes, but not from within the current call.
   void ParseNextSoon();
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.cc
@@ -18,7 +18,7 @@
 
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 // More than a kernel buffers for one connection.
-constexpr int kMaxDiscardingReads = 512;
+constexpr int kMaxReadsAtOnce = 512;
 // Smaller parts of what was sent are not worth a system call.
 constexpr std::size_t kMinFreedBytes = std::size_t{256} * 1024;
 
@@ -109,11 +109,7 @@
 }
 
 bool TcpStream::HasPeerClosed() const {
-  if (descriptor_ < 0) {
-    return true;
-  }
-  pollfd state{.fd = descriptor_, .events = POLLRDHUP, .revents = 0};
-  return ::poll(&state, 1, 0) > 0;
+  return descriptor_ < 0 || Has(POLLRDHUP);
 }
 
 void TcpStream::Close() {
@@ -131,13 +127,30 @@
 
 void TcpStream::DiscardInput() {
   std::array<char, kReadBytes> buffer;
-  for (int i = 0; i < kMaxDiscardingReads && descriptor_ >= 0; ++i) {
+  for (int i = 0; i < kMaxReadsAtOnce && descriptor_ >= 0; ++i) {
     if (::recv(descriptor_, buffer.data(), buffer.size(), 0) <= 0) {
       return;
     }
   }
 }
 
+void TcpStream::CatchUp() {
+  const std::weak_ptr<bool> alive = is_alive_;
+  if (!is_connected_ && Has(POLLOUT)) {
+    CompleteConnect();
+  }
+  for (int i = 0; i < kMaxReadsAtOnce && !alive.expired() && is_connected_ &&
+                  !is_reading_paused_ && Has(POLLIN);
+       ++i) {
+    OnReadable();
+  }
+}
+
+bool TcpStream::Has(short events) const {
+  pollfd state{.fd = descriptor_, .events = events, .revents = 0};
+  return descriptor_ >= 0 && ::poll(&state, 1, 0) > 0;
+}
+
 void TcpStream::PauseReading() {
   is_reading_paused_ = true;
   UpdateInterest();
--- a/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
+++ b/lib/libmedlarcroft/source/adapters/event/tcp_stream.h
@@ -96,6 +96,11 @@
   /// @brief Reads and drops what has arrived: closing with unread data resets
   /// the connection, and the peer loses what it has not received yet.
   void DiscardInput();
+  /// @brief Does now what the event loop would: completes the connection, and
+  /// reads what has arrived unless reading is paused. To be called before a
+  /// timer judges the peer, since the loop may come to the timer first. The
+  /// stream may be closed and destroyed meanwhile.
+  void CatchUp();
   /// @brief Lets the peer wait with further data.
   void PauseReading();
   void ResumeReading();
@@ -127,6 +132,8 @@
 
  private:
   void CompleteConnect();
+  /// @return whether the kernel reports any of `events` (poll(2)).
+  [[nodiscard]] bool Has(short events) const;
   void Flush();
   void OnSendFailed();
   void End(StreamEnd end);
