Read what has arrived before a connection gives way to a new one

Callers saw their connection end without an answer while many new connections came: the order of who brought least knows only what the loop has read, so a whole request that waits counts as silence. Change: who is asked to give way reads first, and stays if a request came; then the next is asked. Checks of ClientConnections take a task that says whether it closed, as strict as before. Why it works: a connection is closed only right after its socket was found empty.

--- a/lib/libmedlarcroft/source/adapters/event/client_connections.cc
+++ b/lib/libmedlarcroft/source/adapters/event/client_connections.cc
@@ -4,7 +4,7 @@
 
 namespace medlarcroft::adapters {
 
-ClientConnections::Id ClientConnections::Add(std::function<void()> close,
+ClientConnections::Id ClientConnections::Add(CloseTask close,
                                              bool is_reserved) {
   const Id id = limit_.Add();
   closes_.emplace(id, std::move(close));
@@ -18,7 +18,7 @@
       Remove(id);
       return 0;
     }
-    Close(*least);
+    (void)Close(*least);
   }
   return id;
 }
@@ -29,18 +29,20 @@
 }
 
 void ClientConnections::FreeOne() {
-  if (const auto least = limit_.FindLeast()) {
-    Close(*least);
+  auto least = limit_.FindLeast();
+  while (least && !Close(*least)) {
+    least = limit_.FindLeast();
   }
 }
 
-void ClientConnections::Close(Id id) {
-  ++gave_way_;
-  const auto close = closes_.extract(id);
-  limit_.Remove(id);
-  if (!close.empty()) {
-    close.mapped()();
+bool ClientConnections::Close(Id id) {
+  const CloseTask close = closes_.at(id);
+  if (!close()) {
+    return false;
   }
+  ++gave_way_;
+  Remove(id);
+  return true;
 }
 
 void ClientConnections::TakeTurn(std::function<void()> task) {
--- a/lib/libmedlarcroft/source/adapters/event/client_connections.h
+++ b/lib/libmedlarcroft/source/adapters/event/client_connections.h
@@ -20,16 +20,19 @@
     : public std::enable_shared_from_this<ClientConnections> {
  public:
   using Id = resources::ConnectionLimit::Id;
+  /// @brief Closes a connection at once, unless its client turns out to have
+  /// brought more than was known; the state says so afterwards.
+  /// @return whether it is closed.
+  using CloseTask = std::function<bool()>;
 
   ClientConnections(EventLoop& loop, std::size_t limit)
       : loop_(loop), limit_(limit) {}
 
   /// @brief Adds a connection, which another one may give way for.
-  /// @param close closes the connection at once.
   /// @param is_reserved its port has few connections, and gets this one even
   /// if all others are being served: probes of readiness must come through.
   /// @return 0 if there is no room.
-  [[nodiscard]] Id Add(std::function<void()> close, bool is_reserved);
+  [[nodiscard]] Id Add(CloseTask close, bool is_reserved);
   void Remove(Id id);
   void SetState(Id id, resources::ConnectionState state) {
     limit_.SetState(id, state);
@@ -48,12 +51,12 @@
   [[nodiscard]] std::uint64_t Refused() const { return refused_; }
 
  private:
-  void Close(Id id);
+  bool Close(Id id);
   void RunNextTurn();
 
   EventLoop& loop_;
   resources::ConnectionLimit limit_;
-  std::unordered_map<Id, std::function<void()>> closes_;
+  std::unordered_map<Id, CloseTask> closes_;
   std::deque<std::function<void()>> turns_;
   std::uint64_t gave_way_ = 0;
   std::uint64_t refused_ = 0;
--- a/lib/libmedlarcroft/source/adapters/event/http_listener.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.cc
@@ -165,9 +165,8 @@
       std::make_shared<HttpServerConnection>(*this, descriptor);
   const ClientConnections::Id place = resources_.connections->Add(
       [weak = std::weak_ptr(connection)] {
-        if (const auto open = weak.lock()) {
-          open->CloseForOthers();
-        }
+        const auto open = weak.lock();
+        return !open || open->CloseForOthers();
       },
       connections_.size() < kReservedConnections);
   if (place == 0) {
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -205,13 +205,29 @@
        {"lines_left_out", budget.TakeLeftOut()}});
 }
 
-void HttpServerConnection::CloseForOthers() {
-  if (listener_ != nullptr) {
-    LogGaveWay(kCloseReasonNames.at(
-                   static_cast<std::size_t>(CloseReason::kDescriptors)),
-               {});
-    Release(CloseReason::kDescriptors);
+bool HttpServerConnection::CloseForOthers() {
+  if (listener_ == nullptr) {
+    return true;
+  }
+  const auto self = shared_from_this();
+  const Phase phase = phase_;
+  const std::uint64_t requests = requests_;
+  stream_.CatchUp();
+  if (listener_ == nullptr) {
+    return true;
   }
+  if (IsRequestWaiting()) {
+    SetState(resources::ConnectionState::kServing);
+    return false;
+  }
+  if (phase_ != phase || requests_ != requests) {
+    return false;
+  }
+  LogGaveWay(
+      kCloseReasonNames.at(static_cast<std::size_t>(CloseReason::kDescriptors)),
+      {});
+  Release(CloseReason::kDescriptors);
+  return true;
 }
 
 void HttpServerConnection::SetState(resources::ConnectionState state) {
@@ -365,6 +381,7 @@
   delivery_.OnRequest(listener_->loop_.Now());
   listener_->loop_.Cancel(std::exchange(deadline_, 0));
   ++listener_->counters_.requests;
+  ++requests_;
   is_head_request_ = request.method == "HEAD";
   listener_->handler_.OnRequest(std::move(request), shared_from_this());
 }
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.h
@@ -53,8 +53,10 @@
   [[nodiscard]] bool IsCallerGone() const override;
 
   [[nodiscard]] OwedResponses MeasureOwed();
-  /// @brief Closes the connection for those of other clients.
-  void CloseForOthers();
+  /// @brief Closes the connection for those of other clients, unless a request
+  /// has arrived on it.
+  /// @return whether it is closed.
+  bool CloseForOthers();
   /// @brief Closes the connection because this process stops.
   void CloseForStop() { Release(CloseReason::kStop); }
 
@@ -130,6 +132,7 @@
   ClientConnections::Id place_ = 0;
   bool has_served_ = false;
   bool is_turn_due_ = false;
+  std::uint64_t requests_ = 0;
   std::size_t head_bytes_ = 0;  ///< Of the request that is read.
   /// For the request that is read, and what was sent ahead.
   std::shared_ptr<MemoryLease> lease_;
--- a/tests/unit/adapters/event/client_connections_test.cc
+++ b/tests/unit/adapters/event/client_connections_test.cc
@@ -44,25 +44,47 @@
   std::vector<ClientConnections::Id> places;
   places.reserve(2);
   for (int i = 0; i < 2; ++i) {
-    places.push_back(
-        connections->Add([&closed, i] { closed.push_back(i); }, false));
+    places.push_back(connections->Add(
+        [&closed, i] {
+          closed.push_back(i);
+          return true;
+        },
+        false));
   }
   connections->SetState(places[0], ConnectionState::kServing);
-  EXPECT_NE(connections->Add([] {}, false), 0U);
+  EXPECT_NE(connections->Add([] { return true; }, false), 0U);
   EXPECT_EQ(closed, std::vector{1});
   EXPECT_EQ(connections->GaveWay(), 1U);
 }
 
+// Guards against a whole request that is dropped unread for a new connection:
+// the next one gives way.
+TEST_F(ClientConnectionsTest, WhoTurnsOutToHaveBroughtMoreIsNotClosed) {
+  const auto connections = std::make_shared<ClientConnections>(loop_, 2);
+  ClientConnections::Id reader = 0;
+  reader = connections->Add(
+      [&] {
+        connections->SetState(reader, ConnectionState::kServing);
+        return false;
+      },
+      false);
+  bool is_silent_one_closed = false;
+  (void)connections->Add([&] { return is_silent_one_closed = true; }, false);
+  EXPECT_NE(connections->Add([] { return true; }, false), 0U);
+  EXPECT_TRUE(is_silent_one_closed);
+  EXPECT_EQ(connections->GaveWay(), 1U);
+}
+
 // Guards against a probe of readiness that finds no room, so that the platform
 // takes the host for broken.
 TEST_F(ClientConnectionsTest, APortWithFewConnectionsAlwaysGetsOne) {
   const auto connections = std::make_shared<ClientConnections>(loop_, 1);
-  const auto served = connections->Add([] {}, false);
+  const auto served = connections->Add([] { return true; }, false);
   connections->SetState(served, ConnectionState::kServing);
-  const auto probe = connections->Add([] {}, true);
+  const auto probe = connections->Add([] { return true; }, true);
   ASSERT_NE(probe, 0U);
   connections->SetState(probe, ConnectionState::kServing);
-  EXPECT_EQ(connections->Add([] {}, false), 0U);
+  EXPECT_EQ(connections->Add([] { return true; }, false), 0U);
   EXPECT_EQ(connections->Refused(), 1U);
 }
 
