Let a stop wait for requests that are not read yet

Callers of a host that stops could see their connection end without an answer: the stop asked what connections owe, which knew only parsed requests, and went from the announcement to its end in one step, so that what waited at the port when that closed was never counted. Change: OwedResponses::unread, of all ports; StopSequence counts once more after the port closed.

--- a/lib/libmedlarcroft/source/adapters/event/http_listener.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.cc
@@ -30,6 +30,7 @@
   requests += other.requests;
   responses += other.responses;
   given_up += other.given_up;
+  unread += other.unread;
   bytes += other.bytes;
   return *this;
 }
--- a/lib/libmedlarcroft/source/adapters/event/http_listener.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_listener.h
@@ -107,9 +107,13 @@
   /// Not delivered, and not waited for: the client neither reads nor has time
   /// left.
   std::size_t given_up = 0;
+  /// Connections with a request, or a part of one, that was not read yet.
+  std::size_t unread = 0;
   std::size_t bytes = 0;  ///< Not acknowledged, of all of these.
 
-  [[nodiscard]] std::size_t WaitedFor() const { return requests + responses; }
+  [[nodiscard]] std::size_t WaitedFor() const {
+    return requests + responses + unread;
+  }
   OwedResponses& operator+=(const OwedResponses& other);
 };
 
--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -497,11 +497,12 @@
 
 OwedResponses HttpServerConnection::MeasureOwed() {
   const delivery::ResponseDelivery& delivery = MeasureDelivery();
+  OwedResponses owed{.unread = IsRequestWaiting() ? 1U : 0U};
   if (!delivery.IsIdentified()) {
-    return {};
+    return owed;
   }
   const bool is_waited_for = delivery.DelaysStop(listener_->loop_.Now());
-  OwedResponses owed{.bytes = delivery.Undelivered()};
+  owed.bytes = delivery.Undelivered();
   if (delivery.HasRequest()) {
     owed.requests = is_waited_for && !IsCallerGone() ? 1 : 0;
   } else if (delivery.Undelivered() > 0) {
--- a/lib/libmedlarcroft/source/process/stop_sequence.cc
+++ b/lib/libmedlarcroft/source/process/stop_sequence.cc
@@ -13,6 +13,11 @@
   if (phase_ == StopPhase::kAnnouncing &&
       (is_immediate_ || now - entered_at_ >= options_.announce_time)) {
     Enter(StopPhase::kFinishing, now);
+    if (!is_immediate_) {
+      // The port closes now: what has arrived there is in flight from the next
+      // call on.
+      return;
+    }
   }
   if (phase_ != StopPhase::kFinishing) {
     return;
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -443,8 +443,12 @@
 // sends for.
 void Node::AdvanceStop() {
   loop_.Cancel(stop_timer_);
-  adapters::OwedResponses owed = caller_listener_->MeasureOwed();
-  owed += peer_listener_->MeasureOwed();
+  adapters::OwedResponses owed;
+  for (const adapters::HttpListener* const listener :
+       {caller_listener_.get(), peer_listener_.get(), lookup_listener_.get(),
+        readiness_listener_.get()}) {
+    owed += listener->MeasureOwed();
+  }
   const StopPhase before = stop_.Phase();
   stop_.Advance(owed.WaitedFor(), loop_.Now());
   if (stop_.Phase() != before) {
@@ -462,6 +466,7 @@
     Log(LogLevel::kInfo, "stop-waits",
         {{"requests", owed.requests},
          {"responses", owed.responses},
+         {"unread", owed.unread},
          {"given_up", owed.given_up},
          {"undelivered_bytes", owed.bytes}});
     return;
--- a/tests/unit/process/stop_sequence_test.cc
+++ b/tests/unit/process/stop_sequence_test.cc
@@ -30,6 +30,19 @@
   EXPECT_EQ(sequence.Cut(), 0U);
 }
 
+// Guards against a stop that ends before it has counted what waited at its port
+// when that closed.
+TEST(StopSequence, CountsWhatArrivedBeforeThePortClosed) {
+  StopSequence sequence(kOptions);
+  sequence.OnSignal(1, kStart);
+  sequence.Advance(0, kStart + seconds(6));
+  EXPECT_EQ(sequence.Phase(), StopPhase::kFinishing);
+  sequence.Advance(1, kStart + seconds(6));
+  EXPECT_EQ(sequence.Phase(), StopPhase::kFinishing);
+  sequence.Advance(0, kStart + seconds(7));
+  EXPECT_EQ(sequence.Phase(), StopPhase::kStopped);
+}
+
 TEST(StopSequence, LimitAbortsAndCountsStuckRequests) {
   StopSequence sequence(kOptions);
   sequence.OnSignal(1, kStart);
