Take in what has arrived before a send's time counts as over

Cause, by reading: on a host that was held up the client's timers come before the responses that arrived, so an answer that is there became timed-out, a connection that is there a failed connect, and a pooled connection that its server had closed was used again (may have run). Change: HttpClientConnection::OnTimeOver and EventHttpClient::TakeIdle ask the socket first.

--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
@@ -43,6 +43,14 @@
   return exchange;
 }
 
+void EventHttpClient::CatchUp(ExchangeId exchange) {
+  const auto found = active_.find(exchange);
+  if (found != active_.end()) {
+    const auto connection = found->second;
+    connection->CatchUp();
+  }
+}
+
 void EventHttpClient::Cancel(ExchangeId exchange) {
   const auto found = active_.find(exchange);
   if (found == active_.end()) {
@@ -96,7 +104,9 @@
     CloseIdleConnections(address);
     return nullptr;
   }
-  return connection;
+  // Guards against a request on a connection that the server has closed, which
+  // would count as one that may have run: the loop may not have come to notice.
+  return connection->CatchUp() ? connection : TakeIdle(request);
 }
 
 void EventHttpClient::AddIdle(
--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.h
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.h
@@ -140,6 +140,9 @@
   /// @brief Starts an exchange; `callback` runs once, never from within this
   /// call.
   ExchangeId Send(OutboundRequest request, ExchangeCallback callback);
+  /// @brief Takes in what has arrived for an exchange, before its owner judges
+  /// that it takes too long; its callback may run from within this call.
+  void CatchUp(ExchangeId exchange);
   /// @brief Aborts an exchange and closes its connection, without a callback.
   void Cancel(ExchangeId exchange);
   /// @brief Closes the idle connections to `address`.
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -85,10 +85,8 @@
     return;
   }
   timer_ = client_.loop_.After(
-      std::min(request_.connect_timeout, request_.timeout), [this] {
-        timer_ = 0;
-        Fail(ExchangeFailure::kCannotConnect);
-      });
+      std::min(request_.connect_timeout, request_.timeout),
+      [this] { OnTimeOver(ExchangeFailure::kCannotConnect); });
 }
 
 void HttpClientConnection::OnConnected() {
@@ -100,10 +98,8 @@
       return;
     }
   }
-  timer_ = client_.loop_.After(request_.timeout, [this] {
-    timer_ = 0;
-    Fail(ExchangeFailure::kTimedOut);
-  });
+  timer_ = client_.loop_.After(
+      request_.timeout, [this] { OnTimeOver(ExchangeFailure::kTimedOut); });
   has_started_sending_ = true;
   stream_.Write(std::move(request_.text));
   if (request_.body) {
@@ -111,6 +107,25 @@
   }
 }
 
+// Guards against responses that are dropped although they are there: on a host
+// that was held up, the time of many exchanges is over before the loop comes to
+// what arrived for them.
+void HttpClientConnection::OnTimeOver(ExchangeFailure failure) {
+  const auto self = shared_from_this();
+  const ExchangeId exchange = exchange_;
+  timer_ = 0;
+  stream_.CatchUp();
+  if (exchange_ == exchange && timer_ == 0) {
+    Fail(failure);
+  }
+}
+
+bool HttpClientConnection::CatchUp() {
+  const auto self = shared_from_this();
+  stream_.CatchUp();
+  return stream_.IsOpen();
+}
+
 std::size_t HttpClientConnection::RoomToRead(std::size_t most) {
   if (exchange_ == 0) {
     return most;
@@ -329,10 +344,8 @@
   if (is_unnamed) {
     StopTimer();
     timer_ = client_.loop_.After(
-        std::min(request_.unnamed_patience, request_.timeout), [this] {
-          timer_ = 0;
-          Fail(ExchangeFailure::kUnattributed);
-        });
+        std::min(request_.unnamed_patience, request_.timeout),
+        [this] { OnTimeOver(ExchangeFailure::kUnattributed); });
   }
   ResetParser();
   return true;
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
@@ -27,6 +27,9 @@
   void Start(ExchangeId exchange,
              OutboundRequest request,
              ExchangeCallback callback);
+  /// @brief Takes in what has arrived.
+  /// @return whether the connection is still open.
+  bool CatchUp();
   /// @brief Closes immediately, without a callback.
   void Close();
 
@@ -70,6 +73,7 @@
   void CountBuffered();
   void ClearBuffers();
   void StopTimer();
+  void OnTimeOver(ExchangeFailure failure);
 
   EventHttpClient& client_;
   const std::string address_;
