Pass on an answer that arrived before its request's time was over

Cause, by reading: the deadline's timer of a request on a host that was held up comes before the answer that has arrived, so the caller gets 504 and the answer is dropped; the timer of a slow attempt sends once more what is answered. Change: both take in first what has arrived, of targets and of hosts that relay.

--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.cc
@@ -159,6 +159,13 @@
   }
 }
 
+void RelaySender::CatchUp(std::uint64_t relay) {
+  const auto found = relays_.find(relay);
+  if (found != relays_.end()) {
+    parts_.caller.CatchUp(found->second.exchange);
+  }
+}
+
 void RelaySender::Cancel(std::uint64_t relay) {
   const auto found = relays_.find(relay);
   if (found == relays_.end()) {
--- a/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_sender.h
@@ -72,6 +72,8 @@
                      Callbacks callbacks);
   /// @brief Gives up a send, without a callback. The helper gives it up too.
   void Cancel(std::uint64_t relay);
+  /// @brief Takes in what has arrived for a relay, which may end it.
+  void CatchUp(std::uint64_t relay);
 
  private:
   static constexpr int kMaxHelpers = 4;
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using request_path::AttemptEnd;
+using request_path::AttemptNumber;
 using request_path::PassOn;
 using request_path::RequestFailure;
 using request_path::RequestTicket;
@@ -244,9 +245,9 @@
       std::move(request), [this, ticket, attempt](ExchangeResult result) {
         OnResult(ticket, attempt, std::move(result));
       });
-  active.cancels[attempt.attempt] = [this, exchange] {
-    parts_.caller.Cancel(exchange);
-  };
+  active.pending[attempt.attempt] = {
+      .catch_up = [this, exchange] { parts_.caller.CatchUp(exchange); },
+      .cancel = [this, exchange] { parts_.caller.Cancel(exchange); }};
 }
 
 void RequestForwarder::SendThroughHelper(RequestTicket ticket,
@@ -280,9 +281,9 @@
            [this, ticket, attempt](RelayResult result) {
              OnRelayResult(ticket, attempt, std::move(result));
            }});
-  active.cancels[attempt.attempt] = [this, relay] {
-    parts_.relays.Cancel(relay);
-  };
+  active.pending[attempt.attempt] = {
+      .catch_up = [this, relay] { parts_.relays.CatchUp(relay); },
+      .cancel = [this, relay] { parts_.relays.Cancel(relay); }};
 }
 
 // Guards against requests that reach a target after it asked for rest or said
@@ -296,9 +297,9 @@
     return false;
   }
   ActiveRequest& active = *found->second;
-  const auto cancel = active.cancels.extract(attempt.attempt);
-  if (!cancel.empty()) {
-    cancel.mapped()();
+  const auto send = active.pending.extract(attempt.attempt);
+  if (!send.empty()) {
+    send.mapped().cancel();
   }
   EndAttempt(ticket, active, attempt, AttemptEnd::kWithheld);
   return true;
@@ -375,7 +376,7 @@
                                   const SendAttempt& attempt,
                                   AttemptEnd end) {
   const MonotonicTime now = parts_.loop.Now();
-  active.cancels.erase(attempt.attempt);
+  active.pending.erase(attempt.attempt);
   active.trace->OnAttemptEnd(attempt.attempt, end);
   const auto proof = active.proofs.find(attempt.attempt);
   parts_.telemetry.OnAttemptEnd(
@@ -423,12 +424,32 @@
   ExecuteStep(ticket, parts_.path.OnTokenWaitOver(ticket, parts_.loop.Now()));
 }
 
+// Guards against answers that are there and not passed on, and against sends
+// that repeat what is answered: a host that was held up comes to its timers
+// before it comes to the answers.
+bool RequestForwarder::CatchUp(RequestTicket ticket) {
+  const auto found = active_requests_.find(ticket);
+  if (found == active_requests_.end()) {
+    return false;
+  }
+  const AttemptNumber last = found->second->last_attempt;
+  const auto pending = found->second->pending;
+  for (const auto& [attempt, send] : pending) {
+    send.catch_up();
+  }
+  const auto still = active_requests_.find(ticket);
+  return still != active_requests_.end() && still->second->last_attempt == last;
+}
+
 void RequestForwarder::OnSlow(RequestTicket ticket) {
   const auto found = active_requests_.find(ticket);
   if (found == active_requests_.end()) {
     return;
   }
   found->second->slow_attempt_timer = 0;
+  if (!CatchUp(ticket)) {
+    return;
+  }
   ExecuteStep(ticket, parts_.path.OnSlow(ticket, parts_.loop.Now()));
 }
 
@@ -438,6 +459,10 @@
     return;
   }
   found->second->request_timer = 0;
+  (void)CatchUp(ticket);
+  if (!active_requests_.contains(ticket)) {
+    return;
+  }
   End(*found->second, parts_.path.OnTimeout(ticket, parts_.loop.Now()));
   Remove(ticket);
 }
@@ -472,8 +497,8 @@
   parts_.loop.Cancel(active->request_timer);
   parts_.loop.Cancel(active->slow_attempt_timer);
   parts_.loop.Cancel(active->token_timer);
-  for (const auto& [attempt, cancel] : active->cancels) {
-    cancel();
+  for (const auto& [attempt, send] : active->pending) {
+    send.cancel();
   }
 }
 
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -74,6 +74,12 @@
   [[nodiscard]] std::size_t InFlight() const { return active_requests_.size(); }
 
  private:
+  /// @brief A send that has not ended.
+  struct PendingSend {
+    /// Takes in what has arrived for it, which may end it and its request.
+    std::function<void()> catch_up;
+    std::function<void()> cancel;
+  };
   struct ActiveRequest {
     DecodedRequest decoded;
     HttpRequest call;
@@ -87,8 +93,8 @@
     TimerId request_timer = 0;
     TimerId slow_attempt_timer = 0;
     TimerId token_timer = 0;
-    /// Give up the pending sends, by attempt.
-    std::map<request_path::AttemptNumber, std::function<void()>> cancels;
+    /// By attempt.
+    std::map<request_path::AttemptNumber, PendingSend> pending;
     /// Complete responses that are not forwarded yet, by attempt.
     std::map<request_path::AttemptNumber, HttpResponse> answers;
     /// Of the responses, by attempt.
@@ -154,6 +160,9 @@
                      const request_path::SendAttempt& attempt);
   /// @brief Reports a crash, unless this host turns out to be cut off.
   void OnTargetRefused(const InterruptedSend& interrupted);
+  /// @brief Takes in what has arrived for a request before a timer judges it.
+  /// @return whether the request still waits, and its send may be judged.
+  [[nodiscard]] bool CatchUp(request_path::RequestTicket ticket);
   void OnTokenWaitOver(request_path::RequestTicket ticket);
   void OnSlow(request_path::RequestTicket ticket);
   void OnTimeout(request_path::RequestTicket ticket);
