--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
@@ -20,6 +20,13 @@
   for (const auto& [exchange, connection] : active) {
     connection->Close();
   }
+  // A callback may destroy the client while its connection runs it.
+  const auto idle = std::exchange(idle_, {});
+  for (const auto& [address, connections] : idle) {
+    for (const auto& connection : connections) {
+      connection->Close();
+    }
+  }
 }
 
 ExchangeId EventHttpClient::Send(OutboundRequest request,
@@ -47,7 +54,11 @@
   const auto found = active_.find(exchange);
   if (found != active_.end()) {
     const auto connection = found->second;
-    connection->CatchUp();
+    // Guards against a request that is sent only to be given up: the owner is
+    // about to judge, so a new connection must not begin to carry it.
+    if (connection->IsConnected()) {
+      connection->CatchUp();
+    }
   }
 }
 
--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.h
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.h
@@ -141,7 +141,8 @@
   /// call.
   ExchangeId Send(OutboundRequest request, ExchangeCallback callback);
   /// @brief Takes in what has arrived for an exchange, before its owner judges
-  /// that it takes too long; its callback may run from within this call.
+  /// that it takes too long; its callback may run from within this call. Sends
+  /// nothing.
   void CatchUp(ExchangeId exchange);
   /// @brief Aborts an exchange and closes its connection, without a callback.
   void Cancel(ExchangeId exchange);
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -444,8 +444,9 @@
 }
 
 void HttpClientConnection::StopTimer() {
-  client_.loop_.Cancel(timer_);
-  timer_ = 0;
+  if (timer_ != 0) {
+    client_.loop_.Cancel(std::exchange(timer_, 0));
+  }
 }
 
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
@@ -34,6 +34,7 @@
   void Close();
 
   [[nodiscard]] const std::string& Address() const { return address_; }
+  [[nodiscard]] bool IsConnected() const { return stream_.IsConnected(); }
   [[nodiscard]] ExchangeId Exchange() const { return exchange_; }
   [[nodiscard]] MonotonicTime IdleSince() const { return idle_since_; }
   [[nodiscard]] MonotonicTime IdleUntil() const { return idle_until_; }
--- a/lib/libmedlarcroft/source/adapters/forward/crash_probe.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/crash_probe.cc
@@ -24,7 +24,7 @@
         timer_(owner.loop_.After(kProbeTimeout,
                                  [this] {
                                    timer_ = 0;
-                                   owner_.Finish(address_, false);
+                                   OnTimeOver();
                                  })),
         stream_(owner.loop_, parsed, kStallTimeout, *this) {}
   ~Probe() override {
@@ -44,6 +44,15 @@
   std::vector<InterruptedSend> interrupted;
 
  private:
+  // Guards against crashes that stay unknown because this host was held up: it
+  // comes to the timer before it comes to the refusal.
+  void OnTimeOver() {
+    CrashProbe& owner = owner_;
+    const std::string address = address_;
+    stream_.CatchUp();
+    owner.Finish(address, false);
+  }
+
   CrashProbe& owner_;
   const std::string address_;
   TimerId timer_;
--- a/lib/libmedlarcroft/source/adapters/forward/reach_monitor.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/reach_monitor.cc
@@ -41,11 +41,15 @@
   void OnBytes(std::string_view /*bytes*/) override {}
   void OnEnd(StreamEnd /*end*/) override { owner_.OnProbed(target_, false); }
 
+  /// @brief Takes in what has happened, which may end the probe.
+  void CatchUp() { stream_.CatchUp(); }
+  [[nodiscard]] bool IsWaiting() const { return timer_ != 0; }
+
  private:
   void StartTimer(Duration delay, bool is_reached) {
     timer_ = owner_.loop_.After(delay, [this, is_reached] {
       timer_ = 0;
-      owner_.OnProbed(target_, is_reached);
+      owner_.OnTimeOver(target_, is_reached);
     });
   }
 
@@ -78,6 +82,16 @@
   }
 }
 
+// Guards against a host that takes itself for cut off because it was held up:
+// it comes to its timers before it comes to the connections.
+void ReachMonitor::OnTimeOver(TargetNumber target, bool is_reached) {
+  probes_.at(target)->CatchUp();
+  const auto still = probes_.find(target);
+  if (still != probes_.end() && !still->second->IsWaiting()) {
+    OnProbed(target, is_reached);
+  }
+}
+
 void ReachMonitor::OnProbed(TargetNumber target, bool is_reached) {
   const auto ended = probes_.extract(target);
   if (ended.empty()) {
--- a/lib/libmedlarcroft/source/adapters/forward/reach_monitor.h
+++ b/lib/libmedlarcroft/source/adapters/forward/reach_monitor.h
@@ -25,6 +25,7 @@
   class Probe;
 
   void Tick();
+  void OnTimeOver(request_path::TargetNumber target, bool is_reached);
   void OnProbed(request_path::TargetNumber target, bool is_reached);
   void LogChange();
 
