Read a response that is there before its time counts as over

What callers saw: a request of entryd or steerd ends as timed out although its whole response waits in the socket, when the client's thread was held up past the timeout. Cause: libcurl compares its clock before it reads. Change: HttpClient keeps the deadline itself and looks at it after a reading; an overdue transfer is read on while bytes of it come, for 0.2 s at most. The time to connect stays with libcurl: nothing was sent by then. Conclusion: who judges a peer reads first.

--- a/lib/libmedlarcroft/source/adapters/http/http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.cc
@@ -7,6 +7,7 @@
 #include <future>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -23,6 +24,9 @@
 /// response, and would be kept until memory is used up.
 constexpr std::size_t kMaxHeaderBytes = std::size_t{64} * 1024;
 
+/// A peer that sends on and on must not be read for ever.
+constexpr std::chrono::milliseconds kOverdueReading{200};
+
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 /// @brief A request in progress.
@@ -34,6 +38,10 @@
   curl_slist* header_list = nullptr;
   ClientResponse response;
   std::size_t header_bytes = 0;
+  SteadyTime deadline;
+  std::optional<SteadyTime> overdue_since;
+  /// Bytes that had arrived when the transfers were last looked at.
+  std::size_t bytes_before = 0;
   bool is_framed = false;
   bool is_head_complete = false;
   bool is_too_large = false;
@@ -119,6 +127,10 @@
   return std::max<long>(1, whole.count());
 }
 
+std::size_t BytesOf(const Transfer& transfer) {
+  return transfer.header_bytes + transfer.response.body.size();
+}
+
 std::string OriginOf(std::string_view url) {
   const auto scheme_end = url.find("://");
   const auto host = scheme_end == std::string_view::npos ? 0 : scheme_end + 3;
@@ -258,10 +270,12 @@
  private:
   void Run() {
     while (!ProcessCommands()) {
+      const SteadyTime now = std::chrono::steady_clock::now();
       int running = 0;
       curl_multi_perform(multi_, &running);
       CompleteFinishedTransfers();
-      curl_multi_poll(multi_, nullptr, 0, kMaxPollMilliseconds, nullptr);
+      CompleteOverdueTransfers(now);
+      curl_multi_poll(multi_, nullptr, 0, MillisecondsToPoll(), nullptr);
     }
     while (!active_.empty()) {
       CompleteTransfer(active_.begin()->second->easy,
@@ -342,8 +356,7 @@
     curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
                      static_cast<long>(CURL_HTTP_VERSION_1_1));
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                     RoundUpToMilliseconds(request.timeout));
+    transfer.deadline = std::chrono::steady_clock::now() + request.timeout;
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      RoundUpToMilliseconds(options_.connect_timeout));
     if (!options_.ca_file.empty()) {
@@ -403,6 +416,41 @@
     }
   }
 
+  /// Guards against responses that wait unread because this thread was held up:
+  /// libcurl's own timeout drops them. An overdue transfer is read on for a
+  /// bounded time, while bytes of it are there.
+  /// @param now a time before the transfers last read what had arrived.
+  void CompleteOverdueTransfers(SteadyTime now) {
+    std::vector<CURL*> overdue;
+    for (const auto& [easy, transfer] : active_) {
+      const std::size_t bytes = BytesOf(*transfer);
+      const bool is_moving =
+          std::exchange(transfer->bytes_before, bytes) != bytes;
+      if (transfer->deadline > now) {
+        continue;
+      }
+      const SteadyTime since = transfer->overdue_since.value_or(now);
+      transfer->overdue_since = since;
+      if (!is_moving || now - since >= kOverdueReading) {
+        overdue.push_back(easy);
+      }
+    }
+    for (CURL* easy : overdue) {
+      CompleteTransfer(easy,
+                       MakeResult(CURLE_OPERATION_TIMEDOUT, *active_.at(easy)));
+    }
+  }
+
+  [[nodiscard]] int MillisecondsToPoll() const {
+    auto wait = std::chrono::milliseconds(kMaxPollMilliseconds);
+    const SteadyTime now = std::chrono::steady_clock::now();
+    for (const auto& [easy, transfer] : active_) {
+      wait = std::min(wait, std::chrono::ceil<std::chrono::milliseconds>(
+                                transfer->deadline - now));
+    }
+    return static_cast<int>(std::max<std::int64_t>(0, wait.count()));
+  }
+
   void CompleteTransfer(CURL* easy, ClientResult result) {
     const auto found = active_.find(easy);
     const std::unique_ptr<Transfer> transfer = std::move(found->second);
