Let the daemons' connections end by their input, not both ways

What callers saw: a whole request or call got no answer when entryd or steerd was held up past an idle timeout, took new connections at its limit, or was told to stop; some of them ran. Cause: libmicrohttpd's idle timeout and its stop close without reading, and has no option that reads first; ThriftServer, ListenerConnections and ClientMemory shut a connection down both ways, so what waited was still read and run, and its answer could not be sent. Change: only the input ends (SHUT_RD): what has arrived stays readable and is answered, the last response says `Connection: close`, and the server then reads the end. libmicrohttpd gets no timeout; HttpServer looks itself, and asks the kernel since when nothing arrived and whether something is unread. Who gave way for memory and has its rest there is refused (503). A stop reads first: HTTP refuses (503, not-run), Thrift serves, each for 1 s at most. Other system tests, TLS and the figures of processor time were not run. Conclusion: a close that the kernel orders behind what has arrived needs no look that can be too early.

--- a/lib/libmedlarcroft/source/adapters/http/http_server.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_server.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <condition_variable>
 #include <mutex>
 #include <set>
 #include <utility>
@@ -29,6 +30,13 @@
 // By then those that stall have given way, or other hosts have room.
 constexpr std::string_view kRetryAfterSeconds = "1";
 
+// How exactly idle timeouts are kept.
+constexpr std::chrono::milliseconds kIdleCheckInterval{500};
+
+// For how long a stop waits for what has arrived to be read and refused.
+constexpr std::chrono::milliseconds kStopLimit{1000};
+constexpr std::chrono::milliseconds kStopCheckInterval{5};
+
 constexpr int kFirstClientErrorStatus = 400;
 constexpr int kFirstServerErrorStatus = 500;
 
@@ -291,7 +299,7 @@
       MHD_add_response_header(mhd_response, field.name.c_str(),
                               field.value.c_str());
     }
-    if (server.is_draining_) {
+    if (server.is_draining_ || IsLeaving(server, connection)) {
       MHD_add_response_header(mhd_response, MHD_HTTP_HEADER_CONNECTION,
                               "close");
     }
@@ -301,6 +309,11 @@
     return result;
   }
 
+  static bool IsLeaving(HttpServer& server, MHD_Connection* connection) {
+    const ConnectionRecord* const record = RecordOf(connection);
+    return record != nullptr && server.connections_.IsLeaving(record->place);
+  }
+
   static void BeginRequest(HttpServer& server,
                            MHD_Connection* connection,
                            const char* url,
@@ -369,6 +382,11 @@
       return Queue(connection, server, refusal);
     }
     context->OnWholeBody();
+    if (server.is_stopping_) {
+      HttpResponse refusal = MakeProblemResponse(503, "stopping");
+      refusal.headers.Add("Retry-After", kRetryAfterSeconds);
+      return Queue(connection, server, refusal);
+    }
     if (context->is_body_too_large) {
       server.counters_.bodies_too_large++;
       return Queue(connection, server,
@@ -533,8 +551,6 @@
       {MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes, nullptr},
       {MHD_OPTION_CONNECTION_LIMIT,
        static_cast<std::intptr_t>(MhdConnectionLimit(options)), nullptr},
-      {MHD_OPTION_CONNECTION_TIMEOUT,
-       static_cast<std::intptr_t>(options.idle_timeout.count()), nullptr},
       {MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024, nullptr},
   };
   if (options.threads > 1) {
@@ -560,6 +576,11 @@
   const MHD_DaemonInfo* info =
       MHD_get_daemon_info(server->daemon_, MHD_DAEMON_INFO_BIND_PORT);
   server->port_ = info ? info->port : 0;
+  server->idle_checks_ =
+      std::jthread([raw = server.get(), idle_timeout = options.idle_timeout](
+                       const std::stop_token& stop) {
+        raw->CheckIdleUntil(stop, idle_timeout);
+      });
   return server;
 }
 
@@ -577,12 +598,43 @@
   if (daemon_ == nullptr) {
     return;
   }
+  idle_checks_ = {};
   is_draining_ = true;
+  is_stopping_ = true;
+  AnswerPendingRequests();
+  RefuseArrivedRequests();
   // libmicrohttpd must not be stopped while a connection is suspended.
+  AnswerPendingRequests();
+  MHD_stop_daemon(std::exchange(daemon_, nullptr));
+}
+
+void HttpServer::AnswerPendingRequests() {
   for (const auto& context : pending_requests_->All()) {
     context->Send(MakeStoppingResponse());
   }
-  MHD_stop_daemon(std::exchange(daemon_, nullptr));
+}
+
+// Guards against whole requests dropped unread: libmicrohttpd closes its
+// connections without reading them.
+void HttpServer::RefuseArrivedRequests() {
+  const auto limit = std::chrono::steady_clock::now() + kStopLimit;
+  connections_.LetAllLeave();
+  while (!connections_.IsEmpty() && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(kStopCheckInterval);
+  }
+}
+
+// Guards against requests that wait while the process is held up: the timeouts
+// of libmicrohttpd close their connections without reading them.
+void HttpServer::CheckIdleUntil(const std::stop_token& stop,
+                                Duration idle_timeout) {
+  std::mutex mutex;
+  std::condition_variable_any wakeup;
+  std::unique_lock lock(mutex);
+  while (!wakeup.wait_for(lock, stop, kIdleCheckInterval,
+                          [&stop] { return stop.stop_requested(); })) {
+    connections_.LetIdleLeave(idle_timeout);
+  }
 }
 
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/http/http_server.h
+++ b/lib/libmedlarcroft/source/adapters/http/http_server.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <stop_token>
 #include <string>
+#include <thread>
 
 #include "adapters/http/http_message.h"
 #include "adapters/process/client_bounds.h"
@@ -73,8 +75,8 @@
     /// Bounds memory: each connection has a buffer of at most 32 KB. Beyond it
     /// those that have brought least are closed.
     unsigned max_connections = 4096;
-    /// Closes stalled connections; longer than the deadline of any request
-    /// class.
+    /// Closes stalled connections, those excepted of which something waits to
+    /// be read; longer than the deadline of any request class.
     std::chrono::seconds idle_timeout{60};
     /// Bounds what requests' bodies take; unset: nothing does, but for the
     /// bound of each.
@@ -107,6 +109,9 @@
   friend struct ServerCallbacks;
 
   HttpServer(const Options& options, HttpHandler& handler);
+  void AnswerPendingRequests();
+  void RefuseArrivedRequests();
+  void CheckIdleUntil(const std::stop_token& stop, Duration idle_timeout);
 
   HttpHandler& handler_;
   MHD_Daemon* daemon_ = nullptr;
@@ -114,10 +119,12 @@
   std::string tls_certificate_;
   std::string tls_key_;
   std::atomic<bool> is_draining_{false};
+  std::atomic<bool> is_stopping_{false};
   HttpServerCounters counters_;
   const std::shared_ptr<ClientMemory> memory_;
   ListenerConnections connections_;
   std::unique_ptr<class PendingRequests> pending_requests_;
+  std::jthread idle_checks_;
 };
 
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/peer/thrift_server.cc
+++ b/lib/libmedlarcroft/source/adapters/peer/thrift_server.cc
@@ -8,10 +8,12 @@
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Stream.h>
 #include <ace/Thread.h>
+#include <sys/ioctl.h>
 #include <thrift/TProcessor.h>
 #include <thrift/transport/TBufferTransports.h>
 
 #include <array>
+#include <chrono>
 #include <mutex>
 #include <set>
 #include <span>
@@ -34,12 +36,11 @@
 /// closed, because sending blocks a server thread.
 constexpr time_t kSendTimeoutSeconds = 1;
 
-/// An idle connection must not count against the connection limit for ever.
-/// Peers send about once a second.
-constexpr time_t kIdleTimeoutSeconds = 60;
-
 constexpr int kListenBacklog = 128;
 
+/// For how long a stop serves calls that have arrived.
+constexpr std::chrono::seconds kStopLimit{1};
+
 /// Each message is held by its reader, by itself and by the one who decodes it.
 constexpr std::size_t kCopiesOfMessage = 3;
 /// Messages that are small anyway are not counted.
@@ -80,7 +81,11 @@
     threads_.clear();
     acceptor_.Close();
     const std::set<Connection*> remaining = std::exchange(connections_, {});
+    const auto limit = std::chrono::steady_clock::now() + kStopLimit;
     for (Connection* connection : remaining) {
+      if (std::chrono::steady_clock::now() < limit) {
+        connection->ServeArrived();
+      }
       reactor_.cancel_timer(connection);
       reactor_.remove_handler(connection, ACE_Event_Handler::ALL_EVENTS_MASK |
                                               ACE_Event_Handler::DONT_CALL);
@@ -121,7 +126,6 @@
       if (received_bytes <= 0) {
         return -1;
       }
-      has_received_ = true;
       impl_.counters_.bytes_in += static_cast<std::uint64_t>(received_bytes);
       if (!HasMemoryFor(static_cast<std::size_t>(received_bytes))) {
         return -1;
@@ -138,13 +142,23 @@
       return result;
     }
 
+    /// @brief Serves the calls that wait to be read.
+    void ServeArrived() {
+      ACE_OS::shutdown(stream_.get_handle(), ACE_SHUTDOWN_READ);
+      int unread = 0;
+      while (::ioctl(stream_.get_handle(), FIONREAD, &unread) == 0 &&
+             unread > 0 && handle_input(stream_.get_handle()) == 0) {
+      }
+    }
+
     void SetPlace(ListenerConnections::Id place) { place_ = place; }
     [[nodiscard]] ListenerConnections::Id Place() const { return place_; }
 
     int handle_timeout(const ACE_Time_Value& /*now*/,
                        const void* /*argument*/) override {
-      if (!has_received_.exchange(false)) {
-        ACE_OS::shutdown(stream_.get_handle(), ACE_SHUTDOWN_BOTH);
+      // A call that waits is served first, and its answer can be sent.
+      if (SilenceOf(stream_.get_handle()) >= impl_.options_.idle_timeout) {
+        ACE_OS::shutdown(stream_.get_handle(), ACE_SHUTDOWN_READ);
       }
       return 0;
     }
@@ -221,7 +235,6 @@
     Impl& impl_;
     ACE_SOCK_Stream stream_;
     FrameReader reader_;
-    std::atomic<bool> has_received_{true};
     bool is_closed_ = false;
     ClientMemory::Id holder_ = 0;
     ListenerConnections::Id place_ = 0;
@@ -290,7 +303,7 @@
     Connection* raw = connection.release();
     raw->SetPlace(places_.Add(raw->get_handle()));
     connections_.insert(raw);
-    const ACE_Time_Value idle(kIdleTimeoutSeconds);
+    const ACE_Time_Value idle(options_.idle_timeout.count());
     reactor_.schedule_timer(raw, nullptr, idle, idle);
     reactor_.register_handler(raw, ACE_Event_Handler::READ_MASK);
   }
--- a/lib/libmedlarcroft/source/adapters/peer/thrift_server.h
+++ b/lib/libmedlarcroft/source/adapters/peer/thrift_server.h
@@ -2,6 +2,7 @@
 #define MEDLARCROFT_ADAPTERS_PEER_THRIFT_SERVER_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -39,6 +40,9 @@
     /// More than twice the hosts of a full failure domain (52), with room for
     /// the relays of other domains.
     unsigned max_connections = 256;
+    /// Closes idle connections, so that they don't count against the limit for
+    /// ever. Peers send about once a second.
+    std::chrono::seconds idle_timeout{60};
     /// Bounds what messages take; unset: nothing does, but for the bound of
     /// each.
     std::shared_ptr<ClientMemory> memory;
--- a/lib/libmedlarcroft/source/adapters/process/client_bounds.h
+++ b/lib/libmedlarcroft/source/adapters/process/client_bounds.h
@@ -2,8 +2,10 @@
 #define MEDLARCROFT_ADAPTERS_PROCESS_CLIENT_BOUNDS_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -19,7 +21,8 @@
 /// out what `MemoryAccount` decides. Any thread may use it.
 ///
 /// Who gives way loses its connection; its room is free once the thread that
-/// serves it has noticed. Nobody waits: a request without room is refused.
+/// serves it has noticed. Nobody waits: a request without room is refused, and
+/// so is one that gave way and of which more has arrived.
 class ClientMemory {
  public:
   using Id = resources::MemoryAccount::Id;
@@ -46,27 +49,50 @@
   [[nodiscard]] std::uint64_t Refused() const { return refused_; }
 
  private:
+  struct Holder {
+    int descriptor = -1;
+    bool is_leaving = false;
+  };
+
+  void Expel(Id id);
+
   const ports::Clock& clock_;
   mutable std::mutex mutex_;
   resources::MemoryAccount account_;
-  std::unordered_map<Id, int> descriptors_;
+  std::unordered_map<Id, Holder> holders_;
   std::atomic<std::uint64_t> gave_way_{0};
   std::atomic<std::uint64_t> refused_{0};
 };
 
+/// @return for how long no byte has moved on a connection; none while something
+/// that has arrived is unread.
+[[nodiscard]] Duration SilenceOf(int descriptor);
+
 /// @brief The clients' connections of one listener; any thread may use it.
+///
+/// A connection leaves by the end of its input: its thread first gets what has
+/// arrived, serves what is whole, and then closes it.
 class ListenerConnections {
  public:
   using Id = resources::ConnectionLimit::Id;
 
   explicit ListenerConnections(std::size_t limit) : limit_(limit) {}
 
-  /// @brief Adds a connection, and closes the one that gives way for it.
+  /// @brief Adds a connection, and lets the one leave that gives way for it.
   /// @param descriptor must stay open until `Remove`.
   Id Add(int descriptor);
   void Remove(Id id);
   void SetState(Id id, resources::ConnectionState state);
 
+  /// @brief Lets those leave that were silent for `idle_timeout`, but for those
+  /// being served; closes those that don't read their response for so long.
+  void LetIdleLeave(Duration idle_timeout);
+  /// @brief Lets all leave.
+  void LetAllLeave();
+  /// @return whether a response is the last one of its connection.
+  [[nodiscard]] bool IsLeaving(Id id) const;
+  [[nodiscard]] bool IsEmpty() const;
+
   /// @return whether so many are there, those included whose end no thread has
   /// noticed, that a further one must be refused at once.
   [[nodiscard]] bool IsFull() const;
@@ -74,9 +100,20 @@
   [[nodiscard]] std::uint64_t GaveWay() const { return gave_way_; }
 
  private:
+  struct Connection {
+    int descriptor = -1;
+    resources::ConnectionState state = resources::ConnectionState::kSilent;
+    bool is_leaving = false;
+    std::chrono::steady_clock::time_point next_check;
+  };
+
+  void Leave(Id id);
+  void CloseOldestLeaving();
+
   mutable std::mutex mutex_;
   resources::ConnectionLimit limit_;
-  std::unordered_map<Id, int> descriptors_;
+  std::unordered_map<Id, Connection> connections_;
+  std::deque<Id> leaving_;
   std::atomic<std::uint64_t> gave_way_{0};
 };
 
