Bound how many are asked to give way for one new connection

Found by review of the mend, not seen by callers: clients that send without a pause and are answered at once would be served within one accept for as long as they do. Change: at most 64 are asked, then the new one is refused; a test, which would not end before. Conclusion: one newcomer costs at most 64 requests.

--- a/lib/libmedlarcroft/source/adapters/event/client_connections.cc
+++ b/lib/libmedlarcroft/source/adapters/event/client_connections.cc
@@ -4,13 +4,21 @@
 
 namespace medlarcroft::adapters {
 
+namespace {
+
+// Clients that send without a pause would be served for as long as they do,
+// and nobody else meanwhile.
+constexpr int kMaxAskedAtOnce = 64;
+
+}  // namespace
+
 ClientConnections::Id ClientConnections::Add(CloseTask close,
                                              bool is_reserved) {
   const Id id = limit_.Add();
   closes_.emplace(id, std::move(close));
-  while (limit_.IsExceeded()) {
+  for (int asked = 0; limit_.IsExceeded(); ++asked) {
     const auto least = limit_.FindExcess(id);
-    if (!least) {
+    if (!least || asked == kMaxAskedAtOnce) {
       if (is_reserved) {
         return id;
       }
@@ -29,9 +37,11 @@
 }
 
 void ClientConnections::FreeOne() {
-  auto least = limit_.FindLeast();
-  while (least && !Close(*least)) {
-    least = limit_.FindLeast();
+  for (int asked = 0; asked < kMaxAskedAtOnce; ++asked) {
+    const auto least = limit_.FindLeast();
+    if (!least || Close(*least)) {
+      return;
+    }
   }
 }
 
--- a/tests/unit/adapters/event/client_connections_test.cc
+++ b/tests/unit/adapters/event/client_connections_test.cc
@@ -75,6 +75,17 @@
   EXPECT_EQ(connections->GaveWay(), 1U);
 }
 
+// Guards against a loop that serves those who send without a pause for ever, to
+// make room for one.
+TEST_F(ClientConnectionsTest, ANewOneIsRefusedWhereAllGoOnSending) {
+  const auto connections = std::make_shared<ClientConnections>(loop_, 1);
+  (void)connections->Add([] { return false; }, false);
+  EXPECT_EQ(connections->Add([] { return true; }, false), 0U);
+  connections->FreeOne();
+  EXPECT_EQ(connections->Size(), 1U);
+  EXPECT_EQ(connections->Refused(), 1U);
+}
+
 // Guards against a probe of readiness that finds no room, so that the platform
 // takes the host for broken.
 TEST_F(ClientConnectionsTest, APortWithFewConnectionsAlwaysGetsOne) {
