Drop no input that arrives after the last look, and resume after a wait for room

Found by review, not seen by callers. What arrived between the last look and the close was still read and dropped; now it is read only where a reset would cost the client a response, so the client learns that nothing was read. A connection that waited for room while its request was served lost its wait with the lease and was never read again: before, the idle timeout dropped it, now it would have stayed for good. No test shows either.

--- a/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_server_connection.cc
@@ -406,6 +406,8 @@
   if (input_.empty()) {
     std::string().swap(input_);
     lease_.reset();
+    // The lease may have waited for room, and nobody else resumes.
+    stream_.ResumeReading();
     return;
   }
   ParseNextSoon();
@@ -683,12 +685,16 @@
     std::exchange(on_client_disconnected_, nullptr)();
   }
   HttpListener& listener = *std::exchange(listener_, nullptr);
-  phase_ = Phase::kClosing;
   // What the kernel holds still reaches the client, unless unread input resets
-  // the connection. One that reads nothing has been given up.
-  if (reason != CloseReason::kNoProgress && reason != CloseReason::kMemory) {
+  // the connection. One that reads nothing has been given up. Where nothing is
+  // held, the reset tells the client that what it has just sent was not read.
+  const bool is_given_up =
+      reason == CloseReason::kNoProgress || reason == CloseReason::kMemory;
+  if (!is_given_up &&
+      (phase_ == Phase::kClosing || delivery_.Undelivered() > 0)) {
     stream_.DiscardInput();
   }
+  phase_ = Phase::kClosing;
   stream_.Close();
   stream_.DropUnsent();
   parser_.reset();
