Ask again for a target after a pooled connection ended

Found by review and by the tests' author: a stray response may say that the target leaves, and the next pooled connection would carry the request all the same; the forwarder kept an iterator across callbacks. No test shows either.

--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.cc
@@ -117,7 +117,9 @@
   }
   // Guards against a request on a connection that the server has closed, which
   // would count as one that may have run: the loop may not have come to notice.
-  return connection->CatchUp() ? connection : TakeIdle(request);
+  // What arrived may have been a stray response that says that its server
+  // leaves, so a new connection asks again whether the target may be used.
+  return connection->CatchUp() ? connection : nullptr;
 }
 
 void EventHttpClient::AddIdle(
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -460,10 +460,11 @@
   }
   found->second->request_timer = 0;
   (void)CatchUp(ticket);
-  if (!active_requests_.contains(ticket)) {
+  const auto still = active_requests_.find(ticket);
+  if (still == active_requests_.end()) {
     return;
   }
-  End(*found->second, parts_.path.OnTimeout(ticket, parts_.loop.Now()));
+  End(*still->second, parts_.path.OnTimeout(ticket, parts_.loop.Now()));
   Remove(ticket);
 }
 
