Refuse an answer whose status is none

An interim answer of status 000 took the whole deadline: 504 after 1.5 s.

Cause: Boost.Beast reads any three digits, and nothing judged them before the head was acted on and the answer passed on.

Change: `HttpClientConnection` asks `ResponseHead` as soon as the head is complete, before what it says is reported and before its body is waited for.

Why it works: the status is judged at the one point that every response on the event loop passes before anybody sees it.

--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "adapters/event/http_serialization.h"
+#include "medlarcroft/response/response_head.h"
 
 namespace medlarcroft::adapters {
 
@@ -46,6 +47,12 @@
   return std::chrono::seconds(std::clamp(seconds, 0, 3600));
 }
 
+std::optional<response::HeadFault> FindFault(
+    const http::response_header<>& header) {
+  const response::ResponseHead head(static_cast<int>(header.result_int()));
+  return head.Fault();
+}
+
 }  // namespace
 
 HttpClientConnection::HttpClientConnection(EventHttpClient& client,
@@ -195,7 +202,14 @@
     // Only then: if the parser read the body in the same step, it would reserve
     // the announced length before it tells that this is too much.
     parser_->eager(parser_->is_header_done());
-    ReportHead();
+    if (HasBrokenHead()) {
+      Fail(ExchangeFailure::kMalformed);
+    } else {
+      ReportHead();
+    }
+    if (exchange_ == 0) {
+      return;
+    }
     if (error && error != http::error::need_more) {
       const bool is_too_large = error == http::error::body_limit;
       client_.counters_.endless_responses +=
@@ -204,9 +218,6 @@
                         : ExchangeFailure::kMalformed);
       return;
     }
-    if (exchange_ == 0) {
-      return;
-    }
     if (!parser_->is_done()) {
       ReserveWholeRange();
       if (used == 0) {
@@ -256,6 +267,11 @@
   lease_.reset();
 }
 
+bool HttpClientConnection::HasBrokenHead() const {
+  return !is_head_reported_ && parser_->is_header_done() &&
+         FindFault(parser_->get());
+}
+
 // Before the body: it may break off, and what the head says holds all the same.
 void HttpClientConnection::ReportHead() {
   if (is_head_reported_ || !parser_->is_header_done()) {
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
@@ -54,6 +54,8 @@
 
   void ResetParser();
   void Parse();
+  /// @return whether a complete head, not reported yet, is that of no response.
+  [[nodiscard]] bool HasBrokenHead() const;
   /// @brief Reports the head of the current response once it is complete.
   void ReportHead();
   /// @brief Reports the head of a response that comes when none is due.
