Refuse an answer in a transfer coding that nobody asked for

Cause: Boost.Beast takes what is not `chunked` at the end of one list for no framing and reads until the close. The field concerns one connection, so it is not passed on, and nothing tells that the body is coded.

Change: the event loop's client has each field judged by `ResponseHead`: `chunked` alone, once, and no length beside it.

Why it works: requests carry no TE, so no other coding may come, and a body in one can't be what the target means.

--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -49,7 +49,12 @@
 
 std::optional<response::HeadFault> FindFault(
     const http::response_header<>& header) {
-  const response::ResponseHead head(static_cast<int>(header.result_int()));
+  response::ResponseHead head(static_cast<int>(header.result_int()));
+  for (const auto& field : header) {
+    head.OnField(
+        {.name = {field.name_string().data(), field.name_string().size()},
+         .value = {field.value().data(), field.value().size()}});
+  }
   return head.Fault();
 }
 
--- a/tests/system/broken_answer_test.py
+++ b/tests/system/broken_answer_test.py
@@ -33,6 +33,8 @@
         "Ab", "Ab: \x07", "Content-Length: 1")},
     "length with a blank before the colon": head(framing="Content-Length : 1\r\n\r\n" + BODY),
     "coding with a blank before the colon": head(framing="Transfer-Encoding : chunked\r\nContent-Length: x\r\n" + CHUNKS),
+    **{f"coding {coding}": head(framing=f"Transfer-Encoding: {coding}\r\n" + CHUNKS) for coding in (
+        "gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked")},
     "length and chunks": head(framing=LENGTH + "Transfer-Encoding: chunked\r\n" + CHUNKS),
     "chunk that is longer": head(framing="Transfer-Encoding: chunked\r\n\r\n1\r\nhello\r\n0\r\n\r\n"),
     "interim answer of status 000": "HTTP/1.1 000 Early\r\n\r\n" + head(),
@@ -173,7 +175,8 @@
     # Guards against targets that get no requests by the word of a head that is none.
     def test_broken_head_says_nothing_of_its_target(self):
         says = "Server-Leaving: 1\r\nX-Medlarcroft-Server-Load: 99,99,1\r\nRetry-After: 5\r\n"
-        for sent in (head("000 Busy", line=says), head("503 Busy", line=says + "A b: c\r\n")):
+        for sent in (head("000 Busy", line=says), head("503 Busy", line=says, framing="Transfer-Encoding: gzip\r\n\r\n"),
+                     head("503 Busy", line=says + "A b: c\r\n")):
             self.set_targets(sent)
             for _ in range(2):
                 self.assertIn(self.call("/order/1", "POST")[0], FAILURES)
