Let a broken late head say nothing of its target

What callers saw: targets answered properly and sent a second, broken head behind it (status 000, with `Server-Leaving: 1`). After one such answer from each target of a service its callers got 503 `no-target`, although all targets served.

Cause: `ReportExtraHead` reads what comes when no answer is due, so that a late refusal that asks for rest is not lost, and acted on the head without judging it.

Change: it asks the same rule first. A head that is none says nothing of load, rest or leaving.

Evidence: system_broken_answer, test_broken_late_answer_is_nobodys, on the code before: (503, `{"code":"no-target"}`) in place of (200, `hello`). With the change 6 of 6 answers, and no target rests or leaves. Proper late heads still count (HeadTest).

Why it works: both places that act on a head, the awaited one and the late one, now ask before they act.

--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -305,7 +305,9 @@
   ResetParser();
   boost::beast::error_code error;
   parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
-  ReportHead();
+  if (!HasBrokenHead()) {
+    ReportHead();
+  }
   parser_.reset();
 }
 
--- a/tests/system/broken_answer_test.py
+++ b/tests/system/broken_answer_test.py
@@ -184,6 +184,14 @@
             self.set_targets(None)
             wait_for(lambda: self.call("/order/2", "POST")[0] == 200)
 
+    # Guards against a late answer, broken, that says something of its target or reaches the next caller.
+    def test_broken_late_answer_is_nobodys(self):
+        self.set_targets(head() + head("000 Late", line="Server-Leaving: 1\r\n"), closes=False)
+        for _ in range(6):
+            status, _, body, _ = self.call("/order/1", "POST")
+            self.assertEqual((status, body), (200, BODY.encode()))
+        self.check_nothing_said()
+
 
 if __name__ == "__main__":
     unittest.main()
