Judge what libcurl hands on by the same rule

Cause: `OnHeader` trimmed the name before the colon and took it for framing that libcurl does not see; everything else was what libcurl lets through. What a head said counted although it broke off or libcurl refused it.

Change: `OnHeader` has each line judged by `ResponseHead` and ends the transfer at the first fault (`kMalformed`); status and framing come from it. A transfer without a whole, valid head reports neither status nor fields. Trailers are dropped: they came in among the fields of the head. For attempts of `medlar-entryd` a broken answer counts like one that broke off: it may have run.

Why it works: libcurl shows every line of a head before it shows the body, and the transfer ends before that.

--- a/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
@@ -35,6 +35,7 @@
     case TransportFailure::kTruncated:
     case TransportFailure::kUnframed:
     case TransportFailure::kTooLarge:
+    case TransportFailure::kMalformed:
       return AttemptOutcome::kTruncated;
     default:
       return AttemptOutcome::kConnectionLost;
--- a/lib/libmedlarcroft/source/adapters/http/http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.cc
@@ -12,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "medlarcroft/response/response_head.h"
+
 namespace medlarcroft::adapters {
 
 namespace {
@@ -42,8 +44,10 @@
   std::optional<SteadyTime> overdue_since;
   /// Bytes that had arrived when the transfers were last looked at.
   std::size_t bytes_before = 0;
-  bool is_framed = false;
+  /// The head that is read, or was read last; nullopt: none has begun.
+  std::optional<response::ResponseHead> head;
   bool is_head_complete = false;
+  std::optional<response::HeadFault> fault;
   bool is_too_large = false;
   bool is_withheld = false;
 
@@ -83,12 +87,52 @@
   return transfer.is_withheld ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
-std::string_view TrimSpace(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t\r\n");
-  if (first == std::string_view::npos) {
-    return {};
+std::string_view WithoutLineEnd(std::string_view line) {
+  for (const char end : {'\n', '\r'}) {
+    if (line.ends_with(end)) {
+      line.remove_suffix(1);
+    }
+  }
+  return line;
+}
+
+/// @brief Begins a head; those of interim responses (1xx) are discarded.
+std::optional<response::HeadFault> OnStatusLine(std::string_view line,
+                                                Transfer& transfer) {
+  const auto status = response::ReadStatusLine(line);
+  if (!IsOk(status)) {
+    return ErrorOf(status);
+  }
+  transfer.head.emplace(ValueOf(status));
+  transfer.is_head_complete = false;
+  transfer.response.headers = {};
+  return transfer.head->Fault();
+}
+
+std::optional<response::HeadFault> OnFieldLine(std::string_view line,
+                                               Transfer& transfer) {
+  const auto field = response::ReadFieldLine(line);
+  if (!IsOk(field)) {
+    return ErrorOf(field);
   }
-  return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+  const auto& [name, value] = ValueOf(field);
+  transfer.head->OnField(ValueOf(field));
+  transfer.response.headers.Add(name, value);
+  return transfer.head->Fault();
+}
+
+/// @return why the line, which has no line end, is no part of a response.
+std::optional<response::HeadFault> OnHeadLine(std::string_view line,
+                                              Transfer& transfer) {
+  if (!transfer.head || transfer.is_head_complete) {
+    const bool is_trailer = transfer.head && !transfer.head->IsInterim();
+    return is_trailer ? std::nullopt : OnStatusLine(line, transfer);
+  }
+  if (line.empty()) {
+    transfer.is_head_complete = true;
+    return std::nullopt;
+  }
+  return OnFieldLine(line, transfer);
 }
 
 std::size_t OnHeader(char* data,
@@ -98,28 +142,11 @@
   auto& transfer = *static_cast<Transfer*>(self);
   const std::string_view line(data, size * count);
   transfer.header_bytes += line.size();
-  if (transfer.header_bytes > kMaxHeaderBytes) {
-    transfer.is_too_large = true;
-    return 0;
-  }
-  if (line.starts_with("HTTP/")) {
-    // Headers of an interim response (1xx) are discarded; only the last block
-    // counts.
-    transfer.response.headers = {};
-    transfer.is_framed = false;
-    transfer.is_head_complete = false;
-    return line.size();
-  }
-  transfer.is_head_complete |= TrimSpace(line).empty();
-
-  const auto colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    const std::string_view name = TrimSpace(line.substr(0, colon));
-    transfer.response.headers.Add(name, TrimSpace(line.substr(colon + 1)));
-    transfer.is_framed |= IsSameHeaderName(name, "Content-Length") ||
-                          IsSameHeaderName(name, "Transfer-Encoding");
+  transfer.is_too_large = transfer.header_bytes > kMaxHeaderBytes;
+  if (!transfer.is_too_large) {
+    transfer.fault = OnHeadLine(WithoutLineEnd(line), transfer);
   }
-  return line.size();
+  return transfer.is_too_large || transfer.fault ? 0 : line.size();
 }
 
 long RoundUpToMilliseconds(Duration duration) {
@@ -140,7 +167,7 @@
 /// Guards against a head that breaks off and looks like a whole response:
 /// libcurl takes the end of the connection for the end of the head.
 bool HasCompleteHead(const Transfer& transfer) {
-  return transfer.is_head_complete && transfer.response.status / 100 != 1;
+  return transfer.is_head_complete && !transfer.head->IsInterim();
 }
 
 bool HasNoBody(const Transfer& transfer) {
@@ -155,6 +182,9 @@
   if (transfer.is_too_large) {
     return TransportFailure::kTooLarge;
   }
+  if (transfer.fault) {
+    return TransportFailure::kMalformed;
+  }
   switch (code) {
     case CURLE_COULDNT_CONNECT:
       return TransportFailure::kCannotConnect;
@@ -180,28 +210,39 @@
   return new_connections == 0;
 }
 
-ClientResult MakeResult(CURLcode code, Transfer& transfer) {
-  long status = 0;
-  curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-  transfer.response.status = static_cast<int>(status);
+bool IsFramed(const Transfer& transfer) {
+  return transfer.head->Framing() != response::BodyFraming::kUntilClose ||
+         HasNoBody(transfer);
+}
 
-  const bool was_reused = WasConnectionReused(transfer.easy);
+/// @return why a transfer that libcurl takes for a success is none.
+std::optional<TransportFailure> FindFailure(CURLcode code,
+                                            const Transfer& transfer) {
   if (code != CURLE_OK) {
-    return TransportError{.failure = FailureOf(code, transfer),
-                          .is_proved_unsent = IsProvedUnsent(transfer.easy),
-                          .was_connection_reused = was_reused,
-                          .status = transfer.response.status,
-                          .headers = std::move(transfer.response.headers)};
-  }
-  const bool is_head_complete = HasCompleteHead(transfer);
-  if (!is_head_complete || (!transfer.is_framed && !HasNoBody(transfer))) {
-    return TransportError{.failure = is_head_complete
-                                         ? TransportFailure::kUnframed
-                                         : TransportFailure::kTruncated,
-                          .is_proved_unsent = false,
-                          .was_connection_reused = was_reused,
-                          .status = transfer.response.status,
-                          .headers = std::move(transfer.response.headers)};
+    return FailureOf(code, transfer);
+  }
+  if (!HasCompleteHead(transfer)) {
+    return TransportFailure::kTruncated;
+  }
+  return IsFramed(transfer) ? std::nullopt
+                            : std::optional(TransportFailure::kUnframed);
+}
+
+ClientResult MakeResult(CURLcode code, Transfer& transfer) {
+  // What is no whole head says nothing of the server.
+  if (HasCompleteHead(transfer)) {
+    transfer.response.status = transfer.head->Status();
+  } else {
+    transfer.response.headers = {};
+  }
+  const bool was_reused = WasConnectionReused(transfer.easy);
+  if (const auto failure = FindFailure(code, transfer)) {
+    return TransportError{
+        .failure = *failure,
+        .is_proved_unsent = code != CURLE_OK && IsProvedUnsent(transfer.easy),
+        .was_connection_reused = was_reused,
+        .status = transfer.response.status,
+        .headers = std::move(transfer.response.headers)};
   }
   transfer.response.was_connection_reused = was_reused;
   return std::move(transfer.response);
--- a/lib/libmedlarcroft/source/adapters/http/http_client.h
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.h
@@ -46,6 +46,7 @@
   kTruncated,      ///< The response ended before its announced length.
   kUnframed,       ///< The response announced no length, so its end is unknown.
   kTooLarge,       ///< The response exceeds `max_answer_bytes`.
+  kMalformed,      ///< Not a valid response.
   kBroken,         ///< Any other failure of the connection.
   kCancelled,      ///< `Cancel` was called.
   kWithheld,       ///< `may_send` said no; nothing was sent.
@@ -57,7 +58,7 @@
   /// True only when it is certain that no byte of the request was sent.
   bool is_proved_unsent = false;
   bool was_connection_reused = false;
-  /// Of the response that is not complete; 0 if no head arrived.
+  /// Of the response that is not complete; 0 if no whole, valid head arrived.
   int status = 0;
   HttpHeaders headers;
 };
--- a/tests/unit/adapters/broken_response_test.cc
+++ b/tests/unit/adapters/broken_response_test.cc
@@ -8,6 +8,7 @@
 
 #include "adapters/event/event_http_client.h"
 #include "adapters/event/http_serialization.h"
+#include "adapters/http/http_client.h"
 #include "adapters/process/system_clock.h"
 #include "fakes/broken_responses.h"
 #include "fakes/scripted_server.h"
@@ -35,6 +36,19 @@
 
 using Fetch = Taken (*)(const std::string& address);
 
+Taken FetchWithLibcurl(const std::string& address) {
+  HttpClient client({});
+  ClientResult result = client.SendAndWait(
+      {.url = "http://" + address + "/", .timeout = kTimeout});
+  if (IsOk(result)) {
+    return {.body = ValueOf(result).body,
+            .is_told = ValueOf(result).headers.Find("Leaving").has_value()};
+  }
+  const TransportError& error = ErrorOf(result);
+  return {.is_malformed = error.failure != TransportFailure::kTimedOut,
+          .is_told = error.status != 0 || !error.headers.Fields().empty()};
+}
+
 Taken FetchOnEventLoop(const std::string& address) {
   const SystemClock clock;
   EventLoop loop(clock);
@@ -68,8 +82,8 @@
 
 std::vector<ReaderCase> CasesOf(const std::vector<SentResponse>& responses) {
   std::vector<ReaderCase> cases;
-  cases.reserve(responses.size());
   for (const SentResponse& sent : responses) {
+    cases.push_back({"libcurl_" + sent.name, &FetchWithLibcurl, sent});
     cases.push_back({"event_loop_" + sent.name, &FetchOnEventLoop, sent});
   }
   return cases;
