Send an empty reason for a status without a known name

What callers saw: `HTTP/1.1 299 <unknown-status>` for a proper answer of status 299.

Cause: the table of reason phrases has that text for what it does not know.

Change: the reason is empty then, which RFC 9112, section 4, allows; clients ignore it.

Evidence: system_broken_answer, "status without a known name", on the code before: GET, POST and HEAD got `<unknown-status>`, 3 of 3; with the change none.

Why it works: the table is asked only for what it knows.

--- a/lib/libmedlarcroft/source/adapters/event/http_serialization.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_serialization.cc
@@ -34,6 +34,14 @@
   }
 }
 
+/// @return the reason phrase; empty for a status without a known name.
+boost::beast::string_view ReasonOf(int status) {
+  namespace http = boost::beast::http;
+  const http::status known = http::int_to_status(static_cast<unsigned>(status));
+  return known == http::status::unknown ? boost::beast::string_view()
+                                        : http::obsolete_reason(known);
+}
+
 bool MethodExpectsBody(std::string_view method) {
   return method == "POST" || method == "PUT" || method == "PATCH";
 }
@@ -98,9 +106,7 @@
 
 std::string FormatResponseHead(const HttpResponse& response,
                                ResponseFraming framing) {
-  const auto reason =
-      boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(
-          static_cast<unsigned>(response.status)));
+  const boost::beast::string_view reason = ReasonOf(response.status);
   std::string text;
   text.append("HTTP/1.1 ")
       .append(std::to_string(response.status))
--- a/tests/system/broken_answer_test.py
+++ b/tests/system/broken_answer_test.py
@@ -45,6 +45,7 @@
 }
 # Odd, and proper: the body that callers get.
 PROPER = {
+    "status without a known name": (head("299 Odd"), BODY),
     "interim answer first": ("HTTP/1.1 103 Early\r\nLink: a\r\n\r\n" + head(), BODY),
     "204 with a length": (head("204 No Content"), ""),
     "304 with a body": (head("304 Not Modified"), ""),
