Take no request in a planned stop that can't be answered before its end

What callers saw (LOST): in a planned stop, in calm, requests sent up to 2.75 s after SIGTERM were passed on with their full time and cut without an answer, requests that must not be repeated among them, as soon as targets needed longer than the stop had left.

Cause: a stopping host serves on for 2.8 s, while callers hold look-up answers that name it, and ends 5.4 s after the signal (limit of 6 s). Nothing told the request path of that end: a request kept the timeout of its route, and what had no answer at the end was dropped.

Change: `StopSequence::LatestEnd` tells the end, and `AnswerBy` binds all requests to a time a thirtieth of the limit before it. - A request is taken if its whole time ends before that, or the longest of its route's recent sends does, with a quarter on top; what still waits at the targets counts. The others get 503 `host-leaving` at once, before they are sent, and Retry-After of 50 ms: other hosts have the time. - What is in hand, taken before or after the signal, gets its answer or 504 by then; targets are told the shorter time; repeats keep to it. Sends for other hosts end as `timed-out`, which says that they may have run. A second signal answers what is in hand before the process ends.

Why it works: no request is sent that may outlast the process unless recent sends say that it won't, and each one is ended by a timer that is due before the process ends.

--- a/lib/libmedlarcroft/include/medlarcroft/process/stop_sequence.h
+++ b/lib/libmedlarcroft/include/medlarcroft/process/stop_sequence.h
@@ -45,6 +45,9 @@
 
   [[nodiscard]] StopPhase Phase() const { return phase_; }
 
+  /// @return when the process ends at the latest, once a stop was requested.
+  [[nodiscard]] MonotonicTime LatestEnd(MonotonicTime now) const;
+
   /// @return number of requests aborted by the shutdown; 0 until stopped.
   [[nodiscard]] std::size_t Cut() const { return aborted_count_; }
 
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_path.h
@@ -98,6 +98,10 @@
   /// @param quotas must outlive this object.
   void EnforceQuotas(quota::QuotaGate& quotas) { quotas_ = &quotas; }
 
+  /// @brief This host stops: all requests must be answered by `due`, those that
+  /// it has and those that it takes from now on.
+  void AnswerBy(MonotonicTime due);
+
   [[nodiscard]] bool IsRouted(const CallerRequest& request) const {
     return routes_.Find(request.host, request.target) != nullptr;
   }
@@ -246,6 +250,15 @@
       const CallerRequest& request,
       RequestStart& start,
       MonotonicTime now);
+  /// @return the refusal of a request that this host may not answer before its
+  /// end; nullopt: it will, or does not stop.
+  [[nodiscard]] std::optional<RequestFailure> CheckStop(
+      const RequestStart& start,
+      MonotonicTime now) const;
+  /// @return the longest time that sends of the route took lately, or take;
+  /// nullopt: none has ended lately.
+  [[nodiscard]] std::optional<Duration> LongestSend(const RequestStart& start,
+                                                    MonotonicTime now) const;
   /// @return whether a newer configuration may be in force.
   [[nodiscard]] bool IsConfigurationStale(MonotonicTime now) const {
     return configuration_age_.overdue_at &&
@@ -377,6 +390,8 @@
   membership::HostShare share_{.hosts = 1};
   ConfigurationAge configuration_age_;
   bool is_store_away_ = false;
+  /// When all requests must be answered; nullopt: this host does not stop.
+  std::optional<MonotonicTime> answers_due_;
   quota::QuotaGate* quotas_ = nullptr;
   /// Requests that wait for a token, in the order of arrival. Some of them may
   /// have ended.
@@ -386,6 +401,7 @@
   std::map<ServiceName, retries::RetryBudget> retry_budgets_;
   std::map<ServiceName, ServiceTimes> times_;
   std::map<std::pair<ServiceName, std::string>, ServiceTimes> route_times_;
+  std::map<std::pair<ServiceName, std::string>, RecentLongest> longest_sends_;
   std::map<ServiceName, admission::ServiceAdmission> admissions_;
   admission::ReturningCallers returning_callers_;
   std::map<ServiceName, RegionPlan> plans_;
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/request_step.h
@@ -50,7 +50,8 @@
   kRetriesExhausted,     ///< It did not run, and no further send is permitted.
   kMayHaveRun,           ///< A send was lost, and must not be repeated.
   kTimedOut,             ///< The time ended while a target had the request.
-  kHostDraining,         ///< This host shuts down and takes no new requests.
+  kHostDraining,         ///< This host shuts down, and may not answer it
+                         ///< before its end.
   kRequestBlocked,       ///< The request is blocked because it crashed targets.
   kKeyUnknown,           ///< No client account holds the API key, or there is
                          ///< none and the route is not public.
@@ -68,6 +69,11 @@
   kNoMemory,     ///< It gave way to others before it arrived whole.
 };
 
+/// @brief When callers may return that a stopping host refuses: other hosts
+/// serve them at once.
+inline constexpr Duration kRetryAfterWhenLeaving =
+    std::chrono::milliseconds(50);
+
 /// @brief The limit by which a request was refused.
 struct AdmissionLimit {
   int priority = 0;      ///< 0 is the highest.
--- a/lib/libmedlarcroft/include/medlarcroft/request_path/service_times.h
+++ b/lib/libmedlarcroft/include/medlarcroft/request_path/service_times.h
@@ -2,6 +2,7 @@
 #define MEDLARCROFT_REQUEST_PATH_SERVICE_TIMES_H_
 
 #include <map>
+#include <optional>
 
 #include "medlarcroft/core/identifiers.h"
 #include "medlarcroft/core/time.h"
@@ -44,6 +45,24 @@
   double mean_seconds_;
 };
 
+/// @brief The longest time that a send took lately.
+class RecentLongest {
+ public:
+  void OnTook(Duration duration, MonotonicTime now);
+  /// @return nullopt: none was observed lately.
+  [[nodiscard]] std::optional<Duration> Longest(MonotonicTime now) const;
+
+ private:
+  /// @brief What was observed in one period.
+  struct Period {
+    MonotonicTime begin;
+    std::optional<Duration> longest;
+  };
+
+  Period current_;
+  Period previous_;
+};
+
 }  // namespace medlarcroft::request_path
 
 #endif  // MEDLARCROFT_REQUEST_PATH_SERVICE_TIMES_H_
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.cc
@@ -30,6 +30,7 @@
 
 RelayHandler::~RelayHandler() {
   parts_.loop.Cancel(tick_timer_);
+  parts_.loop.Cancel(end_timer_);
   for (auto& [number, relay] : in_flight_) {
     relay.exchange->OnCallerGone(nullptr);
     parts_.caller.Cancel(relay.sent);
@@ -205,6 +206,41 @@
   }
 }
 
+void RelayHandler::AnswerBy(MonotonicTime due) {
+  parts_.loop.Cancel(std::exchange(end_timer_, 0));
+  const Duration left = due - parts_.loop.Now();
+  if (left <= Duration(0)) {
+    EndAll();
+    return;
+  }
+  end_timer_ = parts_.loop.After(left, [this] {
+    end_timer_ = 0;
+    EndAll();
+  });
+}
+
+// The other host learns that the request may have run. A connection that ends
+// would tell it nothing, and would look like a helper that has failed.
+void RelayHandler::EndAll() {
+  std::vector<std::uint64_t> numbers;
+  for (const auto& [number, relay] : in_flight_) {
+    numbers.push_back(number);
+  }
+  for (const std::uint64_t number : numbers) {
+    // What has arrived counts, also if this host was held up.
+    const auto waiting = in_flight_.find(number);
+    if (waiting != in_flight_.end()) {
+      parts_.caller.CatchUp(waiting->second.sent);
+    }
+    const auto ended = in_flight_.extract(number);
+    if (!ended.empty()) {
+      parts_.caller.Cancel(ended.mapped().sent);
+      Fail(*ended.mapped().exchange, RelayEnd::kTimedOut,
+           ended.mapped().notice);
+    }
+  }
+}
+
 void RelayHandler::OnRequesterGone(std::uint64_t number) {
   const auto ended = in_flight_.extract(number);
   if (!ended.empty()) {
--- a/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
+++ b/lib/libmedlarcroft/source/adapters/forward/relay_handler.h
@@ -52,6 +52,8 @@
   void OnGaveWay(const HttpRequest& head,
                  const std::shared_ptr<HttpExchange>& exchange) override;
 
+  /// @brief This host shuts down: each relay in hand is answered by `due`.
+  void AnswerBy(MonotonicTime due);
   /// @brief Refuses all new relays from now on, since this host shuts down.
   void StopAccepting() { is_accepting_ = false; }
   [[nodiscard]] std::size_t InFlight() const { return in_flight_.size(); }
@@ -86,6 +88,9 @@
   void StartTicking();
   void Tick();
   void EndAbandonedRelays();
+  /// @brief Ends relays whose targets have not answered before the end of this
+  /// host.
+  void EndAll();
   void Fail(HttpExchange& exchange,
             RelayEnd end,
             const request_path::TargetNotice& notice = {});
@@ -95,6 +100,7 @@
   request_path::RelayLimit limit_;
   bool is_accepting_ = true;
   TimerId tick_timer_ = 0;
+  TimerId end_timer_ = 0;
   std::uint64_t last_relay_ = 0;
   std::unordered_map<std::uint64_t, Relay> in_flight_;
 };
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "adapters/forward/target_connections.h"
 
@@ -18,8 +19,6 @@
 using request_path::SendAttempt;
 using request_path::Step;
 
-// Callers of a draining host can use another host at once.
-constexpr Duration kRetryAfterWhenLeaving = std::chrono::milliseconds(50);
 // Clients that read nothing are given up within seconds; until then other hosts
 // have room.
 constexpr Duration kRetryAfterWithoutRoom = std::chrono::milliseconds(500);
@@ -127,7 +126,7 @@
   if (!is_accepting_) {
     exchange->Identify(active->decoded.id, now);
     End(*active, {.reason = request_path::FailureReason::kHostDraining,
-                  .retry_after = kRetryAfterWhenLeaving});
+                  .retry_after = request_path::kRetryAfterWhenLeaving});
     return;
   }
   if (!parts_.has_room()) {
@@ -153,6 +152,29 @@
   ExecuteStep(ticket, stored.start.step);
 }
 
+// Guards against requests that are cut by the end of the process: without an
+// answer, a caller can't tell them from those that were never read.
+void RequestForwarder::AnswerBy(MonotonicTime due) {
+  const MonotonicTime now = parts_.loop.Now();
+  parts_.path.AnswerBy(due);
+  std::vector<RequestTicket> overdue;
+  for (auto& [ticket, active] : active_requests_) {
+    if (active->started_at + active->start.time_left <= due) {
+      continue;
+    }
+    parts_.loop.Cancel(active->request_timer);
+    if (due <= now) {
+      overdue.push_back(ticket);
+      continue;
+    }
+    active->request_timer = parts_.loop.After(
+        due - now, [this, ticket = ticket] { OnTimeout(ticket); });
+  }
+  for (const RequestTicket ticket : overdue) {
+    OnTimeout(ticket);
+  }
+}
+
 void RequestForwarder::ExecuteStep(RequestTicket ticket, const Step& step) {
   const auto found = active_requests_.find(ticket);
   if (found == active_requests_.end()) {
--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.h
@@ -68,6 +68,8 @@
   /// @brief Continues requests of the account that waited for a token.
   void OnTokens(const ClientAccountName& account);
 
+  /// @brief This host shuts down: each request gets its response by `due`.
+  void AnswerBy(MonotonicTime due);
   /// @brief Rejects all new requests from now on, since this host shuts down.
   void StopAcceptingRequests() { is_accepting_ = false; }
 
--- a/lib/libmedlarcroft/source/process/stop_sequence.cc
+++ b/lib/libmedlarcroft/source/process/stop_sequence.cc
@@ -29,6 +29,14 @@
   }
 }
 
+MonotonicTime StopSequence::LatestEnd(MonotonicTime now) const {
+  if (is_immediate_ || phase_ == StopPhase::kStopped) {
+    return now;
+  }
+  const MonotonicTime end = entered_at_ + options_.finish_limit;
+  return phase_ == StopPhase::kAnnouncing ? end + options_.announce_time : end;
+}
+
 void StopSequence::Enter(StopPhase phase, MonotonicTime now) {
   phase_ = phase;
   entered_at_ = now;
--- a/lib/libmedlarcroft/source/request_path/request_path.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path.cc
@@ -68,6 +68,13 @@
                              start.route->timeout);
   RetryBudgetOf(start.service).OnEarned(now);
   arrivals_.OnEvent(now);
+  if (const auto refusal = CheckStop(start, now)) {
+    start.step = *refusal;
+    return start;
+  }
+  if (answers_due_) {
+    start.time_left = std::min(start.time_left, *answers_due_ - now);
+  }
   if (const auto blocked = crashes_.BlockedFor(request.fingerprint, now)) {
     start.step = RequestFailure{.reason = FailureReason::kRequestBlocked,
                                 .retry_after = blocked};
--- a/lib/libmedlarcroft/source/request_path/request_path_reports.cc
+++ b/lib/libmedlarcroft/source/request_path/request_path_reports.cc
@@ -40,6 +40,8 @@
   }
   std::optional<double> relative;
   if (end == AttemptEnd::kAnswered || end == AttemptEnd::kTimedOut) {
+    longest_sends_[{request.service, request.route->name}].OnTook(
+        now - attempt.sent_at, now);
     const double seconds = ToSeconds(
         now - attempt.sent_at - attempt.round_trip - attempt.expected_wait);
     const double work = std::max(seconds, 0.0);
--- a/lib/libmedlarcroft/source/request_path/service_times.cc
+++ b/lib/libmedlarcroft/source/request_path/service_times.cc
@@ -16,6 +16,8 @@
 constexpr Duration kDefaultOwnRegionRoundTrip = std::chrono::milliseconds(2);
 constexpr Duration kDefaultOtherRegionRoundTrip = std::chrono::milliseconds(80);
 constexpr int kRoundTripGainDivisor = 8;
+// A longest time is known for one to two of these.
+constexpr Duration kLongestPeriod = std::chrono::seconds(15);
 
 }  // namespace
 
@@ -64,4 +66,23 @@
   return FromSeconds(mean_seconds_);
 }
 
+void RecentLongest::OnTook(Duration duration, MonotonicTime now) {
+  if (now - current_.begin >= kLongestPeriod) {
+    previous_ = current_;
+    current_ = {.begin = now};
+  }
+  current_.longest = std::max(current_.longest.value_or(duration), duration);
+}
+
+std::optional<Duration> RecentLongest::Longest(MonotonicTime now) const {
+  std::optional<Duration> longest;
+  for (const Period& period : {current_, previous_}) {
+    const bool is_recent = now - period.begin < 2 * kLongestPeriod;
+    if (is_recent && period.longest) {
+      longest = std::max(longest.value_or(*period.longest), *period.longest);
+    }
+  }
+  return longest;
+}
+
 }  // namespace medlarcroft::request_path
--- a/programs/node/node.cc
+++ b/programs/node/node.cc
@@ -29,6 +29,9 @@
 // is slow or busy. What is left at its beginning is cut.
 constexpr Duration kMinStopReserve = std::chrono::milliseconds(350);
 constexpr int kStopReserveDivisor = 10;
+// Part of the stop limit, before that reserve, in which responses of this host
+// reach the callers whose targets have not answered.
+constexpr int kAnswerMarginDivisor = 30;
 // How often a stopping host looks whether all is delivered.
 constexpr Duration kStopCheckPeriod = std::chrono::milliseconds(50);
 // How long a starting host searches for hosts that read the tables for its
@@ -389,7 +392,12 @@
 }
 
 void Node::RequestStop(int signals) {
-  stop_.OnSignal(signals, loop_.Now());
+  const MonotonicTime now = loop_.Now();
+  stop_.OnSignal(signals, now);
+  const MonotonicTime answers_due =
+      stop_.LatestEnd(now) - settings_.bounds.stop_limit / kAnswerMarginDivisor;
+  forwarder_.AnswerBy(answers_due);
+  relay_handler_.AnswerBy(answers_due);
   peers_.SetPhase(HostPhase::kLeaving);
   caller_listener_->StartDraining();
   relay_handler_.StopAccepting();
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -58,7 +58,8 @@
 class Node:
     """A medlar-node process with its log file."""
 
-    def __init__(self, folder, number, store_port, store=None, telemetry=None, region="r1", memory_mb=256, descriptors=None):
+    def __init__(self, folder, number, store_port, store=None, telemetry=None, region="r1", memory_mb=256, descriptors=None,
+                 bounds=None):
         ip = f"{NET}.1.{number}"
         self.name, self.caller, self.lookup = f"edge-{number}", (ip, 18100), (ip, 18102)
         self.readiness, self.peer, self.metrics = (ip, 18101), (ip, 18103), (ip, 18104)
@@ -69,7 +70,7 @@
             "domains": [{"domain": "z1", "region": "r1"}, {"domain": "z2", "region": "r2"}],
             "caller_listen": f"{ip}:18100", "readiness_listen": f"{ip}:18101", "lookup_listen": f"{ip}:18102",
             "peer_listen": f"{ip}:18103", "metrics_listen": f"{ip}:18104", "store_address": store or f"{NET}.0.1:{store_port}",
-            "memory_mb": memory_mb, "telemetry": telemetry or {}}))
+            "memory_mb": memory_mb, "telemetry": telemetry or {}, "bounds": bounds or {}}))
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen([NODE, "--settings", settings], stdout=log, preexec_fn=make_limit(descriptors))
 
--- a/tests/unit/process/stop_sequence_test.cc
+++ b/tests/unit/process/stop_sequence_test.cc
@@ -54,6 +54,18 @@
   EXPECT_EQ(sequence.Cut(), 1U);
 }
 
+// Guards against requests that are taken although the process ends before they
+// can be answered.
+TEST(StopSequence, TellsItsLatestEnd) {
+  StopSequence sequence(kOptions);
+  sequence.OnSignal(1, kStart);
+  EXPECT_EQ(sequence.LatestEnd(kStart), kStart + seconds(66));
+  sequence.Advance(1, kStart + seconds(6));
+  EXPECT_EQ(sequence.LatestEnd(kStart + seconds(6)), kStart + seconds(66));
+  sequence.OnSignal(2, kStart + seconds(7));
+  EXPECT_EQ(sequence.LatestEnd(kStart + seconds(7)), kStart + seconds(7));
+}
+
 TEST(StopSequence, SecondSignalStopsAtOnceAndCountsAbortedRequests) {
   StopSequence sequence(kOptions);
   sequence.OnSignal(1, kStart);
