Log why an answer of a target, a host or the store is none

Cause: a broken answer ended an attempt as `lost`, like a broken connection; nothing told operators which it was, or what was wrong.

The unit tests of the client and system_broken_answer pass. Conclusion: a target that sends such answers can be told from a network that cuts.

--- a/lib/libmedlarcroft/source/adapters/event/event_http_client.h
+++ b/lib/libmedlarcroft/source/adapters/event/event_http_client.h
@@ -11,6 +11,7 @@
 
 #include "adapters/event/event_loop.h"
 #include "adapters/event/held_memory.h"
+#include "adapters/event/log_budget.h"
 #include "adapters/http/http_message.h"
 #include "medlarcroft/core/result.h"
 #include "medlarcroft/core/time.h"
@@ -169,6 +170,7 @@
   EventLoop& loop_;
   Options options_;
   EventHttpClientCounters counters_;
+  LogBudget log_budget_;
   ExchangeId last_exchange_ = 0;
   std::unordered_map<ExchangeId, std::shared_ptr<HttpClientConnection>> active_;
   std::unordered_map<std::string,
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "adapters/event/http_serialization.h"
-#include "medlarcroft/response/response_head.h"
+#include "adapters/process/log.h"
 
 namespace medlarcroft::adapters {
 
@@ -207,7 +207,8 @@
     // Only then: if the parser read the body in the same step, it would reserve
     // the announced length before it tells that this is too much.
     parser_->eager(parser_->is_header_done());
-    if (HasBrokenHead()) {
+    if (const auto fault = FindHeadFault()) {
+      LogBroken(*fault);
       Fail(ExchangeFailure::kMalformed);
     } else {
       ReportHead();
@@ -272,9 +273,21 @@
   lease_.reset();
 }
 
-bool HttpClientConnection::HasBrokenHead() const {
-  return !is_head_reported_ && parser_->is_header_done() &&
-         FindFault(parser_->get());
+std::optional<response::HeadFault> HttpClientConnection::FindHeadFault() const {
+  return !is_head_reported_ && parser_->is_header_done()
+             ? FindFault(parser_->get())
+             : std::nullopt;
+}
+
+void HttpClientConnection::LogBroken(response::HeadFault fault) {
+  LogBudget& budget = client_.log_budget_;
+  if (budget.Take(client_.loop_.Now())) {
+    Log(LogLevel::kWarning, "response-broken",
+        {{"request", request_.id},
+         {"address", address_},
+         {"fault", response::NameOf(fault)},
+         {"lines_left_out", budget.TakeLeftOut()}});
+  }
 }
 
 // Before the body: it may break off, and what the head says holds all the same.
@@ -305,7 +318,7 @@
   ResetParser();
   boost::beast::error_code error;
   parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
-  if (!HasBrokenHead()) {
+  if (!FindHeadFault()) {
     ReportHead();
   }
   parser_.reset();
--- a/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
+++ b/lib/libmedlarcroft/source/adapters/event/http_client_connection.h
@@ -11,6 +11,7 @@
 #include "adapters/event/event_http_client.h"
 #include "adapters/event/tcp_stream.h"
 #include "medlarcroft/request_path/response_attribution.h"
+#include "medlarcroft/response/response_head.h"
 
 namespace medlarcroft::adapters {
 
@@ -54,8 +55,9 @@
 
   void ResetParser();
   void Parse();
-  /// @return whether a complete head, not reported yet, is that of no response.
-  [[nodiscard]] bool HasBrokenHead() const;
+  /// @return why a complete head, not reported yet, is that of no response.
+  [[nodiscard]] std::optional<response::HeadFault> FindHeadFault() const;
+  void LogBroken(response::HeadFault fault);
   /// @brief Reports the head of the current response once it is complete.
   void ReportHead();
   /// @brief Reports the head of a response that comes when none is due.
