Answer what medlar-entryd has in hand before a planned stop ends

What callers saw (LOST): with targets that take 4 s, `drain.pause_ms` of 3 s and `drain.limit_ms` of 6 s, an order sent 2.75 s after SIGTERM ran and got no answer. With a limit of 4 s and targets that never answer, 11 of 13 orders got none; after a second signal 12 of 13. Some of them ran.

Cause: as in `medlar-node`: requests kept the deadline of their class, and what had no answer at the limit was dropped with its connection.

Change: from the signal on a request whose deadline is beyond the stop's end is refused as `stopping`, with its run state. Half a second before the end, or at a second signal, `RequestEngine::EndAll` answers what is in hand: 503 `stopping` if it provably did not run, else 504 `answer-lost`.

Why it works: the end is known at the signal, what is taken ends before it, and what was taken before is ended while the listener still sends.

--- a/lib/libmedlarcroft/source/adapters/entry/entry_node.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/entry_node.cc
@@ -76,6 +76,10 @@
   return secrets;
 }
 
+/// In which the answers of requests that the end of the process ends reach
+/// their callers; longer than two ticks.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(500);
+
 std::uint64_t MakeIncarnation(const ports::Clock& clock) {
   return static_cast<std::uint64_t>(clock.WallNow().time_since_epoch() /
                                     std::chrono::microseconds(1));
@@ -238,6 +242,10 @@
   void Tick() {
     capacity_.RecordHeartbeat();
     caller_monitor_.Check();
+    if (stop_.Phase() == process::StopPhase::kFinishing &&
+        clock_.Now() >= AnswersDue()) {
+      engine_.EndAll();
+    }
     stop_.Advance(http_server_->Counters().in_flight, clock_.Now());
     if (stop_.Phase() == process::StopPhase::kFinishing) {
       handler_.StopAdmitting();
@@ -260,12 +268,21 @@
     routing_synchronizer_.AnnounceLeaving();
     http_server_->StartDraining();
     stop_.OnSignal(count, clock_.Now());
+    service_handler_.AnswerBy(AnswersDue());
+    if (count > 1) {
+      engine_.EndAll();
+    }
   }
 
   [[nodiscard]] const process::StopSequence& Stop() const { return stop_; }
   [[nodiscard]] std::uint16_t Port() const { return http_server_->Port(); }
 
  private:
+  /// @return when callers must have their answers, once a stop was requested.
+  [[nodiscard]] MonotonicTime AnswersDue() const {
+    return stop_.LatestEnd(clock_.Now()) - kAnswerMargin;
+  }
+
   void StartThreads() {
     routing_thread_ = std::make_unique<PeriodicThread>([this] {
       routing_synchronizer_.Synchronize();
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine.h
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine.h
@@ -84,6 +84,10 @@
   /// result.
   void Cancel(decision::RequestTicket ticket, bool is_kept_if_dispatched);
 
+  /// @brief Ends all requests, since the process ends: each caller learns
+  /// whether its request may have run.
+  void EndAll();
+
   /// @brief Applies a target's own count of its outstanding requests, taken
   /// `age` ago.
   void OnTargetReport(const TargetName& target,
@@ -156,6 +160,11 @@
                      const decision::Refusal& refusal,
                      Replies& replies);
   void RunDueActions(Replies& replies);
+  /// @brief Ends a request that is not answered.
+  /// @param code for the response, by what is known of the request.
+  void EndUnanswered(decision::RequestTicket ticket,
+                     ProblemCode (*code)(decision::RunState),
+                     Replies& replies);
   void CancelAttempts(const std::vector<decision::AttemptId>& attempts);
   /// Removes a request that is answered and has no running attempt.
   void EraseIfFinished(decision::RequestTicket ticket);
--- a/lib/libmedlarcroft/source/adapters/entry/service_request_handler.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/service_request_handler.cc
@@ -64,7 +64,10 @@
   context.responder = responder;
   context.done = MakeResponseCallback(service_request, responder);
   if (const auto problem = PrepareRequest(context)) {
-    return MakeProblem(*problem, run_state_if_refused, kNotReadyRetryAfter);
+    return MakeProblem(*problem, run_state_if_refused,
+                       *problem == ProblemCode::kStopping
+                           ? kStoppingRetryAfter
+                           : kNotReadyRetryAfter);
   }
 
   const bool is_guarded_by_sender =
@@ -103,7 +106,11 @@
       context.service->config.request_class.deadline);
   context.deadline =
       dependencies_.clock.Now() + std::min(time_left, dependencies_.max_work);
-  return std::nullopt;
+  // Guards against requests that the end of this process cuts: other hosts have
+  // all the time that they may take.
+  return context.deadline > answers_due_.load()
+             ? std::optional(ProblemCode::kStopping)
+             : std::nullopt;
 }
 
 void ServiceRequestHandler::RunNonIdempotent(RequestContext context) {
--- a/lib/libmedlarcroft/source/adapters/entry/service_request_handler.h
+++ b/lib/libmedlarcroft/source/adapters/entry/service_request_handler.h
@@ -1,6 +1,7 @@
 #ifndef MEDLARCROFT_ADAPTERS_ENTRY_SERVICE_REQUEST_HANDLER_H_
 #define MEDLARCROFT_ADAPTERS_ENTRY_SERVICE_REQUEST_HANDLER_H_
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,6 +43,10 @@
       HttpRequest request,
       const std::shared_ptr<Responder>& responder);
 
+  /// @brief This host shuts down: from now on, requests that may take longer
+  /// than until `due` are refused. Any thread may call it.
+  void AnswerBy(MonotonicTime due) { answers_due_ = due; }
+
   /// @return the response to a request that arrives while this host accepts no
   /// new ones.
   [[nodiscard]] HttpResponse RefuseWhileStopping(
@@ -88,6 +93,7 @@
                                  decision::RunState run_state);
 
   const Dependencies dependencies_;
+  std::atomic<MonotonicTime> answers_due_{MonotonicTime::max()};
 };
 
 }  // namespace medlarcroft::adapters
