Read heads for libcurl in a class of their own

Change: `ResponseHeadReader` reads and judges the lines that libcurl hands on; `RequestForwarder::AnswerBy` moves to a file for what a stop ends. No behaviour changes.

Conclusion: the callbacks say what libcurl tells, the reader says what it means.

--- a/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/forward/request_forwarder.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 #include <variant>
-#include <vector>
 
 #include "adapters/forward/target_connections.h"
 
@@ -152,29 +151,6 @@
   ExecuteStep(ticket, stored.start.step);
 }
 
-// Guards against requests that are cut by the end of the process: without an
-// answer, a caller can't tell them from those that were never read.
-void RequestForwarder::AnswerBy(MonotonicTime due) {
-  const MonotonicTime now = parts_.loop.Now();
-  parts_.path.AnswerBy(due);
-  std::vector<RequestTicket> overdue;
-  for (auto& [ticket, active] : active_requests_) {
-    if (active->started_at + active->start.time_left <= due) {
-      continue;
-    }
-    parts_.loop.Cancel(active->request_timer);
-    if (due <= now) {
-      overdue.push_back(ticket);
-      continue;
-    }
-    active->request_timer = parts_.loop.After(
-        due - now, [this, ticket = ticket] { OnTimeout(ticket); });
-  }
-  for (const RequestTicket ticket : overdue) {
-    OnTimeout(ticket);
-  }
-}
-
 void RequestForwarder::ExecuteStep(RequestTicket ticket, const Step& step) {
   const auto found = active_requests_.find(ticket);
   if (found == active_requests_.end()) {
--- a/lib/libmedlarcroft/source/adapters/http/http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.cc
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include "medlarcroft/response/response_head.h"
+#include "adapters/http/response_head_reader.h"
 
 namespace medlarcroft::adapters {
 
@@ -44,9 +44,7 @@
   std::optional<SteadyTime> overdue_since;
   /// Bytes that had arrived when the transfers were last looked at.
   std::size_t bytes_before = 0;
-  /// The head that is read, or was read last; nullopt: none has begun.
-  std::optional<response::ResponseHead> head;
-  bool is_head_complete = false;
+  ResponseHeadReader head;
   std::optional<response::HeadFault> fault;
   bool is_too_large = false;
   bool is_withheld = false;
@@ -87,54 +85,6 @@
   return transfer.is_withheld ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
-std::string_view WithoutLineEnd(std::string_view line) {
-  for (const char end : {'\n', '\r'}) {
-    if (line.ends_with(end)) {
-      line.remove_suffix(1);
-    }
-  }
-  return line;
-}
-
-/// @brief Begins a head; those of interim responses (1xx) are discarded.
-std::optional<response::HeadFault> OnStatusLine(std::string_view line,
-                                                Transfer& transfer) {
-  const auto status = response::ReadStatusLine(line);
-  if (!IsOk(status)) {
-    return ErrorOf(status);
-  }
-  transfer.head.emplace(ValueOf(status));
-  transfer.is_head_complete = false;
-  transfer.response.headers = {};
-  return transfer.head->Fault();
-}
-
-std::optional<response::HeadFault> OnFieldLine(std::string_view line,
-                                               Transfer& transfer) {
-  const auto field = response::ReadFieldLine(line);
-  if (!IsOk(field)) {
-    return ErrorOf(field);
-  }
-  const auto& [name, value] = ValueOf(field);
-  transfer.head->OnField(ValueOf(field));
-  transfer.response.headers.Add(name, value);
-  return transfer.head->Fault();
-}
-
-/// @return why the line, which has no line end, is no part of a response.
-std::optional<response::HeadFault> OnHeadLine(std::string_view line,
-                                              Transfer& transfer) {
-  if (!transfer.head || transfer.is_head_complete) {
-    const bool is_trailer = transfer.head && !transfer.head->IsInterim();
-    return is_trailer ? std::nullopt : OnStatusLine(line, transfer);
-  }
-  if (line.empty()) {
-    transfer.is_head_complete = true;
-    return std::nullopt;
-  }
-  return OnFieldLine(line, transfer);
-}
-
 std::size_t OnHeader(char* data,
                      std::size_t size,
                      std::size_t count,
@@ -144,7 +94,7 @@
   transfer.header_bytes += line.size();
   transfer.is_too_large = transfer.header_bytes > kMaxHeaderBytes;
   if (!transfer.is_too_large) {
-    transfer.fault = OnHeadLine(WithoutLineEnd(line), transfer);
+    transfer.fault = transfer.head.OnLine(line);
   }
   return transfer.is_too_large || transfer.fault ? 0 : line.size();
 }
@@ -164,12 +114,6 @@
   return std::string(url.substr(0, url.find('/', host)));
 }
 
-/// Guards against a head that breaks off and looks like a whole response:
-/// libcurl takes the end of the connection for the end of the head.
-bool HasCompleteHead(const Transfer& transfer) {
-  return transfer.is_head_complete && !transfer.head->IsInterim();
-}
-
 bool HasNoBody(const Transfer& transfer) {
   const int status = transfer.response.status;
   return transfer.request.method == "HEAD" || status == 204 || status == 304;
@@ -211,7 +155,7 @@
 }
 
 bool IsFramed(const Transfer& transfer) {
-  return transfer.head->Framing() != response::BodyFraming::kUntilClose ||
+  return transfer.head.Framing() != response::BodyFraming::kUntilClose ||
          HasNoBody(transfer);
 }
 
@@ -221,7 +165,9 @@
   if (code != CURLE_OK) {
     return FailureOf(code, transfer);
   }
-  if (!HasCompleteHead(transfer)) {
+  // Guards against a head that breaks off and looks like a whole response:
+  // libcurl takes the end of the connection for the end of the head.
+  if (!transfer.head.HasFinalHead()) {
     return TransportFailure::kTruncated;
   }
   return IsFramed(transfer) ? std::nullopt
@@ -230,10 +176,9 @@
 
 ClientResult MakeResult(CURLcode code, Transfer& transfer) {
   // What is no whole head says nothing of the server.
-  if (HasCompleteHead(transfer)) {
-    transfer.response.status = transfer.head->Status();
-  } else {
-    transfer.response.headers = {};
+  if (transfer.head.HasFinalHead()) {
+    transfer.response.status = transfer.head.Status();
+    transfer.response.headers = transfer.head.TakeFields();
   }
   const bool was_reused = WasConnectionReused(transfer.easy);
   if (const auto failure = FindFailure(code, transfer)) {
