Say what was sent of a request that medlar-entryd's stop ends

Callers saw: an order that arrived just as a second SIGTERM did was told 504 and `unknown`, though its target never got a byte of it. Such an order may not be sent to another host, so its caller lost it for nothing.

Cause: RequestEngine::EndAll answered each dispatched request as `unknown` as soon as it had asked the client to end the attempts; only the client's thread knows whether anything was sent, and its word came later and was dropped.

The stand-in of the system test no longer throws at a connection that ends without a request; its check stays.

Why it works: the client counts a request as unsent only if no byte of it went to a connection, and nothing is sent after the attempt has ended.

--- a/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
@@ -85,7 +85,8 @@
                               std::string_view attempt_id) {
   if (!IsOk(result)) {
     const TransportError& error = ErrorOf(result);
-    AttemptResult failed{.outcome = OutcomeOf(error)};
+    AttemptResult failed{.outcome = OutcomeOf(error),
+                         .is_proved_unsent = error.is_proved_unsent};
     ReadHead(error.status, error.headers, failed);
     return failed;
   }
--- a/lib/libmedlarcroft/source/adapters/entry/attempt_result.h
+++ b/lib/libmedlarcroft/source/adapters/entry/attempt_result.h
@@ -23,6 +23,8 @@
   /// The answer echoed the ID of another attempt, so it belongs to another
   /// request.
   bool is_id_mismatched = false;
+  /// No byte was sent, whatever ended the attempt.
+  bool is_proved_unsent = false;
 };
 
 /// @brief Classifies the transport's result of the attempt with the ID
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine.cc
@@ -87,63 +87,6 @@
   return ticket;
 }
 
-void RequestEngine::Cancel(decision::RequestTicket ticket,
-                           bool is_kept_if_dispatched) {
-  Replies replies;
-  {
-    const std::lock_guard lock(mutex_);
-    const auto found = in_flight_.find(ticket.id);
-    if (found == in_flight_.end() || !found->second.done) {
-      return;
-    }
-    if (is_kept_if_dispatched && !found->second.attempts.empty()) {
-      return;
-    }
-    EndUnanswered(
-        ticket,
-        [](decision::RunState) { return ProblemCode::kCallerDisconnected; },
-        replies);
-  }
-  RunCallbacks(std::move(replies));
-}
-
-void RequestEngine::EndAll() {
-  Replies replies;
-  {
-    const std::lock_guard lock(mutex_);
-    std::vector<decision::RequestTicket> unanswered;
-    for (const auto& [id, in_flight] : in_flight_) {
-      if (in_flight.done) {
-        unanswered.push_back({id});
-      }
-    }
-    for (const decision::RequestTicket ticket : unanswered) {
-      EndUnanswered(
-          ticket,
-          [](decision::RunState run_state) {
-            return run_state == decision::RunState::kNotRun
-                       ? ProblemCode::kStopping
-                       : ProblemCode::kAnswerLost;
-          },
-          replies);
-    }
-  }
-  RunCallbacks(std::move(replies));
-}
-
-void RequestEngine::EndUnanswered(decision::RequestTicket ticket,
-                                  ProblemCode (*code)(decision::RunState),
-                                  Replies& replies) {
-  InFlightRequest& in_flight = in_flight_.at(ticket.id);
-  const decision::RunState run_state = scheduler_.RunStateOf(ticket);
-  CancelAttempts(scheduler_.Cancel(ticket, clock_.Now()));
-  replies.push_back({std::move(in_flight.done),
-                     {.run_state = run_state,
-                      .response = MakeProblem(code(run_state), run_state)}});
-  in_flight.done = nullptr;
-  EraseIfFinished(ticket);
-}
-
 void RequestEngine::OnTargetReport(const TargetName& target,
                                    std::uint32_t outstanding,
                                    Duration age) {
@@ -263,12 +206,4 @@
   EraseIfFinished(ticket);
 }
 
-void RequestEngine::EraseIfFinished(decision::RequestTicket ticket) {
-  const auto found = in_flight_.find(ticket.id);
-  if (found != in_flight_.end() && !found->second.done &&
-      found->second.attempts.empty()) {
-    in_flight_.erase(found);
-  }
-}
-
 }  // namespace medlarcroft::adapters
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine.h
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine.h
@@ -85,7 +85,8 @@
   void Cancel(decision::RequestTicket ticket, bool is_kept_if_dispatched);
 
   /// @brief Ends all requests, since the process ends: each caller learns
-  /// whether its request may have run.
+  /// whether its request may have run. Returns once all are answered; must not
+  /// be called from a callback.
   void EndAll();
 
   /// @brief Applies a target's own count of its outstanding requests, taken
@@ -127,6 +128,10 @@
     ResultCallback done;
     std::map<std::uint32_t, Attempt> attempts;
     bool was_answer_unusable = false;
+    /// What the attempts that have ended prove.
+    decision::RunState run_state = decision::RunState::kNotRun;
+    /// Ended by `EndAll`, which waits for the end of the attempts.
+    bool is_ending = false;
   };
 
   /// A callback to run once the lock is released.
@@ -160,11 +165,24 @@
                      const decision::Refusal& refusal,
                      Replies& replies);
   void RunDueActions(Replies& replies);
-  /// @brief Ends a request that is not answered.
-  /// @param code for the response, by what is known of the request.
-  void EndUnanswered(decision::RequestTicket ticket,
-                     ProblemCode (*code)(decision::RunState),
-                     Replies& replies);
+  [[nodiscard]] std::vector<decision::RequestTicket> Unanswered() const;
+  void StartEnding(decision::RequestTicket ticket, Replies& replies);
+  /// @param result of an attempt that has ended of a request that is ending.
+  /// @return whether the request is answered with that.
+  bool OnEndingAttempt(decision::RequestTicket ticket,
+                       const TargetName& target,
+                       AttemptResult result,
+                       Replies& replies);
+  /// @brief Answers a request whose attempts have all ended without a response.
+  static void AnswerEnded(InFlightRequest& in_flight, Replies& replies);
+  static void AnswerWithProblem(InFlightRequest& in_flight,
+                                ProblemCode code,
+                                decision::RunState run_state,
+                                Replies& replies);
+  static void AnswerWithResponse(InFlightRequest& in_flight,
+                                 const TargetName& target,
+                                 AttemptResult result,
+                                 Replies& replies);
   void CancelAttempts(const std::vector<decision::AttemptId>& attempts);
   /// Removes a request that is answered and has no running attempt.
   void EraseIfFinished(decision::RequestTicket ticket);
@@ -180,6 +198,10 @@
   SharedRoutingTable routes_;
   std::unordered_map<std::uint64_t, InFlightRequest> in_flight_;
 
+  /// Requests that `EndAll` has ended and whose callbacks have not run.
+  std::size_t ending_ = 0;
+  std::condition_variable all_ended_;
+
   std::condition_variable scheduler_wakeup_;
   std::optional<MonotonicTime> scheduler_sleeps_until_;
   bool is_stopping_ = false;
--- a/lib/libmedlarcroft/source/adapters/entry/request_engine_attempts.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/request_engine_attempts.cc
@@ -26,6 +26,11 @@
   return response;
 }
 
+decision::RunState RunStateAfter(const AttemptResult& result) {
+  return result.is_proved_unsent ? decision::RunState::kNotRun
+                                 : decision::RulesFor(result.outcome).run_state;
+}
+
 }  // namespace
 
 void RequestEngine::Send(const decision::Dispatch& dispatch) {
@@ -80,6 +85,7 @@
 void RequestEngine::OnClientResult(decision::AttemptId id,
                                    ClientResult client_result) {
   Replies replies;
+  bool is_ended = false;
   {
     const std::lock_guard lock(mutex_);
     const auto found = in_flight_.find(id.ticket.id);
@@ -106,11 +112,37 @@
     found->second.was_answer_unusable |=
         result.outcome == decision::AttemptOutcome::kTruncated ||
         result.is_id_mismatched;
-    ApplyNextStep(id.ticket, step, attempt.target, std::move(result), replies);
+    found->second.run_state =
+        std::max(found->second.run_state, RunStateAfter(result));
+    if (found->second.is_ending) {
+      is_ended = OnEndingAttempt(id.ticket, attempt.target, std::move(result),
+                                 replies);
+    } else {
+      ApplyNextStep(id.ticket, step, attempt.target, std::move(result),
+                    replies);
+    }
     RunDueActions(replies);
     WakeSchedulerIfEarlier();
   }
   RunCallbacks(std::move(replies));
+  if (is_ended) {
+    const std::lock_guard lock(mutex_);
+    --ending_;
+    all_ended_.notify_all();
+  }
+}
+
+void RequestEngine::AnswerWithResponse(InFlightRequest& in_flight,
+                                       const TargetName& target,
+                                       AttemptResult result,
+                                       Replies& replies) {
+  const decision::RunState run_state =
+      decision::RulesFor(result.outcome).run_state;
+  replies.push_back(
+      {std::exchange(in_flight.done, nullptr),
+       {.run_state = run_state,
+        .response = ToResponse(*std::move(result.answer), run_state, target),
+        .is_target_answer = true}});
 }
 
 void RequestEngine::ReportTargetState(const Attempt& attempt,
@@ -148,15 +180,8 @@
                                   Replies& replies) {
   if (const auto* finished = std::get_if<decision::Finished>(&step)) {
     CancelAttempts(finished->to_cancel);
-    InFlightRequest& in_flight = in_flight_.at(ticket.id);
-    const decision::RunState run_state =
-        decision::RulesFor(result.outcome).run_state;
-    replies.push_back(
-        {std::move(in_flight.done),
-         {.run_state = run_state,
-          .response = ToResponse(*std::move(result.answer), run_state, target),
-          .is_target_answer = true}});
-    in_flight.done = nullptr;
+    AnswerWithResponse(in_flight_.at(ticket.id), target, std::move(result),
+                       replies);
   } else if (const auto* dispatch = std::get_if<decision::Dispatch>(&step)) {
     Send(*dispatch);
   } else if (const auto* refusal = std::get_if<decision::Refusal>(&step)) {
--- a/tests/system/daemon_answers_test.py
+++ b/tests/system/daemon_answers_test.py
@@ -34,7 +34,10 @@
 
         class Handler(socketserver.StreamRequestHandler):
             def handle(self):
-                path = self.rfile.readline().split(b" ")[1].decode()
+                start = self.rfile.readline()
+                if not start:  # The connection ended before a request.
+                    return
+                path = start.split(b" ")[1].decode()
                 length = 0
                 while (line := self.rfile.readline().strip()) != b"":
                     name, _, value = line.partition(b":")
--- a/tests/unit/adapters/entry/request_engine_test.cc
+++ b/tests/unit/adapters/entry/request_engine_test.cc
@@ -1,8 +1,15 @@
 #include "adapters/entry/request_engine.h"
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <future>
+#include <optional>
+#include <thread>
 
 #include "adapters/http/http_server.h"
 #include "adapters/process/system_clock.h"
@@ -23,13 +30,56 @@
       HttpRequest /*request*/,
       const std::shared_ptr<Responder>& responder) override {
     responders_.push_back(responder);
+    ++requests_;
     return std::nullopt;
   }
 
+  void AwaitRequest() const {
+    while (requests_ == 0) {
+      std::this_thread::yield();
+    }
+  }
+
  private:
+  std::atomic<int> requests_ = 0;
   std::vector<std::shared_ptr<Responder>> responders_;
 };
 
+/// A listener whose queue is full: connections to it are neither established
+/// nor refused.
+class FullListener {
+ public:
+  FullListener() {
+    sockaddr_in address{.sin_family = AF_INET};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    socklen_t length = sizeof(address);
+    EXPECT_EQ(::bind(listener_, generic, length), 0);
+    EXPECT_EQ(::listen(listener_, 0), 0);
+    EXPECT_EQ(::getsockname(listener_, generic, &length), 0);
+    port_ = ntohs(address.sin_port);
+    for (int& filler : fillers_) {
+      filler = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)::connect(filler, generic, length);
+    }
+  }
+  ~FullListener() {
+    for (const int filler : fillers_) {
+      ::close(filler);
+    }
+    ::close(listener_);
+  }
+  FullListener(const FullListener&) = delete;
+  FullListener& operator=(const FullListener&) = delete;
+
+  [[nodiscard]] int Port() const { return port_; }
+
+ private:
+  int listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+  int port_ = 0;
+  std::array<int, 4> fillers_{};
+};
+
 class NoEvents final : public RequestEvents {
  public:
   AttemptTrace OnAttemptStart(const ServiceRequest& /*request*/,
@@ -58,7 +108,9 @@
 /// An engine with one service on one target that has one slot.
 class RequestEngineFixture {
  public:
-  explicit RequestEngineFixture(catalogue::KeyMode key_mode) {
+  /// @param port of the target; nullopt: that of a silent one.
+  explicit RequestEngineFixture(catalogue::KeyMode key_mode,
+                                std::optional<int> port = std::nullopt) {
     ServiceRoute service;
     service.config = {
         .service = ServiceName("ledger"),
@@ -71,7 +123,7 @@
         .brands = {{.brand = BrandName("a")}},
         .targets = {{.name = TargetName("t"), .slots = 1, .share = 1}}};
     service.target_addresses[TargetName("t")] =
-        "127.0.0.1:" + std::to_string(server_->Port());
+        "127.0.0.1:" + std::to_string(port.value_or(server_->Port()));
     auto routes = std::make_shared<RoutingTable>();
     routes->services[ServiceName("ledger")] = std::move(service);
     engine_.ApplyRoutes(std::move(routes));
@@ -95,6 +147,7 @@
   }
 
   RequestEngine& Engine() { return engine_; }
+  const SilentTarget& Target() const { return target_; }
 
  private:
   SilentTarget target_;
@@ -149,6 +202,49 @@
                                false, RunState::kUnknown}),
     [](const auto& info) { return std::string(info.param.name); });
 
+struct EndedOrderCase {
+  const char* name;
+  bool is_queued;
+  bool is_connected;
+  RunState run_state;
+  int status;
+};
+
+class EndedOrderTest : public testing::TestWithParam<EndedOrderCase> {};
+
+// Guards against orders that are told to have perhaps run, and so must not be
+// repeated elsewhere, though the process ends before anything of them was sent.
+TEST_P(EndedOrderTest, IsToldWhetherItMayHaveRun) {
+  const FullListener full;
+  RequestEngineFixture fixture(
+      catalogue::KeyMode::kLocal,
+      GetParam().is_connected ? std::nullopt : std::optional(full.Port()));
+  std::promise<RequestResult> running;
+  std::promise<RequestResult> queued;
+  fixture.Submit(running);
+  fixture.Submit(queued);
+  if (GetParam().is_connected) {
+    fixture.Target().AwaitRequest();
+  }
+
+  fixture.Engine().EndAll();
+
+  auto ended = (GetParam().is_queued ? queued : running).get_future();
+  ASSERT_EQ(ended.wait_for(Duration(0)), std::future_status::ready);
+  const RequestResult result = ended.get();
+  EXPECT_EQ(result.run_state, GetParam().run_state);
+  EXPECT_EQ(result.response.status, GetParam().status);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Orders,
+    EndedOrderTest,
+    testing::Values(
+        EndedOrderCase{"Queued", true, true, RunState::kNotRun, 503},
+        EndedOrderCase{"Connecting", false, false, RunState::kNotRun, 503},
+        EndedOrderCase{"Sent", false, true, RunState::kUnknown, 504}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 TEST(RequestEngine, DispatchedOrderOfADisconnectedCallerKeepsRunning) {
   RequestEngineFixture fixture(catalogue::KeyMode::kLocal);
   std::promise<RequestResult> running;
