Take no refusal of a second send for proof that a request has not run

Callers saw: an idempotent request of medlar-entryd that was told `not-run`, and had run.

Cause: when a kept connection ends before the first byte of a response, libcurl sends the request again on a new one by itself. Both sends bear the same ID, so the refusal of the second counted as that of the request, though the first may have run. The same at a host to which a request was sent on, and when the target asks for rest between the two sends, which counted as withheld.

Evidence: EntryHostRefusalProperty, in KNOWN-RED.txt since.

Change: HttpClient counts the connections that were ready for a request. A refusal of a request that was sent more than once proves nothing: the attempt counts as an unproved refusal, another host's refusal as unknown, a withheld second send as a lost connection.

Why it works: libcurl asks the prerequisite callback each time before it sends, on a connection that is ready; so no send is missed, and the first one alone keeps its proof.

--- a/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/attempt_result.cc
@@ -101,9 +101,11 @@
 
   const bool is_named = answer.headers.Find(protocol::kRequestId).has_value();
   // Guards against a request that runs and counts as not run: on a reused
-  // connection the refusal may be a late one to the request before.
-  if (IsNotRun(classified.outcome) && !is_named &&
-      answer.was_connection_reused) {
+  // connection the refusal may be a late one to the request before, and that of
+  // a request that was sent twice says nothing of the first time.
+  const bool is_unproved =
+      answer.was_resent || (!is_named && answer.was_connection_reused);
+  if (IsNotRun(classified.outcome) && is_unproved) {
     classified.outcome = AttemptOutcome::kUnprovedRefusal;
     return classified;
   }
--- a/lib/libmedlarcroft/source/adapters/entry/host_forwarder.cc
+++ b/lib/libmedlarcroft/source/adapters/entry/host_forwarder.cc
@@ -34,6 +34,12 @@
   RequestResult forwarded;
   forwarded.run_state =
       ParseRunState(answer.headers.Find(protocol::kOutcome).value_or(""));
+  // The first time that it was sent, the request may have run.
+  if (answer.was_resent && forwarded.run_state == RunState::kNotRun) {
+    return {
+        .run_state = RunState::kUnknown,
+        .response = MakeProblem(ProblemCode::kAnswerLost, RunState::kUnknown)};
+  }
   forwarded.response.status = answer.status;
   forwarded.response.headers = ForwardedHeaders(
       answer.headers,
--- a/lib/libmedlarcroft/source/adapters/entry/host_forwarder.h
+++ b/lib/libmedlarcroft/source/adapters/entry/host_forwarder.h
@@ -35,8 +35,8 @@
                 const ports::Clock& clock);
 
   /// @brief Forwards a request. `done` runs once, on the client's thread.
-  /// `kNotRun` in its result is certain: the other host said so, or nothing was
-  /// sent to it.
+  /// `kNotRun` in its result is certain: the other host said so of the only
+  /// time that the request was sent, or nothing was sent to it.
   void Send(const ForwardRequest& forward, ResultCallback done);
 
   /// @return how an incoming request was forwarded, or nullopt if its proof is
--- a/lib/libmedlarcroft/source/adapters/http/http_client.cc
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.cc
@@ -48,6 +48,8 @@
   std::optional<response::HeadFault> fault;
   bool is_too_large = false;
   bool is_withheld = false;
+  /// Connections that were ready for the request.
+  int sends = 0;
 
   Transfer() = default;
   Transfer(const Transfer&) = delete;
@@ -81,8 +83,12 @@
                  int /*peer_port*/,
                  int /*local_port*/) {
   auto& transfer = *static_cast<Transfer*>(self);
-  transfer.is_withheld = !transfer.request.may_send();
-  return transfer.is_withheld ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  if (transfer.request.may_send && !transfer.request.may_send()) {
+    transfer.is_withheld = transfer.sends == 0;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  ++transfer.sends;
+  return CURL_PREREQFUNC_OK;
 }
 
 std::size_t OnHeader(char* data,
@@ -190,6 +196,7 @@
         .headers = std::move(transfer.response.headers)};
   }
   transfer.response.was_connection_reused = was_reused;
+  transfer.response.was_resent = transfer.sends > 1;
   return std::move(transfer.response);
 }
 
@@ -327,10 +334,8 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
-    if (request.may_send) {
-      curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnConnection);
-      curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
-    }
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnConnection);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   }
 
   void SetConnectionOptions(Transfer& transfer) {
--- a/lib/libmedlarcroft/source/adapters/http/http_client.h
+++ b/lib/libmedlarcroft/source/adapters/http/http_client.h
@@ -26,8 +26,8 @@
   /// new connection it never does. Costs a connect, about 1 ms.
   bool needs_fresh_connection = false;
   std::size_t max_answer_bytes = std::size_t{1024} * 1024;
-  /// Asked on the client's thread once there is a connection: whether the
-  /// request may still be sent. None: it may.
+  /// Asked on the client's thread each time that there is a connection: whether
+  /// the request may still be sent. None: it may.
   std::function<bool()> may_send;
 };
 
@@ -37,6 +37,10 @@
   HttpHeaders headers;
   std::string body;
   bool was_connection_reused = false;
+  /// libcurl sent the request again, since a reused connection ended before the
+  /// first byte of a response. What the response says of the request holds for
+  /// the last time only.
+  bool was_resent = false;
 };
 
 /// @brief Why there is no complete response.
